--- /dev/null
+++ b/dahliashunt/adapters/http1/pool.py
@@ -0,0 +1,102 @@
+"""Idle connections by address, newest first."""
+
+from dahliashunt.adapters.http1.connection import HttpConnection
+from dahliashunt.adapters.http1.connection import open_connection
+from dahliashunt.ports import Clock
+
+__all__ = ["ConnectionPool"]
+
+CONNECT_MS = 400
+"""Most time for a connection: some tens of round trips within a region,
+and under the second after which a lost opening packet is sent again."""
+
+IDLE_MS = 4_000
+"""Longest idle time before reuse where the peer states none: most servers
+close after 5 s or more."""
+
+MARGIN_MS = 500
+"""Subtracted from the idle time that a peer states, since it counts from
+its own side and a request may cross its close."""
+
+MAX_IDLE = 16
+"""Idle connections kept an address: one replica's slots, twice."""
+
+
+class ConnectionPool:
+    """Keeps idle connections and opens new ones.
+
+    Parameters
+    ----------
+    clock : Clock
+    connect_ms : int
+    """
+
+    def __init__(self, clock: Clock, connect_ms: int = CONNECT_MS):
+        self._clock = clock
+        self._connect_ms = connect_ms
+        self._idle_by_address: dict[tuple[str, int], list] = {}
+        self.opened = 0
+
+    async def take(
+        self, address: tuple[str, int], idle_ms: int = IDLE_MS
+    ) -> HttpConnection:
+        """Return a connection that was idle `idle_ms` at most, or new.
+
+        Raises
+        ------
+        ConnectFailed
+            A new one was needed and could not be made.
+        """
+        idle = self._idle_by_address.get(address)
+        now_ms = self._clock.now_ms()
+        while idle:
+            connection = idle.pop()
+            if self._is_fresh(connection, now_ms, idle_ms):
+                return connection
+            connection.abort()
+        self._idle_by_address.pop(address, None)
+        self.opened += 1
+        return await open_connection(*address, self._connect_ms)
+
+    def _is_fresh(self, connection, now_ms, idle_ms):
+        if not connection.usable or connection.transport.is_closing():
+            return False
+        limit_ms = idle_ms
+        if connection.keep_alive_ms is not None:
+            limit_ms = min(limit_ms, connection.keep_alive_ms - MARGIN_MS)
+        return now_ms - connection.idle_since_ms < limit_ms
+
+    def give_back(
+        self, address: tuple[str, int], connection: HttpConnection
+    ) -> None:
+        """Keep `connection` if it may be used again, else close it."""
+        if not connection.usable or connection.transport.is_closing():
+            connection.abort()
+            return
+        connection.idle_since_ms = self._clock.now_ms()
+        idle = self._idle_by_address.setdefault(address, [])
+        idle.append(connection)
+        if len(idle) > MAX_IDLE:
+            idle.pop(0).abort()
+
+    def sweep(self) -> None:
+        """Close what was idle for too long."""
+        now_ms = self._clock.now_ms()
+        for address, idle in list(self._idle_by_address.items()):
+            kept = []
+            for connection in idle:
+                if self._is_fresh(connection, now_ms, IDLE_MS):
+                    kept.append(connection)
+                else:
+                    connection.abort()
+            if kept:
+                self._idle_by_address[address] = kept
+            else:
+                del self._idle_by_address[address]
+
+    def close(self) -> None:
+        """Close every idle connection."""
+        for idle in self._idle_by_address.values():
+            for connection in idle:
+                connection.abort()
+        self._idle_by_address.clear()
--- a/dahliashunt/entry/http_server.py
+++ b/dahliashunt/adapters/http_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+from dataclasses import dataclass
 
 from uvicorn import Config
 from uvicorn import Server
@@ -9,12 +10,28 @@
 
 from dahliashunt.adapters.sockets import listening_socket
 
-__all__ = ["HttpServer"]
+__all__ = ["HttpBounds", "HttpServer"]
 
-KEEP_ALIVE_S = 75
-MAX_HEADER_BYTES = 32_768
 MAX_HEADERS = 100
-HEADERS_WITHIN_S = 10.0
+
+
+@dataclass(slots=True)
+class HttpBounds:
+    """What one connection may take; may change while the server runs.
+
+    Attributes
+    ----------
+    keep_alive_s : int
+        Longest idle time between requests.
+    header_bytes : int
+        Longest request line and headers together.
+    headers_within_s : float
+        From the connection to the end of its first headers.
+    """
+
+    keep_alive_s: int = 75
+    header_bytes: int = 32_768
+    headers_within_s: float = 10.0
 
 
 class _BoundedProtocol(HttpToolsProtocol):
@@ -26,6 +43,7 @@
     """
 
     def connection_made(self, transport):
+        self.timeout_keep_alive = self.config.bounds.keep_alive_s
         super().connection_made(transport)
         self._header_bytes = 0
         self._header_count = 0
@@ -33,7 +51,7 @@
 
     def _watch_headers(self):
         self._header_timer = asyncio.get_running_loop().call_later(
-            HEADERS_WITHIN_S, self._cut_slow
+            self.config.bounds.headers_within_s, self._cut_slow
         )
 
     def _cut_slow(self):
@@ -61,7 +79,7 @@
     def _count(self, size):
         self._header_bytes += size
         if (
-            self._header_bytes > MAX_HEADER_BYTES
+            self._header_bytes > self.config.bounds.header_bytes
             or self._header_count > MAX_HEADERS
         ):
             self.transport.abort()
@@ -98,24 +116,34 @@
     app : ASGI application
     host, port
         Port 0 takes a free one; `port` then tells which.
-    tls : callable, optional
-        Given uvicorn's config, sets its SSL context.
+    ssl_context : ssl.SSLContext, optional
+    lifespan : bool
+        Whether `app` takes the start and stop messages of ASGI.
+    bounds : HttpBounds, optional
     """
 
-    def __init__(self, app, host: str, port: int, ssl_context=None):
+    def __init__(
+        self,
+        app,
+        host: str,
+        port: int,
+        ssl_context=None,
+        lifespan: bool = True,
+        bounds: HttpBounds | None = None,
+    ):
         self._socket = listening_socket(host, port)
         self.port = self._socket.getsockname()[1]
         config = Config(
             app,
             http=_BoundedProtocol,
             ws="none",
-            lifespan="on",
+            lifespan="on" if lifespan else "off",
             log_config=None,
             log_level="error",
             access_log=False,
             server_header=False,
-            timeout_keep_alive=KEEP_ALIVE_S,
         )
+        config.bounds = bounds or HttpBounds()
         config.load()
         config.ssl = ssl_context
         self._server = _Server(config)
--- /dev/null
+++ b/dahliashunt/adapters/slots/client.py
@@ -0,0 +1,198 @@
+"""An entry's side: ask agents for slots, renew, release, obey revokes."""
+
+import asyncio
+from dataclasses import dataclass
+
+from dahliashunt.adapters.slots.datagrams import open_datagrams
+from dahliashunt.adapters.wire.gen.link.ttypes import SlotAsk
+from dahliashunt.adapters.wire.gen.link.ttypes import SlotFrame
+from dahliashunt.adapters.wire.gen.link.ttypes import SlotHeld
+from dahliashunt.adapters.wire.gen.link.ttypes import SlotRelease
+from dahliashunt.adapters.wire.gen.link.ttypes import SlotUse
+from dahliashunt.adapters.wire.gen.link.ttypes import SlotVerdict
+from dahliashunt.decisions.slot_keeper import KeeperState
+from dahliashunt.decisions.slot_keeper import Use
+from dahliashunt.decisions.slot_keeper import Verdict
+from dahliashunt.ports import Clock
+
+__all__ = ["Known", "SlotClient"]
+
+RESEND_MS = 25
+"""An ask without answer is sent again after so long: some ten round trips
+within a region, and little of a 300 ms objective."""
+
+SENDS = 3
+"""Asks without answer after which the agent is taken as silent."""
+
+SILENT_MS = 1_000
+"""So long a silent agent is not asked; its replica is sent to directly."""
+
+_USE = {Use.ONLINE: SlotUse.ONLINE, Use.BATCH: SlotUse.BATCH}
+_VERDICT = {
+    SlotVerdict.GRANTED: Verdict.GRANTED,
+    SlotVerdict.QUEUED: Verdict.QUEUED,
+    SlotVerdict.FULL: Verdict.FULL,
+    SlotVerdict.AWAY: Verdict.AWAY,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Known:
+    """What an agent last said of its replica, and when."""
+
+    state: KeeperState
+    at_ms: int
+
+
+@dataclass(slots=True)
+class _Asked:
+    address: tuple[str, int]
+    answer: asyncio.Future
+    on_revoke: object
+
+
+class SlotClient:
+    """Asks agents. One attempt is asked at one agent at a time.
+
+    Parameters
+    ----------
+    clock : Clock
+    """
+
+    def __init__(self, clock: Clock):
+        self._clock = clock
+        self._datagrams = None
+        self._asked_by_id: dict[str, _Asked] = {}
+        self.known_by_address: dict[tuple[str, int], Known] = {}
+        self._silent_until_ms: dict[tuple[str, int], int] = {}
+
+    async def start(self, host: str, port: int) -> None:
+        """Open the socket."""
+        self._datagrams = await open_datagrams(self._received, host, port)
+
+    def stop(self) -> None:
+        """Close the socket."""
+        if self._datagrams is not None:
+            self._datagrams.close()
+
+    def is_silent(self, address: tuple[str, int]) -> bool:
+        """Tell whether the agent at `address` did not answer lately."""
+        return self._clock.now_ms() < self._silent_until_ms.get(address, 0)
+
+    async def ask(
+        self, attempt_id, address, use: Use, wait_ms, slack_ms, on_revoke
+    ) -> Verdict | None:
+        """Ask for a slot; return the final verdict, None if no answer.
+
+        Waits `wait_ms` at most where the agent queues the ask. After
+        anything but GRANTED nothing is held.
+
+        Parameters
+        ----------
+        on_revoke : callable
+            Called without arguments when a granted slot is taken back.
+        """
+        asked = _Asked(address, None, on_revoke)
+        self._asked_by_id[attempt_id] = asked
+        frame = SlotFrame(
+            ask=SlotAsk(attempt_id, _USE[use], wait_ms, slack_ms)
+        )
+        verdict = None
+        try:
+            verdict = await self._exchange(asked, frame, wait_ms)
+        finally:
+            if verdict is not Verdict.GRANTED:
+                self.release(attempt_id)
+        if verdict is None:
+            silent_ms = self._clock.now_ms() + SILENT_MS
+            self._silent_until_ms[address] = silent_ms
+        return Verdict.FULL if verdict is Verdict.QUEUED else verdict
+
+    async def _exchange(self, asked, frame, wait_ms):
+        until_ms = self._clock.now_ms() + wait_ms
+        verdict = None
+        sends = 0
+        while sends < SENDS:
+            asked.answer = asyncio.get_running_loop().create_future()
+            self._datagrams.send(frame, asked.address)
+            sends += 1
+            heard = await _within(asked.answer, RESEND_MS)
+            while heard is Verdict.QUEUED:
+                verdict = heard
+                left_ms = until_ms - self._clock.now_ms()
+                if left_ms <= 0:
+                    return verdict
+                asked.answer = asyncio.get_running_loop().create_future()
+                heard = await _within(asked.answer, min(left_ms, 100))
+                sends = 0
+            if heard is not None:
+                return heard
+            if verdict is not None and self._clock.now_ms() >= until_ms:
+                return verdict
+        return verdict
+
+    def release(self, attempt_id) -> None:
+        """Give back what `attempt_id` holds or waits for."""
+        asked = self._asked_by_id.pop(attempt_id, None)
+        if asked is not None:
+            frame = SlotFrame(release=SlotRelease(attempt_id))
+            self._datagrams.send(frame, asked.address)
+
+    def renew(self, addresses) -> None:
+        """Renew what is held, and ask `addresses` to send their states."""
+        ids_by_address = {address: [] for address in addresses}
+        for attempt_id, asked in self._asked_by_id.items():
+            ids_by_address.setdefault(asked.address, []).append(attempt_id)
+        for address, attempt_ids in ids_by_address.items():
+            frame = SlotFrame(held=SlotHeld(attempt_ids))
+            self._datagrams.send(frame, address)
+
+    def _received(self, frame, address):
+        if frame.answer is not None:
+            self._learn(frame.answer.state, address)
+            self._answered(frame.answer, address)
+        elif frame.state is not None:
+            self._learn(frame.state, address)
+        elif frame.revoke is not None:
+            asked = self._asked_by_id.get(frame.revoke.attempt_id)
+            if asked is not None and asked.address == address:
+                asked.on_revoke()
+
+    def _answered(self, answer, address):
+        asked = self._asked_by_id.get(answer.attempt_id)
+        if asked is None or asked.address != address:
+            if answer.verdict == SlotVerdict.GRANTED:
+                # Granted after this side gave up: give it back at once.
+                release = SlotRelease(answer.attempt_id)
+                self._datagrams.send(SlotFrame(release=release), address)
+            return
+        if not asked.answer.done():
+            asked.answer.set_result(_VERDICT.get(answer.verdict))
+
+    def _learn(self, state, address):
+        if state is None:
+            return
+        self._silent_until_ms.pop(address, None)
+        known = KeeperState(
+            slots=state.slots or 0,
+            online=state.online or 0,
+            batch=state.batch or 0,
+            waiting=state.waiting or 0,
+            wait_ms=state.wait_ms or 0,
+            away=bool(state.away),
+        )
+        self.known_by_address[address] = Known(known, self._clock.now_ms())
+
+    def forget_but(self, addresses) -> None:
+        """Drop what is known of agents that are not in `addresses`."""
+        for address in list(self.known_by_address):
+            if address not in addresses:
+                del self.known_by_address[address]
+        for address in list(self._silent_until_ms):
+            if address not in addresses:
+                del self._silent_until_ms[address]
+
+
+async def _within(future, limit_ms):
+    await asyncio.wait({future}, timeout=limit_ms / 1000)
+    return future.result() if future.done() else None
--- /dev/null
+++ b/dahliashunt/adapters/slots/datagrams.py
@@ -0,0 +1,66 @@
+"""Send and receive `SlotFrame` datagrams on one socket."""
+
+import asyncio
+
+from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
+from thrift.TSerialization import deserialize
+from thrift.TSerialization import serialize
+
+from dahliashunt.adapters.wire.gen.link.ttypes import SlotFrame
+
+__all__ = ["Datagrams", "open_datagrams"]
+
+_FACTORY = TCompactProtocolAcceleratedFactory()
+
+
+class Datagrams(asyncio.DatagramProtocol):
+    """One UDP socket; frames go to a receiver, others are counted.
+
+    Attributes
+    ----------
+    refused : int
+        Datagrams that were no frames.
+    """
+
+    def __init__(self, receive):
+        self._receive = receive
+        self._transport = None
+        self.refused = 0
+
+    def connection_made(self, transport):
+        """Keep the transport."""
+        self._transport = transport
+
+    def datagram_received(self, data, addr):
+        """Decode and hand on; bytes of a foreign sender are dropped."""
+        try:
+            frame = deserialize(SlotFrame(), data, protocol_factory=_FACTORY)
+        except Exception:
+            # The accelerated decoder raises plain exceptions of its own;
+            # any sender on the network must not stop this task.
+            self.refused += 1
+            return
+        self._receive(frame, addr)
+
+    def error_received(self, exc):
+        """Ignore: no listener there; the asker's time limit decides."""
+
+    def send(self, frame: SlotFrame, address: tuple[str, int]) -> None:
+        """Send one datagram."""
+        if self._transport is not None and not self._transport.is_closing():
+            data = serialize(frame, protocol_factory=_FACTORY)
+            self._transport.sendto(data, address)
+
+    def close(self) -> None:
+        """Close the socket."""
+        if self._transport is not None:
+            self._transport.close()
+
+
+async def open_datagrams(receive, host: str, port: int) -> Datagrams:
+    """Bind a socket whose frames go to ``receive(frame, address)``."""
+    loop = asyncio.get_running_loop()
+    _, datagrams = await loop.create_datagram_endpoint(
+        lambda: Datagrams(receive), local_addr=(host, port)
+    )
+    return datagrams
--- a/dahliashunt/adapters/wire/gen/link/ttypes.py
+++ b/dahliashunt/adapters/wire/gen/link/ttypes.py
@@ -38,6 +38,20 @@
 
 
 
+class SlotUse(IntEnum):
+    ONLINE = 1
+    BATCH = 2
+
+
+
+class SlotVerdict(IntEnum):
+    GRANTED = 1
+    QUEUED = 2
+    FULL = 3
+    AWAY = 4
+
+
+
 class LoadReport(object):
     """
     Attributes:
@@ -2381,177 +2395,911 @@
 
     def __ne__(self, other):
         return not (self == other)
-all_structs.append(LoadReport)
-LoadReport.thrift_spec = (
-    None,  # 0
-    (1, TType.I32, 'running_online', None, None, ),  # 1
-    (2, TType.I32, 'running_batch', None, None, ),  # 2
-    (3, TType.I32, 'waiting_online', None, None, ),  # 3
-    (4, TType.I32, 'waiting_batch', None, None, ),  # 4
-    (5, TType.I64, 'kv_used_tokens', None, None, ),  # 5
-    (6, TType.I64, 'kv_total_tokens', None, None, ),  # 6
-    (7, TType.DOUBLE, 'step_ms', None, None, ),  # 7
-    (8, TType.I32, 'batch_room', None, None, ),  # 8
-    (9, TType.LIST, 'models', (TType.STRING, 'UTF8', False), None, ),  # 9
-    (10, TType.I64, 'age_ms', None, None, ),  # 10
-    (11, TType.LIST, 'cached_prefixes', (TType.I64, None, False), None, ),  # 11
-    (12, TType.LIST, 'versions', (TType.STRING, 'UTF8', False), None, ),  # 12
-    (13, TType.LIST, 'loading', (TType.STRING, 'UTF8', False), None, ),  # 13
-    (14, TType.LIST, 'draining', (TType.STRING, 'UTF8', False), None, ),  # 14
-    (15, TType.LIST, 'busy', (TType.STRING, 'UTF8', False), None, ),  # 15
-)
-all_structs.append(Hello)
-Hello.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'node_id', 'UTF8', None, ),  # 1
-    (2, TType.I64, 'incarnation', None, None, ),  # 2
-    (3, TType.I32, 'version', None, None, ),  # 3
-    (4, TType.STRING, 'program_version', 'UTF8', None, ),  # 4
-    (5, TType.I64, 'revision', None, None, ),  # 5
-    (6, TType.STRING, 'data_centre', 'UTF8', None, ),  # 6
-    (7, TType.STRING, 'endpoint_id', 'UTF8', None, ),  # 7
-    (8, TType.BOOL, 'leaving', None, None, ),  # 8
-    (9, TType.STRING, 'service_name', 'UTF8', None, ),  # 9
-    (10, TType.STRUCT, 'load', [LoadReport, None], None, ),  # 10
-    (11, TType.STRING, 'token', 'UTF8', None, ),  # 11
-    (12, TType.I64, 'weight_bytes', None, None, ),  # 12
-    (13, TType.I64, 'beat_every_ms', None, None, ),  # 13
-)
-all_structs.append(NodeRevision)
-NodeRevision.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'node_id', 'UTF8', None, ),  # 1
-    (2, TType.I64, 'revision', None, None, ),  # 2
-)
-all_structs.append(Heartbeat)
-Heartbeat.thrift_spec = (
-    None,  # 0
-    (1, TType.I64, 'seq', None, None, ),  # 1
-    (2, TType.I64, 'revision', None, None, ),  # 2
-    (3, TType.BOOL, 'leaving', None, None, ),  # 3
-    (4, TType.STRUCT, 'load', [LoadReport, None], None, ),  # 4
-    (5, TType.LIST, 'lagging', (TType.STRUCT, [NodeRevision, None], False), None, ),  # 5
-)
-all_structs.append(Open)
-Open.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'attempt_id', 'UTF8', None, ),  # 1
-    (2, TType.STRING, 'request_id', 'UTF8', None, ),  # 2
-    (3, TType.STRING, 'caller', 'UTF8', None, ),  # 3
-    (4, TType.STRING, 'model', 'UTF8', None, ),  # 4
-    (5, TType.I32, 'priority', None, None, ),  # 5
-    (6, TType.STRING, 'method', 'UTF8', None, ),  # 6
-    (7, TType.STRING, 'path', 'UTF8', None, ),  # 7
-    (8, TType.STRING, 'body', 'BINARY', None, ),  # 8
-    (9, TType.BOOL, 'idempotent', None, None, ),  # 9
-    (10, TType.I64, 'timeout_ms', None, None, ),  # 10
-    (11, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 11
-    (12, TType.I32, 'prompt_tokens', None, None, ),  # 12
-    (13, TType.I32, 'max_tokens', None, None, ),  # 13
-    (14, TType.BOOL, 'alone', None, None, ),  # 14
-    (15, TType.I64, 'start_within_ms', None, None, ),  # 15
-    (16, TType.MAP, 'headers', (TType.STRING, 'UTF8', TType.STRING, 'UTF8', False), None, ),  # 16
-    (17, TType.STRING, 'job_id', 'UTF8', None, ),  # 17
-)
-all_structs.append(Chunk)
-Chunk.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'attempt_id', 'UTF8', None, ),  # 1
-    (2, TType.I32, 'offset', None, None, ),  # 2
-    (3, TType.I32, 'events', None, None, ),  # 3
-    (4, TType.STRING, 'data', 'BINARY', None, ),  # 4
-    (5, TType.I32, 'status', None, None, ),  # 5
-    (6, TType.MAP, 'headers', (TType.STRING, 'UTF8', TType.STRING, 'UTF8', False), None, ),  # 6
-)
-all_structs.append(Outcome)
-Outcome.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'attempt_id', 'UTF8', None, ),  # 1
-    (2, TType.I32, 'end', None, None, ),  # 2
-    (3, TType.I32, 'total_events', None, None, ),  # 3
-    (4, TType.STRING, 'error_kind', 'UTF8', None, ),  # 4
-    (5, TType.STRING, 'message', 'UTF8', None, ),  # 5
-    (6, TType.I64, 'retry_after_ms', None, None, ),  # 6
-    (7, TType.I32, 'status', None, None, ),  # 7
-    (8, TType.MAP, 'headers', (TType.STRING, 'UTF8', TType.STRING, 'UTF8', False), None, ),  # 8
-    (9, TType.BOOL, 'crashed', None, None, ),  # 9
-    (10, TType.LIST, 'alongside', (TType.STRING, 'UTF8', False), None, ),  # 10
-    (11, TType.STRUCT, 'load', [LoadReport, None], None, ),  # 11
-)
-all_structs.append(Resume)
-Resume.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'attempt_id', 'UTF8', None, ),  # 1
-    (2, TType.I32, 'offset', None, None, ),  # 2
-    (3, TType.I64, 'incarnation', None, None, ),  # 3
-    (4, TType.STRUCT, 'opening', [Open, None], None, ),  # 4
-)
-all_structs.append(Cancel)
-Cancel.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'attempt_id', 'UTF8', None, ),  # 1
-    (2, TType.STRING, 'reason', 'UTF8', None, ),  # 2
-)
-all_structs.append(Settled)
-Settled.thrift_spec = (
-    None,  # 0
-    (1, TType.LIST, 'attempt_ids', (TType.STRING, 'UTF8', False), None, ),  # 1
-)
-all_structs.append(Leaving)
-Leaving.thrift_spec = (
-    None,  # 0
-    (1, TType.I64, 'within_ms', None, None, ),  # 1
-    (2, TType.STRING, 'reason', 'UTF8', None, ),  # 2
-)
-all_structs.append(RecordsWanted)
-RecordsWanted.thrift_spec = (
-    None,  # 0
-    (1, TType.I64, 'have_revision', None, None, ),  # 1
-)
-all_structs.append(RecordsSnapshot)
-RecordsSnapshot.thrift_spec = (
-    None,  # 0
-    (1, TType.I64, 'revision', None, None, ),  # 1
-    (2, TType.STRING, 'body', 'BINARY', None, ),  # 2
-    (3, TType.I64, 'since', None, None, ),  # 3
-)
-all_structs.append(Conviction)
-Conviction.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 1
-    (2, TType.I64, 'for_ms', None, None, ),  # 2
-)
-all_structs.append(Convictions)
-Convictions.thrift_spec = (
-    None,  # 0
-    (1, TType.LIST, 'convictions', (TType.STRUCT, [Conviction, None], False), None, ),  # 1
-    (2, TType.LIST, 'suspects', (TType.STRING, 'UTF8', False), None, ),  # 2
-)
-all_structs.append(Order)
-Order.thrift_spec = (
-    None,  # 0
-    (1, TType.I64, 'plan_token', None, None, ),  # 1
-    (2, TType.I32, 'kind', None, None, ),  # 2
-    (3, TType.STRING, 'model', 'UTF8', None, ),  # 3
-    (4, TType.STRING, 'version', 'UTF8', None, ),  # 4
-    (5, TType.LIST, 'adapters', (TType.STRING, 'UTF8', False), None, ),  # 5
-)
-all_structs.append(Frame)
-Frame.thrift_spec = (
-    None,  # 0
-    (1, TType.STRUCT, 'hello', [Hello, None], None, ),  # 1
-    (2, TType.STRUCT, 'heartbeat', [Heartbeat, None], None, ),  # 2
-    (3, TType.STRUCT, 'open', [Open, None], None, ),  # 3
-    (4, TType.STRUCT, 'chunk', [Chunk, None], None, ),  # 4
-    (5, TType.STRUCT, 'outcome', [Outcome, None], None, ),  # 5
-    (6, TType.STRUCT, 'resume', [Resume, None], None, ),  # 6
-    (7, TType.STRUCT, 'cancel', [Cancel, None], None, ),  # 7
-    (8, TType.STRUCT, 'settled', [Settled, None], None, ),  # 8
-    (9, TType.STRUCT, 'leaving', [Leaving, None], None, ),  # 9
-    (10, TType.STRUCT, 'records_wanted', [RecordsWanted, None], None, ),  # 10
-    (11, TType.STRUCT, 'records_snapshot', [RecordsSnapshot, None], None, ),  # 11
-    (12, TType.STRUCT, 'convictions', [Convictions, None], None, ),  # 12
-    (13, TType.STRUCT, 'order', [Order, None], None, ),  # 13
+
+
+class SlotState(object):
+    """
+    Attributes:
+     - slots
+     - online
+     - batch
+     - waiting
+     - wait_ms
+     - away
+     - instance_id
+
+    """
+
+    __slots__ = (
+        'slots',
+        'online',
+        'batch',
+        'waiting',
+        'wait_ms',
+        'away',
+        'instance_id',
+    )
+
+
+    def __init__(self, slots=None, online=None, batch=None, waiting=None, wait_ms=None, away=None, instance_id=None,):
+        self.slots = slots
+        self.online = online
+        self.batch = batch
+        self.waiting = waiting
+        self.wait_ms = wait_ms
+        self.away = away
+        self.instance_id = instance_id
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.slots = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.online = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.batch = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.waiting = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.wait_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.away = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRING:
+                    self.instance_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SlotState')
+        if self.slots is not None:
+            oprot.writeFieldBegin('slots', TType.I32, 1)
+            oprot.writeI32(self.slots)
+            oprot.writeFieldEnd()
+        if self.online is not None:
+            oprot.writeFieldBegin('online', TType.I32, 2)
+            oprot.writeI32(self.online)
+            oprot.writeFieldEnd()
+        if self.batch is not None:
+            oprot.writeFieldBegin('batch', TType.I32, 3)
+            oprot.writeI32(self.batch)
+            oprot.writeFieldEnd()
+        if self.waiting is not None:
+            oprot.writeFieldBegin('waiting', TType.I32, 4)
+            oprot.writeI32(self.waiting)
+            oprot.writeFieldEnd()
+        if self.wait_ms is not None:
+            oprot.writeFieldBegin('wait_ms', TType.I32, 5)
+            oprot.writeI32(self.wait_ms)
+            oprot.writeFieldEnd()
+        if self.away is not None:
+            oprot.writeFieldBegin('away', TType.BOOL, 6)
+            oprot.writeBool(self.away)
+            oprot.writeFieldEnd()
+        if self.instance_id is not None:
+            oprot.writeFieldBegin('instance_id', TType.STRING, 7)
+            oprot.writeString(self.instance_id.encode('utf-8') if sys.version_info[0] == 2 else self.instance_id)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class SlotAsk(object):
+    """
+    Attributes:
+     - attempt_id
+     - use
+     - wait_ms
+     - slack_ms
+
+    """
+
+    __slots__ = (
+        'attempt_id',
+        'use',
+        'wait_ms',
+        'slack_ms',
+    )
+
+
+    def __init__(self, attempt_id=None, use=None, wait_ms=None, slack_ms=None,):
+        self.attempt_id = attempt_id
+        self.use = use
+        self.wait_ms = wait_ms
+        self.slack_ms = slack_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.attempt_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.use = SlotUse(iprot.readI32()).name
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.wait_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.slack_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SlotAsk')
+        if self.attempt_id is not None:
+            oprot.writeFieldBegin('attempt_id', TType.STRING, 1)
+            oprot.writeString(self.attempt_id.encode('utf-8') if sys.version_info[0] == 2 else self.attempt_id)
+            oprot.writeFieldEnd()
+        if self.use is not None:
+            oprot.writeFieldBegin('use', TType.I32, 2)
+            oprot.writeI32(SlotUse[self.use].value)
+            oprot.writeFieldEnd()
+        if self.wait_ms is not None:
+            oprot.writeFieldBegin('wait_ms', TType.I32, 3)
+            oprot.writeI32(self.wait_ms)
+            oprot.writeFieldEnd()
+        if self.slack_ms is not None:
+            oprot.writeFieldBegin('slack_ms', TType.I32, 4)
+            oprot.writeI32(self.slack_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class SlotAnswer(object):
+    """
+    Attributes:
+     - attempt_id
+     - verdict
+     - state
+
+    """
+
+    __slots__ = (
+        'attempt_id',
+        'verdict',
+        'state',
+    )
+
+
+    def __init__(self, attempt_id=None, verdict=None, state=None,):
+        self.attempt_id = attempt_id
+        self.verdict = verdict
+        self.state = state
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.attempt_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.verdict = SlotVerdict(iprot.readI32()).name
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRUCT:
+                    self.state = SlotState()
+                    self.state.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SlotAnswer')
+        if self.attempt_id is not None:
+            oprot.writeFieldBegin('attempt_id', TType.STRING, 1)
+            oprot.writeString(self.attempt_id.encode('utf-8') if sys.version_info[0] == 2 else self.attempt_id)
+            oprot.writeFieldEnd()
+        if self.verdict is not None:
+            oprot.writeFieldBegin('verdict', TType.I32, 2)
+            oprot.writeI32(SlotVerdict[self.verdict].value)
+            oprot.writeFieldEnd()
+        if self.state is not None:
+            oprot.writeFieldBegin('state', TType.STRUCT, 3)
+            self.state.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class SlotHeld(object):
+    """
+    Attributes:
+     - attempt_ids
+
+    """
+
+    __slots__ = (
+        'attempt_ids',
+    )
+
+
+    def __init__(self, attempt_ids=None,):
+        self.attempt_ids = attempt_ids
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.attempt_ids = []
+                    (_etype114, _size111) = iprot.readListBegin()
+                    for _i115 in range(_size111):
+                        _elem116 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.attempt_ids.append(_elem116)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SlotHeld')
+        if self.attempt_ids is not None:
+            oprot.writeFieldBegin('attempt_ids', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRING, len(self.attempt_ids))
+            for iter117 in self.attempt_ids:
+                oprot.writeString(iter117.encode('utf-8') if sys.version_info[0] == 2 else iter117)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class SlotRelease(object):
+    """
+    Attributes:
+     - attempt_id
+
+    """
+
+    __slots__ = (
+        'attempt_id',
+    )
+
+
+    def __init__(self, attempt_id=None,):
+        self.attempt_id = attempt_id
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.attempt_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SlotRelease')
+        if self.attempt_id is not None:
+            oprot.writeFieldBegin('attempt_id', TType.STRING, 1)
+            oprot.writeString(self.attempt_id.encode('utf-8') if sys.version_info[0] == 2 else self.attempt_id)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class SlotRevoke(object):
+    """
+    Attributes:
+     - attempt_id
+
+    """
+
+    __slots__ = (
+        'attempt_id',
+    )
+
+
+    def __init__(self, attempt_id=None,):
+        self.attempt_id = attempt_id
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.attempt_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SlotRevoke')
+        if self.attempt_id is not None:
+            oprot.writeFieldBegin('attempt_id', TType.STRING, 1)
+            oprot.writeString(self.attempt_id.encode('utf-8') if sys.version_info[0] == 2 else self.attempt_id)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class SlotFrame(object):
+    """
+    Attributes:
+     - ask
+     - answer
+     - held
+     - release
+     - revoke
+     - state
+
+    """
+
+    __slots__ = (
+        'ask',
+        'answer',
+        'held',
+        'release',
+        'revoke',
+        'state',
+    )
+
+
+    def __init__(self, ask=None, answer=None, held=None, release=None, revoke=None, state=None,):
+        self.ask = ask
+        self.answer = answer
+        self.held = held
+        self.release = release
+        self.revoke = revoke
+        self.state = state
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.ask = SlotAsk()
+                    self.ask.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.answer = SlotAnswer()
+                    self.answer.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRUCT:
+                    self.held = SlotHeld()
+                    self.held.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRUCT:
+                    self.release = SlotRelease()
+                    self.release.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRUCT:
+                    self.revoke = SlotRevoke()
+                    self.revoke.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRUCT:
+                    self.state = SlotState()
+                    self.state.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SlotFrame')
+        if self.ask is not None:
+            oprot.writeFieldBegin('ask', TType.STRUCT, 1)
+            self.ask.write(oprot)
+            oprot.writeFieldEnd()
+        if self.answer is not None:
+            oprot.writeFieldBegin('answer', TType.STRUCT, 2)
+            self.answer.write(oprot)
+            oprot.writeFieldEnd()
+        if self.held is not None:
+            oprot.writeFieldBegin('held', TType.STRUCT, 3)
+            self.held.write(oprot)
+            oprot.writeFieldEnd()
+        if self.release is not None:
+            oprot.writeFieldBegin('release', TType.STRUCT, 4)
+            self.release.write(oprot)
+            oprot.writeFieldEnd()
+        if self.revoke is not None:
+            oprot.writeFieldBegin('revoke', TType.STRUCT, 5)
+            self.revoke.write(oprot)
+            oprot.writeFieldEnd()
+        if self.state is not None:
+            oprot.writeFieldBegin('state', TType.STRUCT, 6)
+            self.state.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(LoadReport)
+LoadReport.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'running_online', None, None, ),  # 1
+    (2, TType.I32, 'running_batch', None, None, ),  # 2
+    (3, TType.I32, 'waiting_online', None, None, ),  # 3
+    (4, TType.I32, 'waiting_batch', None, None, ),  # 4
+    (5, TType.I64, 'kv_used_tokens', None, None, ),  # 5
+    (6, TType.I64, 'kv_total_tokens', None, None, ),  # 6
+    (7, TType.DOUBLE, 'step_ms', None, None, ),  # 7
+    (8, TType.I32, 'batch_room', None, None, ),  # 8
+    (9, TType.LIST, 'models', (TType.STRING, 'UTF8', False), None, ),  # 9
+    (10, TType.I64, 'age_ms', None, None, ),  # 10
+    (11, TType.LIST, 'cached_prefixes', (TType.I64, None, False), None, ),  # 11
+    (12, TType.LIST, 'versions', (TType.STRING, 'UTF8', False), None, ),  # 12
+    (13, TType.LIST, 'loading', (TType.STRING, 'UTF8', False), None, ),  # 13
+    (14, TType.LIST, 'draining', (TType.STRING, 'UTF8', False), None, ),  # 14
+    (15, TType.LIST, 'busy', (TType.STRING, 'UTF8', False), None, ),  # 15
+)
+all_structs.append(Hello)
+Hello.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'node_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'incarnation', None, None, ),  # 2
+    (3, TType.I32, 'version', None, None, ),  # 3
+    (4, TType.STRING, 'program_version', 'UTF8', None, ),  # 4
+    (5, TType.I64, 'revision', None, None, ),  # 5
+    (6, TType.STRING, 'data_centre', 'UTF8', None, ),  # 6
+    (7, TType.STRING, 'endpoint_id', 'UTF8', None, ),  # 7
+    (8, TType.BOOL, 'leaving', None, None, ),  # 8
+    (9, TType.STRING, 'service_name', 'UTF8', None, ),  # 9
+    (10, TType.STRUCT, 'load', [LoadReport, None], None, ),  # 10
+    (11, TType.STRING, 'token', 'UTF8', None, ),  # 11
+    (12, TType.I64, 'weight_bytes', None, None, ),  # 12
+    (13, TType.I64, 'beat_every_ms', None, None, ),  # 13
+)
+all_structs.append(NodeRevision)
+NodeRevision.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'node_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'revision', None, None, ),  # 2
+)
+all_structs.append(Heartbeat)
+Heartbeat.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'seq', None, None, ),  # 1
+    (2, TType.I64, 'revision', None, None, ),  # 2
+    (3, TType.BOOL, 'leaving', None, None, ),  # 3
+    (4, TType.STRUCT, 'load', [LoadReport, None], None, ),  # 4
+    (5, TType.LIST, 'lagging', (TType.STRUCT, [NodeRevision, None], False), None, ),  # 5
+)
+all_structs.append(Open)
+Open.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'attempt_id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'request_id', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'caller', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'model', 'UTF8', None, ),  # 4
+    (5, TType.I32, 'priority', None, None, ),  # 5
+    (6, TType.STRING, 'method', 'UTF8', None, ),  # 6
+    (7, TType.STRING, 'path', 'UTF8', None, ),  # 7
+    (8, TType.STRING, 'body', 'BINARY', None, ),  # 8
+    (9, TType.BOOL, 'idempotent', None, None, ),  # 9
+    (10, TType.I64, 'timeout_ms', None, None, ),  # 10
+    (11, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 11
+    (12, TType.I32, 'prompt_tokens', None, None, ),  # 12
+    (13, TType.I32, 'max_tokens', None, None, ),  # 13
+    (14, TType.BOOL, 'alone', None, None, ),  # 14
+    (15, TType.I64, 'start_within_ms', None, None, ),  # 15
+    (16, TType.MAP, 'headers', (TType.STRING, 'UTF8', TType.STRING, 'UTF8', False), None, ),  # 16
+    (17, TType.STRING, 'job_id', 'UTF8', None, ),  # 17
+)
+all_structs.append(Chunk)
+Chunk.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'attempt_id', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'offset', None, None, ),  # 2
+    (3, TType.I32, 'events', None, None, ),  # 3
+    (4, TType.STRING, 'data', 'BINARY', None, ),  # 4
+    (5, TType.I32, 'status', None, None, ),  # 5
+    (6, TType.MAP, 'headers', (TType.STRING, 'UTF8', TType.STRING, 'UTF8', False), None, ),  # 6
+)
+all_structs.append(Outcome)
+Outcome.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'attempt_id', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'end', None, None, ),  # 2
+    (3, TType.I32, 'total_events', None, None, ),  # 3
+    (4, TType.STRING, 'error_kind', 'UTF8', None, ),  # 4
+    (5, TType.STRING, 'message', 'UTF8', None, ),  # 5
+    (6, TType.I64, 'retry_after_ms', None, None, ),  # 6
+    (7, TType.I32, 'status', None, None, ),  # 7
+    (8, TType.MAP, 'headers', (TType.STRING, 'UTF8', TType.STRING, 'UTF8', False), None, ),  # 8
+    (9, TType.BOOL, 'crashed', None, None, ),  # 9
+    (10, TType.LIST, 'alongside', (TType.STRING, 'UTF8', False), None, ),  # 10
+    (11, TType.STRUCT, 'load', [LoadReport, None], None, ),  # 11
+)
+all_structs.append(Resume)
+Resume.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'attempt_id', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'offset', None, None, ),  # 2
+    (3, TType.I64, 'incarnation', None, None, ),  # 3
+    (4, TType.STRUCT, 'opening', [Open, None], None, ),  # 4
+)
+all_structs.append(Cancel)
+Cancel.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'attempt_id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'reason', 'UTF8', None, ),  # 2
+)
+all_structs.append(Settled)
+Settled.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'attempt_ids', (TType.STRING, 'UTF8', False), None, ),  # 1
+)
+all_structs.append(Leaving)
+Leaving.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'within_ms', None, None, ),  # 1
+    (2, TType.STRING, 'reason', 'UTF8', None, ),  # 2
+)
+all_structs.append(RecordsWanted)
+RecordsWanted.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'have_revision', None, None, ),  # 1
+)
+all_structs.append(RecordsSnapshot)
+RecordsSnapshot.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'revision', None, None, ),  # 1
+    (2, TType.STRING, 'body', 'BINARY', None, ),  # 2
+    (3, TType.I64, 'since', None, None, ),  # 3
+)
+all_structs.append(Conviction)
+Conviction.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'for_ms', None, None, ),  # 2
+)
+all_structs.append(Convictions)
+Convictions.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'convictions', (TType.STRUCT, [Conviction, None], False), None, ),  # 1
+    (2, TType.LIST, 'suspects', (TType.STRING, 'UTF8', False), None, ),  # 2
+)
+all_structs.append(Order)
+Order.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'plan_token', None, None, ),  # 1
+    (2, TType.I32, 'kind', None, None, ),  # 2
+    (3, TType.STRING, 'model', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'version', 'UTF8', None, ),  # 4
+    (5, TType.LIST, 'adapters', (TType.STRING, 'UTF8', False), None, ),  # 5
+)
+all_structs.append(Frame)
+Frame.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'hello', [Hello, None], None, ),  # 1
+    (2, TType.STRUCT, 'heartbeat', [Heartbeat, None], None, ),  # 2
+    (3, TType.STRUCT, 'open', [Open, None], None, ),  # 3
+    (4, TType.STRUCT, 'chunk', [Chunk, None], None, ),  # 4
+    (5, TType.STRUCT, 'outcome', [Outcome, None], None, ),  # 5
+    (6, TType.STRUCT, 'resume', [Resume, None], None, ),  # 6
+    (7, TType.STRUCT, 'cancel', [Cancel, None], None, ),  # 7
+    (8, TType.STRUCT, 'settled', [Settled, None], None, ),  # 8
+    (9, TType.STRUCT, 'leaving', [Leaving, None], None, ),  # 9
+    (10, TType.STRUCT, 'records_wanted', [RecordsWanted, None], None, ),  # 10
+    (11, TType.STRUCT, 'records_snapshot', [RecordsSnapshot, None], None, ),  # 11
+    (12, TType.STRUCT, 'convictions', [Convictions, None], None, ),  # 12
+    (13, TType.STRUCT, 'order', [Order, None], None, ),  # 13
+)
+all_structs.append(SlotState)
+SlotState.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'slots', None, None, ),  # 1
+    (2, TType.I32, 'online', None, None, ),  # 2
+    (3, TType.I32, 'batch', None, None, ),  # 3
+    (4, TType.I32, 'waiting', None, None, ),  # 4
+    (5, TType.I32, 'wait_ms', None, None, ),  # 5
+    (6, TType.BOOL, 'away', None, None, ),  # 6
+    (7, TType.STRING, 'instance_id', 'UTF8', None, ),  # 7
+)
+all_structs.append(SlotAsk)
+SlotAsk.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'attempt_id', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'use', None, None, ),  # 2
+    (3, TType.I32, 'wait_ms', None, None, ),  # 3
+    (4, TType.I32, 'slack_ms', None, None, ),  # 4
+)
+all_structs.append(SlotAnswer)
+SlotAnswer.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'attempt_id', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'verdict', None, None, ),  # 2
+    (3, TType.STRUCT, 'state', [SlotState, None], None, ),  # 3
+)
+all_structs.append(SlotHeld)
+SlotHeld.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'attempt_ids', (TType.STRING, 'UTF8', False), None, ),  # 1
+)
+all_structs.append(SlotRelease)
+SlotRelease.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'attempt_id', 'UTF8', None, ),  # 1
+)
+all_structs.append(SlotRevoke)
+SlotRevoke.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'attempt_id', 'UTF8', None, ),  # 1
+)
+all_structs.append(SlotFrame)
+SlotFrame.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'ask', [SlotAsk, None], None, ),  # 1
+    (2, TType.STRUCT, 'answer', [SlotAnswer, None], None, ),  # 2
+    (3, TType.STRUCT, 'held', [SlotHeld, None], None, ),  # 3
+    (4, TType.STRUCT, 'release', [SlotRelease, None], None, ),  # 4
+    (5, TType.STRUCT, 'revoke', [SlotRevoke, None], None, ),  # 5
+    (6, TType.STRUCT, 'state', [SlotState, None], None, ),  # 6
 )
 fix_spec(all_structs)
 del all_structs
--- a/dahliashunt/adapters/wire/link.thrift
+++ b/dahliashunt/adapters/wire/link.thrift
@@ -148,3 +148,49 @@
   12: optional Convictions convictions;
   13: optional Order order;
 }
+
+// Datagrams between an entry and the agent that keeps the slots of one
+// replica. One datagram holds one SlotFrame. They may be lost, doubled
+// and reordered: each names its attempt, and repeats mean the same.
+
+enum SlotUse { ONLINE = 1, BATCH = 2 }
+
+enum SlotVerdict { GRANTED = 1, QUEUED = 2, FULL = 3, AWAY = 4 }
+
+struct SlotState {
+  1: i32 slots;             // what the replica runs at once
+  2: i32 online;            // slots that online requests hold
+  3: i32 batch;             // slots that batch items hold
+  4: i32 waiting;           // online requests that wait for a slot
+  5: i32 wait_ms;           // expected wait of one more online request
+  6: bool away;             // the replica does not answer its agent
+  7: optional string instance_id;
+}
+
+struct SlotAsk {
+  1: string attempt_id;
+  2: SlotUse use;
+  3: i32 wait_ms;           // how long the asker would wait for a slot
+  4: i32 slack_ms;          // batch: how long until the item is due
+}
+
+struct SlotAnswer {
+  1: string attempt_id;
+  2: SlotVerdict verdict;
+  3: SlotState state;
+}
+
+struct SlotHeld { 1: list<string> attempt_ids; }  // still running
+
+struct SlotRelease { 1: string attempt_id; }
+
+struct SlotRevoke { 1: string attempt_id; }       // make room: stop it
+
+struct SlotFrame {
+  1: optional SlotAsk ask;
+  2: optional SlotAnswer answer;
+  3: optional SlotHeld held;
+  4: optional SlotRelease release;
+  5: optional SlotRevoke revoke;
+  6: optional SlotState state;
+}
--- /dev/null
+++ b/dahliashunt/decisions/replica_choice.py
@@ -0,0 +1,114 @@
+"""In which order an entry asks the replicas of a service.
+
+Load pattern
+------------
+Several entries, each with a few requests a second, share a few replicas.
+What an entry knows of a replica is as old as the last message about it;
+its own requests since then are known exactly.
+
+What goes wrong without it
+--------------------------
+Ordering by the last known load alone sends a whole wave to the replica
+that last looked idle; ordering at random fills one replica while another
+idles; ignoring prompts makes each replica read every shared part again.
+
+How
+---
+Suspected and absent replicas go last. Among the rest the one that most
+probably keeps the request's shared prompt parts is first, chosen by
+rendezvous over the deepest shared part, as long as it has some room; the
+others follow by free slots, with ties drawn at random.
+
+Complexity: one hash and one comparison key a replica.
+"""
+
+from dataclasses import dataclass
+import hashlib
+import random
+
+__all__ = ["Candidate", "order_replicas"]
+
+ROOM_FOR_AFFINITY = 2
+"""Free slots that the replica with the prompt's parts must have to go
+first. Reading 200 shared tokens again takes some 3 ms; a busy replica
+costs a revoked batch item or a wait."""
+
+FRESH_MS = 2_000
+"""Older knowledge of a replica's load is taken as unknown."""
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """One replica as an entry sees it.
+
+    Attributes
+    ----------
+    replica_id : str
+    slots : int
+    taken : int
+        Slots taken as last heard, and this entry's own requests since.
+    age_ms : int
+        Of that knowledge.
+    avoided : bool
+        Suspected, or said to be absent by its agent.
+    near : bool
+        Stands in this entry's data centre.
+    """
+
+    replica_id: str
+    slots: int
+    taken: int
+    age_ms: int
+    avoided: bool
+    near: bool
+
+
+def order_replicas(
+    candidates: list[Candidate], affinity: str, rng: random.Random
+) -> list[Candidate]:
+    """Return `candidates`, best first.
+
+    Parameters
+    ----------
+    candidates : list of Candidate
+    affinity : str
+        Names the deepest shared part of the prompt; empty for none.
+    rng : random.Random
+        Draws between equals.
+
+    Examples
+    --------
+    >>> idle = Candidate("a", 8, 0, 0, False, True)
+    >>> busy = Candidate("b", 8, 8, 0, False, True)
+    >>> [c.replica_id for c in order_replicas(
+    ...     [busy, idle], "", random.Random(1))]
+    ['a', 'b']
+    """
+    ordered = sorted(candidates, key=lambda one: _rank(one, rng))
+    if not affinity:
+        return ordered
+    keeper = max(
+        (one for one in ordered if not one.avoided),
+        key=lambda one: _weight(affinity, one.replica_id),
+        default=None,
+    )
+    if keeper is None or _free(keeper) < ROOM_FOR_AFFINITY:
+        return ordered
+    return [keeper, *(one for one in ordered if one is not keeper)]
+
+
+def _rank(one, rng):
+    return (one.avoided, -_free(one), not one.near, rng.random())
+
+
+def _free(one):
+    # Unknown load counts as half full: better than a replica that is known
+    # to be full, worse than one that is known to have room.
+    if one.age_ms > FRESH_MS:
+        return max(0, one.slots // 2 - one.taken)
+    return max(0, one.slots - one.taken)
+
+
+def _weight(affinity, replica_id):
+    text = f"{affinity}|{replica_id}".encode()
+    return hashlib.blake2b(text, digest_size=8).digest()
--- a/dahliashunt/entry/serve.py
+++ b/dahliashunt/entry/serve.py
@@ -30,7 +30,7 @@
 from dahliashunt.entry.directory import Directory
 from dahliashunt.entry.dispatcher import Dispatcher
 from dahliashunt.entry.health_routes import add_health_routes
-from dahliashunt.entry.http_server import HttpServer
+from dahliashunt.adapters.http_server import HttpServer
 from dahliashunt.entry.measures import Measures
 from dahliashunt.entry.messages import DrainsChanged
 from dahliashunt.entry.once import OnceRunner
--- a/dahliashunt/errors.py
+++ b/dahliashunt/errors.py
@@ -16,6 +16,7 @@
     "EngineLost",
     "EngineUnreachable",
     "ErrorKind",
+    "HistoryLost",
     "LinkError",
     "PlatformError",
     "PlatformUnavailable",
@@ -174,11 +175,18 @@
     ----------
     failed : tuple of str
         Keys whose condition did not hold.
+    rows : tuple of Row
+        Rows named by the conditions as they are, where the service tells.
     """
 
-    def __init__(self, failed=()):
+    def __init__(self, failed=(), rows=()):
         super().__init__(f"condition failed on {', '.join(failed)}")
         self.failed = tuple(failed)
+        self.rows = tuple(rows)
+
+
+class HistoryLost(PlatformError):
+    """Changes after the named version are no longer kept: read anew."""
 
 
 class EngineError(DahliashuntError):
--- /dev/null
+++ b/dahliashunt/forwarding/catalog.py
@@ -0,0 +1,181 @@
+"""Routes and services in force: where a request may go, and how often."""
+
+from dataclasses import dataclass
+from dataclasses import field
+import enum
+import hashlib
+
+from dahliashunt.ids import Revision
+
+__all__ = [
+    "Catalog",
+    "Engine",
+    "IngressLimits",
+    "Route",
+    "RouteKind",
+    "Service",
+]
+
+
+class RouteKind(enum.Enum):
+    """What a route's requests are, and so what may be repeated."""
+
+    STREAM = "stream"
+    IDEMPOTENT = "idempotent"
+    AT_MOST_ONCE = "at_most_once"
+    BATCH = "batch"
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Requests of one host below one path.
+
+    Attributes
+    ----------
+    name, host, prefix : str
+    kind : RouteKind
+    weight_by_service : dict
+        Shares of the route's requests by name of service.
+    timeout_ms : int
+        Longest time that a request is kept.
+    objective_ms : int
+        Time within which an answer, or a stream's first event, is on time.
+    pause_ms : int
+        Longest pause between events that is on time.
+    rank : int
+        0 is the most urgent.
+    max_attempts : int
+        Replicas that one request may run on.
+    resumable : bool
+        Whether a stream may go on at another replica.
+    completion_ms, abandon_ms : int
+        Batch: when all results are due, and when items may be given up.
+    max_waiting_tokens : int
+        Batch: quota of tokens that wait, over all entries; 0 is no limit.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: RouteKind
+    weight_by_service: dict[str, float] = field(hash=False)
+    timeout_ms: int
+    objective_ms: int
+    pause_ms: int = 0
+    rank: int = 0
+    max_attempts: int = 1
+    resumable: bool = False
+    completion_ms: int = 0
+    abandon_ms: int = 0
+    max_waiting_tokens: int = 0
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether a request that may have run may be sent again."""
+        if self.kind is RouteKind.STREAM:
+            return self.resumable
+        return self.kind in (RouteKind.IDEMPOTENT, RouteKind.BATCH)
+
+    def service_for(self, request_id: str) -> str:
+        """Return the service of one request, drawn by the weights.
+
+        The draw depends on the id alone, so that every attempt of one
+        request goes to the same service.
+        """
+        if len(self.weight_by_service) == 1:
+            return next(iter(self.weight_by_service))
+        total = sum(self.weight_by_service.values())
+        digest = hashlib.blake2b(request_id.encode(), digest_size=8).digest()
+        at = int.from_bytes(digest) / 2**64 * total
+        for service, weight in self.weight_by_service.items():
+            at -= weight
+            if at < 0:
+                return service
+        return service
+
+
+@dataclass(frozen=True, slots=True)
+class Engine:
+    """Size of a model service's replicas."""
+
+    slots: int
+    kv_tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """Replicas that serve the same.
+
+    Attributes
+    ----------
+    name : str
+    health_path : str
+    max_connections : int
+        A replica resets connections beyond it, of all callers together.
+    engine : Engine or None
+        None for a plain service.
+    """
+
+    name: str
+    health_path: str
+    max_connections: int
+    engine: Engine | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class IngressLimits:
+    """What a caller may send, and how slowly."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    header_ms: int = 3_000
+    idle_ms: int = 15_000
+
+
+@dataclass(frozen=True)
+class Catalog:
+    """One revision of the configuration, whole.
+
+    Examples
+    --------
+    >>> def route(prefix):
+    ...     return Route(prefix, "h", prefix, RouteKind.IDEMPOTENT,
+    ...                  {"s": 1}, 1000, 100)
+    >>> catalog = Catalog(1, (route("/a/"), route("/a/b/")), (),
+    ...                   IngressLimits())
+    >>> catalog.match("h", "/a/b/c").prefix
+    '/a/b/'
+    >>> catalog.match("h", "/b/") is None
+    True
+    """
+
+    revision: Revision
+    routes: tuple[Route, ...]
+    services: tuple[Service, ...]
+    limits: IngressLimits
+    service_by_name: dict[str, Service] = field(init=False)
+    _routes_by_host: dict[str, list] = field(init=False, repr=False)
+
+    def __post_init__(self):
+        by_name = {service.name: service for service in self.services}
+        by_host = {}
+        for route in self.routes:
+            by_host.setdefault(route.host.lower(), []).append(route)
+        for routes in by_host.values():
+            routes.sort(key=lambda route: -len(route.prefix))
+        object.__setattr__(self, "service_by_name", by_name)
+        object.__setattr__(self, "_routes_by_host", by_host)
+
+    def match(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of `path`, or None."""
+        for route in self._routes_by_host.get(host.lower(), ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+    def batch_route(self, name: str) -> Route | None:
+        """Return the batch route called `name`, or None."""
+        for route in self.routes:
+            if route.name == name and route.kind is RouteKind.BATCH:
+                return route
+        return None
--- /dev/null
+++ b/dahliashunt/forwarding/follower.py
@@ -0,0 +1,115 @@
+"""Follow one table: whole first, then change by change."""
+
+import random
+
+from dahliashunt.errors import HistoryLost
+from dahliashunt.errors import PlatformUnavailable
+from dahliashunt.ports import Clock
+from dahliashunt.ports import TableFeed
+
+__all__ = ["TableFollower"]
+
+WAIT_MS = 1_000
+"""How long one call waits for a change. Short, since a connection that
+went silent is found only by the call's end: with it and the client's own
+margin a change is at most some 1.5 s late on such a connection."""
+
+RETRY_MIN_MS = 50
+RETRY_MAX_MS = 400
+"""Bounds of the jittered backoff while the table does not answer. The
+upper one bounds how late its return is seen; 64 nodes make under 400
+calls a second with it, a fifth of the reads granted."""
+
+
+class TableFollower:
+    """Runs until cancelled; hands rows to `listener`.
+
+    Parameters
+    ----------
+    feed : TableFeed
+    prefix : str
+        Table, slash and perhaps the start of keys.
+    listener : object
+        Has ``replaced(rows)``, ``changed(row)``, ``removed(key)`` and
+        ``outage_ended()``.
+    clock : Clock
+    rng : random.Random
+    log : structlog logger
+
+    Attributes
+    ----------
+    heard_ms : int or None
+        When the table last answered.
+    """
+
+    def __init__(
+        self,
+        feed: TableFeed,
+        prefix: str,
+        listener,
+        clock: Clock,
+        rng: random.Random,
+        log,
+    ):
+        self._feed = feed
+        self._prefix = prefix
+        self._table = prefix.split("/", 1)[0]
+        self._listener = listener
+        self._clock = clock
+        self._rng = rng
+        self._log = log
+        self._after: int | None = None
+        self._failures = 0
+        self.heard_ms: int | None = None
+
+    async def run(self) -> None:
+        """Follow for ever."""
+        while True:
+            try:
+                await self._step()
+            except HistoryLost:
+                # Changes were missed: what is known stays in use until
+                # the whole table was read again.
+                self._log.info("history_lost", table=self._table)
+                self._after = None
+            except PlatformUnavailable as error:
+                await self._back_off(error)
+
+    async def _step(self):
+        if self._after is None:
+            found = await self._feed.snapshot(self._prefix)
+            self._heard()
+            self._listener.replaced(found.rows)
+        else:
+            found = await self._feed.changes(
+                self._table, self._after, WAIT_MS
+            )
+            self._heard()
+            self._apply(found)
+        self._after = found.version
+
+    def _apply(self, found):
+        for row in found.rows:
+            if row.key.startswith(self._prefix):
+                self._listener.changed(row)
+        for key in found.removed:
+            if key.startswith(self._prefix):
+                self._listener.removed(key)
+
+    def _heard(self):
+        self.heard_ms = self._clock.now_ms()
+        if self._failures:
+            self._log.info(
+                "table_regained", table=self._table, failures=self._failures
+            )
+            self._failures = 0
+            self._listener.outage_ended()
+
+    async def _back_off(self, error):
+        if self._failures == 0:
+            self._log.warning(
+                "table_lost", table=self._table, reason=str(error)
+            )
+        self._failures += 1
+        most_ms = min(RETRY_MAX_MS, RETRY_MIN_MS * 2**self._failures)
+        await self._clock.sleep_ms(self._rng.randint(RETRY_MIN_MS, most_ms))
--- /dev/null
+++ b/dahliashunt/forwarding/node.py
@@ -0,0 +1,143 @@
+"""What one entry node knows and does, apart from protocols."""
+
+import asyncio
+import contextlib
+import random
+
+from dahliashunt.errors import ErrorKind
+from dahliashunt.errors import RequestError
+from dahliashunt.forwarding.call import Call
+from dahliashunt.forwarding.catalog import Catalog
+from dahliashunt.forwarding.catalog import Route
+from dahliashunt.forwarding.forwarder import Forwarder
+from dahliashunt.forwarding.ports import AnswerSink
+from dahliashunt.forwarding.replicas import ReplicaBook
+from dahliashunt.metrics import Metrics
+from dahliashunt.ports import Clock
+
+__all__ = ["Node"]
+
+STALE_MS = 1_800
+"""A configuration not confirmed for so long may lack new routes: what it
+does not know is then refused as not run instead of unknown."""
+
+RETRY_MS = 300
+"""Retry-After while the configuration is missing or stale: another node
+takes the retry, and one that lost the store is not ready by then."""
+
+
+class Node:
+    """One entry.
+
+    Attributes
+    ----------
+    catalog : Catalog or None
+        The newest configuration seen; it never goes back.
+    book : ReplicaBook
+    leaving : asyncio.Event
+        Set when this node was told to stop.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        rng: random.Random,
+        metrics: Metrics,
+        log,
+        book: ReplicaBook,
+    ):
+        self.clock = clock
+        self.rng = rng
+        self.metrics = metrics
+        self.log = log
+        self.book = book
+        self.catalog: Catalog | None = None
+        self.forwarder: Forwarder | None = None
+        self.leaving = asyncio.Event()
+        self.config_heard = lambda: None
+        self._in_flight = 0
+
+    @contextlib.contextmanager
+    def in_flight(self):
+        """Count a request while it is served."""
+        self._in_flight += 1
+        try:
+            yield
+        finally:
+            self._in_flight -= 1
+
+    @property
+    def busy(self) -> int:
+        """Requests in progress."""
+        return self._in_flight
+
+    @property
+    def ready(self) -> bool:
+        """Whether new connections should come here.
+
+        Without a configuration nothing can be served; with an old one
+        everything known still is, so a lost store does not make a node
+        unready.
+        """
+        return self.catalog is not None and not self.leaving.is_set()
+
+    def adopt(self, catalog: Catalog) -> None:
+        """Take over a configuration unless it is older than the one held.
+
+        A late or doubled read must not bring back a route that was
+        dropped: revisions only grow within a process's life.
+        """
+        held = self.catalog
+        if held is not None and catalog.revision <= held.revision:
+            return
+        self.catalog = catalog
+        self.log.info(
+            "configuration_adopted",
+            revision=catalog.revision,
+            before=held.revision if held else None,
+            routes=len(catalog.routes),
+        )
+
+    def route(self, host: str, path: str) -> Route:
+        """Return the route of a request.
+
+        Raises
+        ------
+        RequestError
+            There is none, or this node cannot tell.
+        """
+        if self.catalog is None:
+            raise RequestError(
+                ErrorKind.STORE_UNAVAILABLE,
+                "no configuration was read yet",
+                retry_after_ms=RETRY_MS,
+            )
+        route = self.catalog.match(host, path)
+        if route is None:
+            if self._is_stale():
+                raise RequestError(
+                    ErrorKind.STORE_UNAVAILABLE,
+                    "the route may be newer than this node's configuration",
+                    retry_after_ms=RETRY_MS,
+                )
+            raise RequestError(ErrorKind.NOT_FOUND, "no route matches")
+        return route
+
+    def _is_stale(self):
+        heard_ms = self.config_heard()
+        now_ms = self.clock.now_ms()
+        return heard_ms is None or now_ms - heard_ms > STALE_MS
+
+    def keeps_slots(self, service: str) -> bool:
+        """Tell whether replicas of `service` have agents beside them."""
+        found = self.catalog.service_by_name.get(service)
+        return found is not None and found.engine is not None
+
+    async def forward(
+        self, call: Call, route: Route, sink: AnswerSink
+    ) -> None:
+        """Answer `call`; see `Forwarder.serve`."""
+        service = route.service_for(call.request_id)
+        await self.forwarder.serve(
+            call, route, self.keeps_slots(service), sink
+        )
--- /dev/null
+++ b/dahliashunt/forwarding/placing.py
@@ -0,0 +1,291 @@
+"""Find a replica with a slot for a request."""
+
+import asyncio
+from dataclasses import dataclass
+import itertools
+import random
+
+from dahliashunt.adapters.slots import SlotClient
+from dahliashunt.decisions.replica_choice import Candidate
+from dahliashunt.decisions.replica_choice import order_replicas
+from dahliashunt.decisions.slot_keeper import Use
+from dahliashunt.decisions.slot_keeper import Verdict
+from dahliashunt.decisions.suspicion import Suspicion
+from dahliashunt.errors import ErrorKind
+from dahliashunt.errors import RequestError
+from dahliashunt.forwarding.replicas import Replica
+from dahliashunt.forwarding.replicas import ReplicaBook
+from dahliashunt.ports import Clock
+
+__all__ = ["Place", "Places", "Want"]
+
+MOST_ASKED = 6
+"""Agents asked in turn before a request waits at one: some milliseconds,
+and with six replicas in ten full the chance to miss room is 1 in 20."""
+
+NO_REPLICA_RETRY_MS = 500
+"""Retry-After when a service has no replica: replicas come back, or new
+ones are listed, within a heartbeat or two of 1.2 s."""
+
+LEAST_RETRY_MS = 50
+"""Least Retry-After when all slots are taken; a shorter one returns
+before anything has changed."""
+
+UNAGENTED_MS = 10_000
+"""A replica whose agent never answered is taken to have none, and is sent
+to directly for so long before its agent's address is tried again."""
+
+
+@dataclass(frozen=True, slots=True)
+class Want:
+    """What a place is wanted for.
+
+    Attributes
+    ----------
+    service : str
+    use : Use
+    affinity : str
+        Names the deepest shared part of the prompt; empty for none.
+    wait_ms : int
+        How long the request may wait for a slot.
+    slack_ms : int
+        Of a batch item: time until it is due.
+    avoid : frozenset
+        Lives of replicas that were tried.
+    on_revoke : callable
+        Called when a granted slot is taken back.
+    """
+
+    service: str
+    use: Use
+    affinity: str
+    wait_ms: int
+    slack_ms: int
+    avoid: frozenset
+    on_revoke: object
+
+
+class Place:
+    """A replica to send to, and what is held there until `release`."""
+
+    __slots__ = ("_release", "attempt_id", "replica")
+
+    def __init__(self, replica: Replica, attempt_id: str, release):
+        self.replica = replica
+        self.attempt_id = attempt_id
+        self._release = release
+
+    def release(self) -> None:
+        """Give back what is held; a second call does nothing."""
+        release, self._release = self._release, None
+        if release is not None:
+            release()
+
+
+class Places:
+    """Chooses replicas and asks their agents.
+
+    Parameters
+    ----------
+    book : ReplicaBook
+    slots : SlotClient
+    suspicion : Suspicion
+    clock : Clock
+    rng : random.Random
+    data_centre : str
+    agent_port : int
+        Where agents listen, on the machine of their replica.
+    """
+
+    def __init__(
+        self,
+        book: ReplicaBook,
+        slots: SlotClient,
+        suspicion: Suspicion,
+        clock: Clock,
+        rng: random.Random,
+        data_centre: str,
+        agent_port: int,
+    ):
+        self._book = book
+        self._slots = slots
+        self._suspicion = suspicion
+        self._clock = clock
+        self._rng = rng
+        self._data_centre = data_centre
+        self._agent_port = agent_port
+        self._own_by_life: dict[tuple, int] = {}
+        self._numbers = itertools.count(1)
+        self._agented: set[tuple] = set()
+        self._untried_ms: dict[tuple, int] = {}
+
+    async def find(self, want: Want, request_id: str, keeps: bool) -> Place:
+        """Return a place for `want`.
+
+        Parameters
+        ----------
+        want : Want
+        request_id : str
+            The id under which the replica will list the request.
+        keeps : bool
+            Whether the service's replicas have agents that keep slots.
+
+        Raises
+        ------
+        RequestError
+            There is none; nothing ran because of this call.
+        """
+        replicas = [
+            replica
+            for replica in self._book.of_service(want.service)
+            if replica.life not in want.avoid
+        ]
+        if not replicas:
+            raise RequestError(
+                ErrorKind.NO_ENDPOINT,
+                f"no replica of {want.service} is listed",
+                retry_after_ms=NO_REPLICA_RETRY_MS,
+            )
+        ordered = self._ordered(replicas, want.affinity)
+        if keeps:
+            return await self._ask_agents(ordered, want, request_id)
+        return self._direct(ordered[0])
+
+    def _ordered(self, replicas, affinity):
+        by_id = {replica.replica_id: replica for replica in replicas}
+        now_ms = self._clock.now_ms()
+        candidates = [self._candidate(each, now_ms) for each in replicas]
+        ordered = order_replicas(candidates, affinity, self._rng)
+        return [by_id[candidate.replica_id] for candidate in ordered]
+
+    def _candidate(self, replica, now_ms):
+        own = self._own_by_life.get(replica.life, 0)
+        known = self._slots.known_by_address.get(self._agent(replica))
+        avoided = self._suspicion.is_avoided(replica.life, now_ms)
+        taken, age_ms = own, 0
+        if known is not None:
+            taken = max(own, known.state.online + known.state.waiting)
+            age_ms = now_ms - known.at_ms
+            avoided = avoided or known.state.away
+        return Candidate(
+            replica_id=replica.replica_id,
+            slots=replica.slots,
+            taken=taken,
+            age_ms=age_ms,
+            avoided=avoided,
+            near=replica.data_centre == self._data_centre,
+        )
+
+    def _agent(self, replica):
+        return (replica.host, self._agent_port)
+
+    async def _ask_agents(self, ordered, want, request_id):
+        direct = []
+        full = []
+        for replica in ordered[:MOST_ASKED]:
+            if self._is_unkept(replica):
+                direct.append(replica)
+                continue
+            verdict = await self._ask(replica, want, request_id, 0)
+            if verdict is Verdict.GRANTED:
+                return self._granted(replica, request_id)
+            if verdict is Verdict.FULL:
+                full.append(replica)
+            elif verdict is Verdict.AWAY:
+                self._suspicion.failed(replica.life, self._clock.now_ms())
+            else:
+                self._note_silent(replica)
+                direct.append(replica)
+        return await self._ask_again(direct, full, want, request_id)
+
+    async def _ask_again(self, direct, full, want, request_id):
+        for replica in direct:
+            if self._own_by_life.get(replica.life, 0) < replica.slots:
+                return self._direct(replica)
+        full.sort(key=self._expected_wait_ms)
+        if full and want.wait_ms > 0:
+            replica = full[0]
+            verdict = await self._ask(
+                replica, want, request_id, want.wait_ms
+            )
+            if verdict is Verdict.GRANTED:
+                return self._granted(replica, request_id)
+        wait_ms = min(map(self._expected_wait_ms, full), default=0)
+        raise RequestError(
+            ErrorKind.OVERLOADED,
+            f"every slot of {want.service} is taken",
+            retry_after_ms=max(LEAST_RETRY_MS, wait_ms),
+        )
+
+    async def _ask(self, replica, want, request_id, wait_ms):
+        return await self._slots.ask(
+            request_id,
+            self._agent(replica),
+            want.use,
+            wait_ms,
+            want.slack_ms,
+            want.on_revoke,
+        )
+
+    def _is_unkept(self, replica):
+        address = self._agent(replica)
+        if self._slots.is_silent(address):
+            return True
+        now_ms = self._clock.now_ms()
+        return now_ms < self._untried_ms.get(address, 0)
+
+    def _note_silent(self, replica):
+        address = self._agent(replica)
+        if address not in self._slots.known_by_address:
+            until_ms = self._clock.now_ms() + UNAGENTED_MS
+            self._untried_ms[address] = until_ms
+
+    def _expected_wait_ms(self, replica):
+        known = self._slots.known_by_address.get(self._agent(replica))
+        return known.state.wait_ms if known is not None else 0
+
+    def _granted(self, replica, request_id):
+        self._count(replica.life, 1)
+
+        def release():
+            self._count(replica.life, -1)
+            self._slots.release(request_id)
+
+        return Place(replica, request_id, release)
+
+    def _direct(self, replica):
+        self._suspicion.probe(replica.life, self._clock.now_ms())
+        self._count(replica.life, 1)
+
+        def release():
+            self._count(replica.life, -1)
+
+        return Place(replica, "", release)
+
+    def _count(self, life, by):
+        count = self._own_by_life.get(life, 0) + by
+        if count > 0:
+            self._own_by_life[life] = count
+        else:
+            self._own_by_life.pop(life, None)
+
+    async def keep_states(self, every_ms: int) -> None:
+        """Renew holds and hear of loads, for ever."""
+        while True:
+            addresses = {
+                self._agent(replica)
+                for replica in self._book.all()
+                if not replica.leaving
+            }
+            kept = {
+                address
+                for address in addresses
+                if self._clock.now_ms() >= self._untried_ms.get(address, 0)
+            }
+            self._slots.renew(kept)
+            self._slots.forget_but(addresses)
+            lives = {replica.life for replica in self._book.all()}
+            self._suspicion.keep_only(lives)
+            for address in set(self._untried_ms) - addresses:
+                del self._untried_ms[address]
+            await asyncio.sleep(every_ms / 1000)
--- /dev/null
+++ b/dahliashunt/forwarding/replicas.py
@@ -0,0 +1,121 @@
+"""The replicas that may be sent to, as the platform's list says."""
+
+from dataclasses import dataclass
+
+from dahliashunt.ids import DataCentreId
+
+__all__ = ["Replica", "ReplicaBook"]
+
+AFTER_OUTAGE_MS = 2_200
+"""Entries that lapsed in an outage of the list are back within two
+seconds of its end; until then the last list stands."""
+
+
+@dataclass(frozen=True, slots=True)
+class Replica:
+    """One life of one replica.
+
+    Attributes
+    ----------
+    replica_id : str
+        Named in the list; a restart may keep it.
+    born_ms : int
+        Wall clock of its start, which tells its lives apart; 0 if the
+        list does not say.
+    service, host, port
+    data_centre : DataCentreId
+    slots : int
+    leaving : bool
+        Takes no new requests.
+    warm_in_ms : int
+        How much longer it is slow after its start.
+    """
+
+    replica_id: str
+    born_ms: int
+    service: str
+    host: str
+    port: int
+    data_centre: DataCentreId
+    slots: int
+    leaving: bool
+    warm_in_ms: int = 0
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Host and port."""
+        return (self.host, self.port)
+
+    @property
+    def life(self) -> tuple[str, int]:
+        """What names this life of the replica."""
+        return (self.replica_id, self.born_ms)
+
+
+class ReplicaBook:
+    """Follows the list; keeps lapsed entries for a while after an outage.
+
+    The failure it guards against: the list's service goes away, entries
+    lapse unseen, and its first answer after the return is nearly empty. A
+    follower that believed it would refuse everything for two seconds.
+    """
+
+    def __init__(self):
+        self._replica_by_id: dict[str, Replica] = {}
+        self._lapsed_ms_by_id: dict[str, int] = {}
+        self._outage_ended_ms: int | None = None
+
+    def outage_ended(self, now_ms: int) -> None:
+        """Note that the list answers again after it did not."""
+        self._outage_ended_ms = now_ms
+
+    def put(self, replica: Replica) -> None:
+        """Take over one entry."""
+        self._replica_by_id[replica.replica_id] = replica
+        self._lapsed_ms_by_id.pop(replica.replica_id, None)
+
+    def remove(self, replica_id: str, now_ms: int) -> None:
+        """Drop one entry, or mark it as lapsed shortly after an outage."""
+        if replica_id not in self._replica_by_id:
+            return
+        ended_ms = self._outage_ended_ms
+        if ended_ms is not None and now_ms - ended_ms < AFTER_OUTAGE_MS:
+            until_ms = ended_ms + AFTER_OUTAGE_MS
+            self._lapsed_ms_by_id.setdefault(replica_id, until_ms)
+        else:
+            self._forget(replica_id)
+
+    def replace_all(self, replicas, now_ms: int) -> None:
+        """Take over a whole list."""
+        listed = {replica.replica_id: replica for replica in replicas}
+        for replica_id in list(self._replica_by_id):
+            if replica_id not in listed:
+                self.remove(replica_id, now_ms)
+        for replica in listed.values():
+            self.put(replica)
+
+    def expire(self, now_ms: int) -> None:
+        """Drop lapsed entries that did not come back."""
+        for replica_id, until_ms in list(self._lapsed_ms_by_id.items()):
+            if now_ms >= until_ms:
+                self._forget(replica_id)
+
+    def _forget(self, replica_id):
+        self._replica_by_id.pop(replica_id, None)
+        self._lapsed_ms_by_id.pop(replica_id, None)
+
+    def get(self, replica_id: str) -> Replica | None:
+        """Return the entry called `replica_id`, or None."""
+        return self._replica_by_id.get(replica_id)
+
+    def of_service(self, service: str) -> list[Replica]:
+        """Return the replicas of `service` that take new requests."""
+        return [
+            replica
+            for replica in self._replica_by_id.values()
+            if replica.service == service and not replica.leaving
+        ]
+
+    def all(self) -> list[Replica]:
+        """Return every entry."""
+        return list(self._replica_by_id.values())
--- a/dahliashunt/local/main.py
+++ b/dahliashunt/local/main.py
@@ -26,8 +26,8 @@
 
 from docopt import docopt
 
-from dahliashunt.daemon import ExitCode
-from dahliashunt.daemon import Signals
+from dahliashunt.process import ExitCode
+from dahliashunt.process import Signals
 from dahliashunt.local.fleet import KEY
 from dahliashunt.local.fleet import MODEL
 from dahliashunt.local.fleet import serve_local
--- a/dahliashunt/mailbox.py
+++ b/dahliashunt/mailbox.py
@@ -39,6 +39,10 @@
         if waiter is not None and not waiter.done():
             waiter.set_result(None)
 
+    def put_back(self, message) -> None:
+        """Add `message` in front: it was taken and is not used yet."""
+        self._messages.appendleft(message)
+
     async def take(self, timeout_ms: int | None = None) -> list:
         """Return all waiting messages, at least one.
 
--- /dev/null
+++ b/dahliashunt/platform/__main__.py
@@ -0,0 +1,73 @@
+"""Run one program of dahliashunt on the users' platform.
+
+Usage:
+  dahliashunt-platform entry [--check-settings]
+  dahliashunt-platform agent [--check-settings]
+  dahliashunt-platform -h | --help
+
+Options:
+  --check-settings   Only check the settings; exit 0 if they are right.
+  -h --help          Print this.
+
+The environment variable DAHLIASHUNT_CONFIG names the platform's settings
+file. Logs are JSON lines on standard output.
+
+Signals: SIGTERM lets requests in progress end and then stops; SIGHUP, or
+a change of the file without it, reads the settings again.
+
+Exit codes: 0 stopped in order, 1 failed, 2 settings are wrong, 3 stopped
+at once by a second signal.
+"""
+
+import asyncio
+import os
+import sys
+
+from docopt import docopt
+
+from dahliashunt.process import ExitCode
+from dahliashunt.process import run_served
+from dahliashunt.errors import SettingsError
+from dahliashunt.logs import set_up_logs
+from dahliashunt.platform.boot import load_boot
+
+__all__ = ["main"]
+
+SETTINGS_VARIABLE = "DAHLIASHUNT_CONFIG"
+
+
+def main(argv=None) -> int:
+    """Run the program; return its exit code."""
+    arguments = docopt(__doc__, argv)
+    path = os.environ.get(SETTINGS_VARIABLE, "")
+    try:
+        boot = load_boot(path)
+    except SettingsError as error:
+        print(error, file=sys.stderr)
+        return ExitCode.SETTINGS
+    if arguments["--check-settings"]:
+        print(f"{path}: ok")
+        return ExitCode.OK
+    role = "entry" if arguments["entry"] else "agent"
+    log = set_up_logs(f"dahliashunt-{role}", boot.node_id, to_stdout=True)
+    try:
+        return asyncio.run(run_served(boot, _serve(role), log))
+    except OSError as error:
+        log.error("failed", reason=str(error))
+        return ExitCode.FAILED
+
+
+def _serve(role):
+    # Each role imports only its own parts: start-up on a weak machine is
+    # mostly the import of modules.
+    if role == "entry":
+        from dahliashunt.platform.serve_entry import serve_entry
+
+        return serve_entry
+    from dahliashunt.platform.serve_agent import serve_agent
+
+    return serve_agent
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/dahliashunt/platform/dialect.py
@@ -0,0 +1,99 @@
+"""What replicas speak: requests to them, their answers, their reports."""
+
+from dataclasses import dataclass
+import json
+
+from dahliashunt.adapters.http1 import encode_request
+from dahliashunt.adapters.http1 import ResponseHead
+from dahliashunt.forwarding.call import Call
+from dahliashunt.forwarding.replicas import Replica
+from dahliashunt.platform.names import BUDGET
+from dahliashunt.platform.names import EXPECTED_REPLICA
+from dahliashunt.platform.names import HOP_BY_HOP
+from dahliashunt.platform.names import LAST_EVENT
+from dahliashunt.platform.names import NOT_RUN
+from dahliashunt.platform.names import REQUEST_ID
+from dahliashunt.platform.names import SIGNATURE
+
+__all__ = ["PlatformDialect", "ReplicaReport", "decode_report"]
+
+REPORT_PATH = "/api/report"
+_SET_HERE = HOP_BY_HOP | {BUDGET, EXPECTED_REPLICA, LAST_EVENT}
+
+
+class PlatformDialect:
+    """`ReplicaDialect` of the platform's replicas."""
+
+    def request(
+        self, call: Call, replica: Replica, left_ms: int, after_event: int
+    ) -> bytes:
+        """Return the bytes of `call` towards `replica`."""
+        headers = [
+            (name, value)
+            for name, value in call.headers
+            if name.lower() not in _SET_HERE
+        ]
+        headers.append((BUDGET, str(max(1, left_ms))))
+        headers.append((EXPECTED_REPLICA, replica.replica_id))
+        if after_event:
+            headers.append((LAST_EVENT, str(after_event)))
+        return encode_request(call.method, call.target, headers, call.body)
+
+    def answers(self, call: Call, head: ResponseHead) -> bool:
+        """Tell whether `head` belongs to `call`.
+
+        A late answer to an earlier request on the connection names that
+        one's id; an answer without an id is taken as ours.
+        """
+        echoed = head.get(REQUEST_ID)
+        return echoed is None or echoed == call.request_id
+
+    def proves_not_run(self, head: ResponseHead) -> bool:
+        """Tell whether the replica says that it did not run the call."""
+        return head.status == 421 or head.get(NOT_RUN) is not None
+
+    def is_signed(self, head: ResponseHead) -> bool:
+        """Tell whether the answer bears its replica's signature."""
+        return head.get(SIGNATURE) is not None
+
+    def relayed(self, head: ResponseHead) -> list[tuple[str, str]]:
+        """Return the headers that go on to the caller."""
+        return [
+            (name, value)
+            for name, value in head.headers
+            if name not in HOP_BY_HOP
+        ]
+
+
+@dataclass(frozen=True, slots=True)
+class ReplicaReport:
+    """What a replica says of its load.
+
+    Attributes
+    ----------
+    running : frozenset of str
+        Request ids that it runs.
+    running_count, waiting : int
+        Requests that run, and those in its own queue.
+    slots : int or None
+    """
+
+    running: frozenset
+    running_count: int
+    waiting: int
+
+
+def decode_report(body: bytes) -> ReplicaReport:
+    """Return the report in `body`; raise `ValueError` if it is none."""
+    try:
+        fields = json.loads(body)
+        # Lists of id, tokens in memory, events made and rank.
+        runs = fields.get("runs") or ()
+        running = frozenset(str(run[0]) for run in runs)
+        return ReplicaReport(
+            running=running,
+            running_count=int(fields["num-running"]),
+            waiting=int(fields["num-waiting"]),
+        )
+    except (KeyError, TypeError, IndexError, AttributeError) as error:
+        raise ValueError(f"not a report: {error!r}") from None
--- /dev/null
+++ b/dahliashunt/platform/ingress.py
@@ -0,0 +1,264 @@
+"""Callers' HTTP: requests decoded into calls, answers and errors back.
+
+An ASGI application; `HttpServer` serves it.
+"""
+
+import asyncio
+import contextlib
+from dataclasses import dataclass
+
+from dahliashunt.errors import ANSWERS
+from dahliashunt.errors import ErrorKind
+from dahliashunt.errors import Ran
+from dahliashunt.errors import RequestError
+from dahliashunt.forwarding.call import Call
+from dahliashunt.forwarding.catalog import IngressLimits
+from dahliashunt.forwarding.catalog import Route
+from dahliashunt.forwarding.catalog import RouteKind
+from dahliashunt.forwarding.forwarder import AnswerCut
+from dahliashunt.forwarding.node import Node
+from dahliashunt.ids import RequestId
+from dahliashunt.platform.job_calls import JobCalls
+from dahliashunt.platform.names import BUDGET
+from dahliashunt.platform.names import LAST_EVENT
+from dahliashunt.platform.names import PROMPT_PARTS
+from dahliashunt.platform.names import REQUEST_ID
+from dahliashunt.platform.names import TOKENS
+
+__all__ = ["Ingress"]
+
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+"""Statuses that promise that the request did not run and never will."""
+
+UNKNOWN_STATUS = 502
+"""Instead of such a status where a request may have run."""
+
+
+class CallerLeft(Exception):
+    """The caller closed its connection."""
+
+
+@dataclass(slots=True)
+class _Exchange:
+    """One request on the server's side."""
+
+    scope: dict
+    receive: object
+    send: object
+    leaving: bool
+    header_by_name: dict
+
+    async def body(self, limits: IngressLimits) -> bytes:
+        """Return the whole body, or raise."""
+        parts, size = [], 0
+        while True:
+            message = await self.receive()
+            if message["type"] == "http.disconnect":
+                raise CallerLeft
+            parts.append(message.get("body", b""))
+            size += len(parts[-1])
+            if size > limits.body_bytes:
+                raise RequestError(
+                    ErrorKind.TOO_LARGE,
+                    f"the body has more than {limits.body_bytes} bytes",
+                )
+            if not message.get("more_body"):
+                return b"".join(parts)
+
+    async def left(self) -> None:
+        """Return once the caller has closed its connection."""
+        while (await self.receive())["type"] != "http.disconnect":
+            pass
+
+    # AnswerSink.
+
+    async def start(self, status, headers, length) -> None:
+        """Send status and headers."""
+        raw = [(n.encode("latin-1"), v.encode("latin-1")) for n, v in headers]
+        if length is not None:
+            raw.append((b"content-length", str(length).encode()))
+        if self.leaving:
+            raw.append((b"connection", b"close"))
+        await self.send(
+            {"type": "http.response.start", "status": status, "headers": raw}
+        )
+
+    async def send_part(self, data, more) -> None:
+        """Send a part of the body."""
+        await self.send(
+            {"type": "http.response.body", "body": data, "more_body": more}
+        )
+
+    async def whole(self, status, headers, body) -> None:
+        """Send a whole answer."""
+        await self.start(status, headers, len(body))
+        await self.send_part(body, False)
+
+
+class _Sink:
+    """`AnswerSink` over one exchange."""
+
+    def __init__(self, exchange):
+        self._exchange = exchange
+        self.start = exchange.start
+
+    async def send(self, data):
+        await self._exchange.send_part(data, True)
+
+    async def end(self):
+        await self._exchange.send_part(b"", False)
+
+
+class Ingress:
+    """The application that callers talk to.
+
+    Parameters
+    ----------
+    node : Node
+    jobs : JobCalls
+        Calls about batch jobs.
+    """
+
+    def __init__(self, node: Node, jobs: JobCalls):
+        self._node = node
+        self._jobs = jobs
+
+    async def __call__(self, scope, receive, send) -> None:
+        """Serve one request."""
+        headers = {}
+        for name, value in scope["headers"]:
+            key = name.decode("latin-1")
+            headers.setdefault(key, value.decode("latin-1"))
+        exchange = _Exchange(
+            scope, receive, send, self._node.leaving.is_set(), headers
+        )
+        with self._node.in_flight():
+            try:
+                await self._serve(exchange)
+            except RequestError as error:
+                await self._refuse(exchange, error)
+            except CallerLeft:
+                self._node.metrics.count("callers_left")
+
+    async def _serve(self, exchange):
+        arrived_ms = self._node.clock.now_ms()
+        catalog = self._node.catalog
+        limits = catalog.limits if catalog else IngressLimits()
+        body = await exchange.body(limits)
+        work = asyncio.create_task(self._answer(exchange, body, arrived_ms))
+        left = asyncio.create_task(exchange.left())
+        try:
+            await asyncio.wait(
+                {work, left}, return_when=asyncio.FIRST_COMPLETED
+            )
+            if not work.done():
+                raise CallerLeft
+            work.result()
+        finally:
+            for task in (work, left):
+                task.cancel()
+            with contextlib.suppress(asyncio.CancelledError, RequestError):
+                await work
+
+    async def _answer(self, exchange, body, arrived_ms):
+        path = exchange.scope["raw_path"].decode("latin-1")
+        method = exchange.scope["method"]
+        query = exchange.scope["query_string"].decode("latin-1")
+        headers = exchange.header_by_name
+        about_job = self._jobs.parse(method, path, query, headers)
+        if about_job is not None:
+            await self._jobs.answer(about_job, exchange)
+            return
+        route = self._node.route(headers.get("host", ""), path)
+        if route.kind is RouteKind.BATCH:
+            if method != "POST":
+                raise RequestError(ErrorKind.NOT_FOUND, "jobs are posted")
+            await self._jobs.submit(route, headers, body, exchange)
+            return
+        target = f"{path}?{query}" if query else path
+        call = _call(exchange, target, body, arrived_ms)
+        try:
+            await self._node.forward(call, route, _Sink(exchange))
+        except AnswerCut as cut:
+            # Returning with the answer unfinished makes the server close
+            # the connection without its end mark.
+            self._node.log.warning(
+                "answer_cut", request_id=call.request_id, reason=cut.message
+            )
+
+    async def _refuse(self, exchange, error):
+        answer = ANSWERS[error.kind]
+        status = answer.status
+        if error.ran is not Ran.NO and status in NOT_RUN_STATUSES:
+            status = UNKNOWN_STATUS
+        headers = [("content-type", "text/plain; charset=utf-8")]
+        request_id = exchange.header_by_name.get(REQUEST_ID)
+        if request_id:
+            headers.append((REQUEST_ID, request_id))
+        if error.ran is Ran.NO and answer.retry:
+            after_s = (error.retry_after_ms or DEFAULT_RETRY_MS) / 1000
+            headers.append(("retry-after", f"{after_s:.3f}"))
+        self._node.metrics.count("errors", kind=error.kind.value)
+        self._node.log.info(
+            "answered_error",
+            request_id=request_id,
+            status=status,
+            kind=error.kind.value,
+            ran=error.ran.value,
+            reason=error.message,
+        )
+        await exchange.whole(status, headers, error.message.encode())
+
+
+DEFAULT_RETRY_MS = 250
+"""Retry-After where nothing better is known: a quarter of the shortest
+time in which a node regains its configuration or its store."""
+
+
+def _call(exchange, target, body, arrived_ms):
+    headers = exchange.header_by_name
+    budget = headers.get(BUDGET, "")
+    last_event = headers.get(LAST_EVENT, "")
+    return Call(
+        request_id=RequestId(headers.get(REQUEST_ID, "")),
+        method=exchange.scope["method"],
+        target=target,
+        headers=tuple(
+            (name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in exchange.scope["headers"]
+        ),
+        body=body,
+        arrived_ms=arrived_ms,
+        budget_ms=int(budget) if budget.isdigit() else None,
+        last_event=int(last_event) if last_event.isdigit() else 0,
+        shared_parts=shared_parts(headers.get(PROMPT_PARTS, "")),
+        tokens=token_sum(headers.get(TOKENS, "")),
+    )
+
+
+def shared_parts(text: str) -> tuple[str, ...]:
+    """Return the ids of a prompt's parts but the last, its own.
+
+    Examples
+    --------
+    >>> shared_parts("5c1e:800,91bd:410,e440:250")
+    ('5c1e', '91bd')
+    """
+    parts = [part.partition(":")[0].strip() for part in text.split(",")]
+    return tuple(part for part in parts[:-1] if part)
+
+
+def token_sum(text: str) -> int:
+    """Return prompt and output tokens together; 0 if unreadable.
+
+    Examples
+    --------
+    >>> token_sum("1460,80"), token_sum("")
+    (1540, 0)
+    """
+    numbers = [part.strip() for part in text.split(",")]
+    if not all(number.isdigit() for number in numbers):
+        return 0
+    return sum(map(int, numbers))
+
+
--- /dev/null
+++ b/dahliashunt/platform/listeners.py
@@ -0,0 +1,99 @@
+"""Rows of the operator's table and of the list, handed to the product."""
+
+from dahliashunt.forwarding.node import Node
+from dahliashunt.forwarding.replicas import ReplicaBook
+from dahliashunt.platform.operator import decode_catalog
+from dahliashunt.platform.operator import decode_replica
+from dahliashunt.platform.operator import Undecodable
+from dahliashunt.ports import Clock
+from dahliashunt.ports.table import Row
+
+__all__ = ["CONFIG_KEY", "REPLICAS_PREFIX", "ConfigRows", "ReplicaRows"]
+
+CONFIG_KEY = "op//config"
+REPLICAS_PREFIX = "servers//"
+
+
+class ConfigRows:
+    """Adopts configurations."""
+
+    def __init__(self, node: Node, log):
+        self._node = node
+        self._log = log
+
+    def replaced(self, rows) -> None:
+        """Take over the newest one, if there is one."""
+        for row in rows:
+            self.changed(row)
+
+    def changed(self, row: Row) -> None:
+        """Take over one row."""
+        if row.key != CONFIG_KEY:
+            return
+        try:
+            catalog = decode_catalog(row.value)
+        except Undecodable as error:
+            # What is in force stays: a broken row changes nothing.
+            self._log.error("configuration_unreadable", reason=str(error))
+            return
+        self._node.adopt(catalog)
+
+    def removed(self, key: str) -> None:
+        """Keep what is in force: a configuration is never taken away."""
+
+    def outage_ended(self) -> None:
+        """Nothing to do: the next read brings what changed."""
+
+
+class ReplicaRows:
+    """Keeps the book of replicas."""
+
+    def __init__(self, book: ReplicaBook, clock: Clock, log):
+        self._book = book
+        self._clock = clock
+        self._log = log
+
+    def replaced(self, rows) -> None:
+        """Take over the whole list."""
+        found = [self._decoded(row) for row in rows]
+        replicas = [replica for replica in found if replica is not None]
+        self._book.replace_all(replicas, self._clock.now_ms())
+        self._log.info(
+            "replicas_read", listed=len(rows), usable=len(replicas)
+        )
+
+    def changed(self, row: Row) -> None:
+        """Take over one entry."""
+        replica = self._decoded(row)
+        if replica is None:
+            self.removed(row.key)
+            return
+        held = self._book.get(replica.replica_id)
+        if held != replica:
+            self._log.info(
+                "replica_changed",
+                replica=replica.replica_id,
+                service=replica.service,
+                leaving=replica.leaving,
+                born_ms=replica.born_ms,
+                new=held is None,
+            )
+        self._book.put(replica)
+
+    def removed(self, key: str) -> None:
+        """Drop one entry."""
+        replica_id = key.removeprefix(REPLICAS_PREFIX)
+        self._log.info("replica_removed", replica=replica_id)
+        self._book.remove(replica_id, self._clock.now_ms())
+
+    def outage_ended(self) -> None:
+        """Entries that lapsed meanwhile are kept for a while."""
+        self._book.outage_ended(self._clock.now_ms())
+
+    def _decoded(self, row):
+        replica_id = row.key.removeprefix(REPLICAS_PREFIX)
+        try:
+            return decode_replica(replica_id, row.value)
+        except Undecodable as error:
+            self._log.warning("replica_unreadable", reason=str(error))
+            return None
--- /dev/null
+++ b/dahliashunt/platform/operator.py
@@ -0,0 +1,146 @@
+"""The operator's configuration and the list of replicas, decoded."""
+
+import json
+
+from dahliashunt.forwarding.catalog import Catalog
+from dahliashunt.forwarding.catalog import Engine
+from dahliashunt.forwarding.catalog import IngressLimits
+from dahliashunt.forwarding.catalog import Route
+from dahliashunt.forwarding.catalog import RouteKind
+from dahliashunt.forwarding.catalog import Service
+from dahliashunt.forwarding.replicas import Replica
+from dahliashunt.ids import DataCentreId
+from dahliashunt.ids import Revision
+
+__all__ = ["Undecodable", "decode_catalog", "decode_replica"]
+
+_KINDS = {
+    "stream": RouteKind.STREAM,
+    "idempotent": RouteKind.IDEMPOTENT,
+    "non_idempotent": RouteKind.AT_MOST_ONCE,
+    "batch": RouteKind.BATCH,
+}
+
+
+class Undecodable(ValueError):
+    """A row does not hold what is expected there."""
+
+
+def decode_catalog(text: str) -> Catalog:
+    """Return the configuration in `text`.
+
+    Raises
+    ------
+    Undecodable
+        The text is not a configuration; names what is wrong.
+    """
+    try:
+        fields = json.loads(text)
+        limits = fields.get("limits") or {}
+        return Catalog(
+            revision=Revision(fields["version"]),
+            routes=tuple(_route(each) for each in fields["routes"]),
+            services=tuple(_service(each) for each in fields["services"]),
+            limits=_limits(limits),
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise Undecodable(f"configuration: {error!r}") from None
+
+
+def _limits(fields):
+    usual = IngressLimits()
+    return IngressLimits(
+        header_bytes=fields.get("max-header-bytes", usual.header_bytes),
+        body_bytes=fields.get("max-body-bytes", usual.body_bytes),
+        header_ms=fields.get("header-timeout-ms", usual.header_ms),
+        idle_ms=fields.get("idle-timeout-ms", usual.idle_ms),
+    )
+
+
+def _route(fields):
+    weights = {
+        share["service"]: share["weight"]
+        for share in fields.get("traffic-split") or ()
+        if share["weight"] > 0
+    }
+    if not weights:
+        weights = {fields["service"]: 1}
+    return Route(
+        name=fields["name"],
+        host=fields["host"],
+        prefix=fields["prefix"],
+        # A kind that is not known here must not run twice.
+        kind=_KINDS.get(fields["kind"], RouteKind.AT_MOST_ONCE),
+        weight_by_service=weights,
+        timeout_ms=int(fields["timeout-ms"]),
+        # Time to an answer, or to a stream's first event.
+        objective_ms=int(fields.get("goal-ms") or fields["timeout-ms"]),
+        # Longest pause between two events.
+        pause_ms=int(fields.get("gap-aim-ms") or 0),
+        rank=int(fields.get("priority") or 0),
+        max_attempts=int(fields.get("max-attempts") or 1),
+        resumable=bool(fields.get("resumable")),
+        # From the job's first sending until all results are due.
+        completion_ms=int(fields.get("completion-target-ms") or 0),
+        # From the same moment until items may be given up.
+        abandon_ms=int(1000 * (fields.get("max-wait-s") or 0)),
+        # Of tokens that wait, not of requests.
+        max_waiting_tokens=int(fields.get("cap") or 0),
+    )
+
+
+def _service(fields):
+    engine = fields.get("engine")
+    return Service(
+        name=fields["name"],
+        health_path=fields["health-path"],
+        max_connections=int(fields.get("max-conns") or 0),
+        engine=engine
+        and Engine(
+            slots=int(engine["slots"]),
+            kv_tokens=int(engine.get("kv-capacity") or 0),
+        ),
+    )
+
+
+def decode_replica(replica_id: str, text: str) -> Replica:
+    """Return the replica in `text`, an entry of the list.
+
+    Raises
+    ------
+    Undecodable
+        The entry names no replica to use: it may come from another
+        writer, with fields missing or of other types.
+    """
+    try:
+        fields = json.loads(text)
+        host, _, port = fields["address"].rpartition(":")
+        state = fields["state"]
+        service = fields["service"]
+        slots = fields.get("slots", 1)
+        born_ms = fields.get("born", 0)
+        # How much longer the replica is slow after its start.
+        warm_in_ms = fields.get("cold-left-ms", 0)
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise Undecodable(f"replica {replica_id}: {error!r}") from None
+    numbers = (slots, born_ms, warm_in_ms)
+    if (
+        state not in ("ready", "draining")
+        or not isinstance(service, str)
+        or not host
+        or not port.isdigit()
+        or any(type(number) not in (int, float) for number in numbers)
+        or slots < 1
+    ):
+        raise Undecodable(f"replica {replica_id}: a field has a wrong value")
+    return Replica(
+        replica_id=replica_id,
+        born_ms=int(born_ms),
+        service=service,
+        host=host,
+        port=int(port),
+        data_centre=DataCentreId(str(fields.get("zone", ""))),
+        slots=int(slots),
+        leaving=state == "draining",
+        warm_in_ms=int(warm_in_ms),
+    )
--- /dev/null
+++ b/dahliashunt/platform/serve_agent.py
@@ -0,0 +1,140 @@
+"""Join the parts of an agent on the platform."""
+
+import asyncio
+
+from dahliashunt.adapters.clock import SystemClock
+from dahliashunt.adapters.http1 import ConnectFailed
+from dahliashunt.adapters.http1 import ConnectionPool
+from dahliashunt.adapters.http1 import encode_request
+from dahliashunt.adapters.http1 import exchange_whole
+from dahliashunt.adapters.slots import SlotServer
+from dahliashunt.decisions.slot_keeper import SlotKeeper
+from dahliashunt.platform.boot import Boot
+from dahliashunt.platform.dialect import decode_report
+from dahliashunt.platform.dialect import REPORT_PATH
+from dahliashunt.platform.operator import decode_replica
+from dahliashunt.platform.operator import Undecodable
+from dahliashunt.platform.listeners import REPLICAS_PREFIX
+from dahliashunt.platform.store import PlatformStore
+from dahliashunt.errors import PlatformUnavailable
+
+__all__ = ["serve_agent"]
+
+REPORT_MS = 100
+"""Between reads of the replica's report, which is free on its machine."""
+
+REPORT_WITHIN_MS = 250
+"""A report that takes longer counts as missing."""
+
+AWAY_MISSES = 3
+"""Missing reports in a row after which entries are told that the replica
+is away: a third of a second, a pause that no report takes in health."""
+
+SLOTS_RETRY_MS = 300
+"""Between reads of the list until the replica's slots are known."""
+
+
+async def serve_agent(boot: Boot, signals, log) -> None:
+    """Keep the slots of the replica on this machine until told to leave."""
+    agent = _Agent(boot, log)
+    loops = [asyncio.create_task(agent.run())]
+    leave = asyncio.create_task(signals.leave.wait())
+    done, _ = await asyncio.wait(
+        {leave, *loops}, return_when=asyncio.FIRST_COMPLETED
+    )
+    for task in loops:
+        task.cancel()
+    agent.stop()
+    log.info("stopped")
+    for task in done:
+        task.result()
+
+
+class _Agent:
+    def __init__(self, boot, log):
+        self._boot = boot
+        self._log = log
+        self._clock = SystemClock()
+        self._pool = ConnectionPool(self._clock)
+        self._store = PlatformStore(
+            boot.store.address, self._pool, self._clock
+        )
+        self._server = None
+        self._missing = 0
+
+    async def run(self):
+        replica = await self._find_replica()
+        keeper = SlotKeeper(replica.slots)
+        self._server = SlotServer(keeper, self._clock, self._log)
+        self._server.instance_id = replica.replica_id
+        await self._server.start(self._boot.ip, self._boot.first_port)
+        self._log.info(
+            "started", replica=replica.replica_id, slots=replica.slots
+        )
+        while True:
+            await self._look(keeper)
+            self._server.publish()
+            await self._clock.sleep_ms(REPORT_MS)
+
+    async def _find_replica(self):
+        """Return the listed replica at this machine's address."""
+        while True:
+            try:
+                listed = await self._store.snapshot(REPLICAS_PREFIX)
+            except PlatformUnavailable as error:
+                self._log.warning("table_lost", reason=str(error))
+                listed = None
+            for row in listed.rows if listed else ():
+                replica = self._decoded(row)
+                if replica and replica.address == self._boot.replica:
+                    return replica
+            await self._clock.sleep_ms(SLOTS_RETRY_MS)
+
+    def _decoded(self, row):
+        replica_id = row.key.removeprefix(REPLICAS_PREFIX)
+        try:
+            return decode_replica(replica_id, row.value)
+        except Undecodable as error:
+            self._log.warning("replica_unreadable", reason=str(error))
+            return None
+
+    async def _look(self, keeper):
+        report = await self._report()
+        if report is None:
+            self._missing += 1
+            if self._missing == AWAY_MISSES:
+                self._log.warning("replica_away", missing=self._missing)
+            keeper.away = self._missing >= AWAY_MISSES
+            return
+        if keeper.away:
+            self._log.info("replica_back", missing=self._missing)
+        self._missing = 0
+        keeper.away = False
+        self._server.report(report.running, report.waiting)
+
+    async def _report(self):
+        """Return the replica's report, or None if it gave none."""
+        host, port = self._boot.replica
+        try:
+            connection = await self._pool.take(self._boot.replica)
+        except ConnectFailed:
+            return None
+        request = encode_request(
+            "GET", REPORT_PATH, [("Host", f"{host}:{port}")]
+        )
+        answer = await exchange_whole(
+            connection, request, self._clock, REPORT_WITHIN_MS
+        )
+        self._pool.give_back(self._boot.replica, connection)
+        if answer is None or answer.head.status != 200:
+            return None
+        try:
+            return decode_report(answer.body)
+        except ValueError as error:
+            self._log.warning("report_unreadable", reason=str(error))
+            return None
+
+    def stop(self):
+        if self._server is not None:
+            self._server.stop()
+        self._pool.close()
--- /dev/null
+++ b/dahliashunt/platform/serve_entry.py
@@ -0,0 +1,177 @@
+"""Join the parts of an entry on the platform, and stop them in order."""
+
+import asyncio
+import random
+
+from dahliashunt.adapters.clock import SystemClock
+from dahliashunt.adapters.http1 import ConnectionPool
+from dahliashunt.adapters.slots import SlotClient
+from dahliashunt.decisions.suspicion import Suspicion
+from dahliashunt.adapters.http_server import HttpBounds
+from dahliashunt.adapters.http_server import HttpServer
+from dahliashunt.forwarding.follower import TableFollower
+from dahliashunt.forwarding.forwarder import Forwarder
+from dahliashunt.forwarding.node import Node
+from dahliashunt.forwarding.placing import Places
+from dahliashunt.forwarding.replicas import ReplicaBook
+from dahliashunt.metrics import Metrics
+from dahliashunt.platform.boot import Boot
+from dahliashunt.platform.dialect import PlatformDialect
+from dahliashunt.platform.health import Health
+from dahliashunt.platform.ingress import Ingress
+from dahliashunt.platform.job_calls import JobCalls
+from dahliashunt.platform.listeners import CONFIG_KEY
+from dahliashunt.platform.listeners import ConfigRows
+from dahliashunt.platform.listeners import REPLICAS_PREFIX
+from dahliashunt.platform.listeners import ReplicaRows
+from dahliashunt.platform.store import PlatformStore
+
+__all__ = ["serve_entry"]
+
+RENEW_MS = 1_000
+"""Between renewals of held slots; agents drop holds after 3.5 of them."""
+
+SWEEP_MS = 1_000
+"""Between looks at idle connections and lapsed replicas."""
+
+LEAVE_MARGIN_MS = 700
+"""Before the platform kills a leaving process: time to close in order."""
+
+NEW_CONNECTIONS_MS = 3_000
+"""After SIGTERM new connections still come for so long: the platform asks
+for readiness every second and turns away after two misses."""
+
+
+async def serve_entry(boot: Boot, signals, log) -> None:
+    """Run an entry until it was told to leave and nothing is in progress.
+
+    Parameters
+    ----------
+    boot : Boot
+    signals : Signals
+    log : structlog logger
+    """
+    entry = _Entry(boot, log)
+    await entry.start()
+    tasks = [asyncio.create_task(each) for each in entry.loops()]
+    try:
+        await _first_of(signals.leave, tasks)
+        await entry.leave()
+    finally:
+        for task in tasks:
+            task.cancel()
+        await entry.stop()
+
+
+async def _first_of(event, tasks):
+    """Wait for `event`; a loop that ends is an error of this program."""
+    waited = asyncio.create_task(event.wait())
+    done, _ = await asyncio.wait(
+        {waited, *tasks}, return_when=asyncio.FIRST_COMPLETED
+    )
+    if waited not in done:
+        waited.cancel()
+        for task in done:
+            task.result()
+
+
+class _Entry:
+    def __init__(self, boot, log):
+        self._boot = boot
+        self._log = log
+        self._clock = SystemClock()
+        self._rng = random.Random()
+        self._book = ReplicaBook()
+        metrics = Metrics(boot.node_id)
+        self._node = Node(self._clock, self._rng, metrics, log, self._book)
+        self._pool = ConnectionPool(self._clock)
+        self._store_pool = ConnectionPool(self._clock)
+        self._store = PlatformStore(
+            boot.store.address, self._store_pool, self._clock
+        )
+        self._slots = SlotClient(self._clock)
+        suspicion = Suspicion()
+        self._places = Places(
+            self._book,
+            self._slots,
+            suspicion,
+            self._clock,
+            self._rng,
+            boot.data_centre,
+            boot.first_port,
+        )
+        self._node.forwarder = Forwarder(
+            self._places,
+            self._pool,
+            PlatformDialect(),
+            suspicion,
+            self._clock,
+            metrics,
+            log,
+        )
+        self._followers = [
+            self._follower(CONFIG_KEY, ConfigRows(self._node, log)),
+            self._follower(
+                REPLICAS_PREFIX, ReplicaRows(self._book, self._clock, log)
+            ),
+        ]
+        config = self._followers[0]
+        self._node.config_heard = lambda: config.heard_ms
+        self._servers = []
+
+    def _follower(self, prefix, listener):
+        return TableFollower(
+            self._store, prefix, listener, self._clock, self._rng, self._log
+        )
+
+    async def start(self):
+        boot = self._boot
+        await self._slots.start(boot.ip, boot.last_port)
+        jobs = JobCalls()
+        bounds = HttpBounds()
+        self._servers = [
+            HttpServer(
+                Ingress(self._node, jobs),
+                *boot.callers,
+                lifespan=False,
+                bounds=bounds,
+            ),
+            HttpServer(Health(self._node), *boot.readiness, lifespan=False),
+        ]
+        for server in self._servers:
+            await server.start()
+        self._log.info("started", data_centre=boot.data_centre)
+
+    def loops(self):
+        return [
+            *(follower.run() for follower in self._followers),
+            self._places.keep_states(RENEW_MS),
+            self._sweep(),
+        ]
+
+    async def _sweep(self):
+        while True:
+            await self._clock.sleep_ms(SWEEP_MS)
+            self._pool.sweep()
+            self._book.expire(self._clock.now_ms())
+
+    async def leave(self):
+        """Turn away new connections, then let requests in progress end."""
+        self._node.leaving.set()
+        now_ms = self._clock.now_ms()
+        until_ms = now_ms + self._boot.bounds.leave_ms - LEAVE_MARGIN_MS
+        quiet_ms = now_ms + NEW_CONNECTIONS_MS
+        self._log.info("leaving", in_progress=self._node.busy)
+        while now_ms < until_ms:
+            if now_ms >= quiet_ms and not self._node.busy:
+                break
+            await self._clock.sleep_ms(50)
+            now_ms = self._clock.now_ms()
+
+    async def stop(self):
+        self._log.info("stopped", in_progress=self._node.busy)
+        for server in self._servers:
+            await server.stop_now()
+        self._slots.stop()
+        self._pool.close()
+        self._store_pool.close()
--- /dev/null
+++ b/dahliashunt/platform/store.py
@@ -0,0 +1,258 @@
+"""The platform's store behind our ports for tables, feeds and objects.
+
+A key of `TableService` is ``table/part/key``: one transaction names rows
+of one part. Versions come from the store's one counter.
+"""
+
+import base64
+import binascii
+from dataclasses import dataclass
+import json
+from urllib.parse import quote
+from urllib.parse import urlencode
+
+from dahliashunt.adapters.http1 import ConnectFailed
+from dahliashunt.adapters.http1 import ConnectionPool
+from dahliashunt.adapters.http1 import encode_request
+from dahliashunt.adapters.http1 import exchange_whole
+from dahliashunt.errors import HistoryLost
+from dahliashunt.errors import PlatformUnavailable
+from dahliashunt.errors import TransactionConflict
+from dahliashunt.errors import WriteOutcomeUnknown
+from dahliashunt.ports import Clock
+from dahliashunt.ports.table import Changes
+from dahliashunt.ports.table import MustBe
+from dahliashunt.ports.table import Row
+from dahliashunt.ports.table import Write
+
+__all__ = ["PlatformStore"]
+
+ANSWER_MS = 1_000
+"""Longest wait for an answer. The store answers in some 10 ms, slowed by
+a factor of 60 in some 500; beyond a second a call is better repeated."""
+
+PAGE_ROWS = 500
+"""Most rows that the store returns at once."""
+
+_REFUSED = (429, 503)
+
+
+@dataclass(frozen=True, slots=True)
+class _Reply:
+    status: int
+    body: bytes
+
+    def json(self):
+        return json.loads(self.body)
+
+
+class PlatformStore:
+    """`TableService`, `TableFeed` and `ObjectStore` over one address.
+
+    Parameters
+    ----------
+    address : (str, int)
+    pool : ConnectionPool
+    clock : Clock
+    """
+
+    def __init__(self, address, pool: ConnectionPool, clock: Clock):
+        self._address = address
+        self._pool = pool
+        self._clock = clock
+        self._host = ("Host", f"{address[0]}:{address[1]}")
+
+    # Table service.
+
+    async def read(self, key: str) -> Row | None:
+        """Return the row named `key`, or None."""
+        rows = await self.read_range(key, key + "\x00", 1)
+        return rows[0] if rows else None
+
+    async def read_range(
+        self, start: str, end: str, limit: int
+    ) -> tuple[Row, ...]:
+        """Return rows with ``start <= key < end``, all of one part."""
+        table, part, first = _split(start)
+        rows = []
+        while len(rows) < limit:
+            page = await self._page(
+                table, part, first, _split(end)[2], limit - len(rows)
+            )
+            rows += [_row(each) for each in page["rows"]]
+            if not page.get("truncated") or not page["rows"]:
+                break
+            first = page["rows"][-1]["key"] + "\x00"
+        return tuple(rows)
+
+    async def _page(self, table, part, first, last, limit):
+        query = {"table": table, "part": part}
+        query["limit"] = min(limit, PAGE_ROWS)
+        if first:
+            query["from"] = first
+        if last:
+            query["to"] = last
+        return await self._read_json("/api/rows-get", query)
+
+    async def transact(self, writes: tuple[Write, ...]) -> tuple[int, ...]:
+        """Apply all `writes`, which name rows of one part, or none."""
+        body = json.dumps(_transaction(writes)).encode()
+        reply = await self._write("POST", "/api/rows-tx", body)
+        if reply.status == 412:
+            rows = tuple(_row(each) for each in reply.json()["rows"])
+            raise TransactionConflict(tuple(r.key for r in rows), rows)
+        version = self._decoded(reply)["ver"]
+        return tuple(0 if each.value is None else version for each in writes)
+
+    # Feed.
+
+    async def snapshot(self, prefix: str) -> Changes:
+        """Return every row of a part whose key starts with `prefix`."""
+        table, part, first = _split(prefix)
+        rows = []
+        version = None
+        while True:
+            page = await self._page(table, part, first, "", PAGE_ROWS)
+            rows += [_row(each) for each in page["rows"]]
+            # The first page's version: what changes between two pages
+            # comes again with the changes after it.
+            version = page["ver"] if version is None else version
+            if not page.get("truncated") or not page["rows"]:
+                return Changes(tuple(rows), (), version)
+            first = page["rows"][-1]["key"] + "\x00"
+
+    async def changes(self, table: str, after: int, wait_ms: int) -> Changes:
+        """Return what changed in `table` after version `after`."""
+        query = {"table": table, "after": after, "wait-ms": wait_ms}
+        found = await self._read_json("/api/rows-feed", query, wait_ms)
+        rows, removed = [], []
+        for each in found["rows"]:
+            if each.get("removed"):
+                removed.append(_key(each))
+            else:
+                rows.append(_row(each))
+        return Changes(tuple(rows), tuple(removed), found["ver"])
+
+    # Objects.
+
+    async def put(self, name: str, data: bytes) -> None:
+        """Store `data` under `name`; a repeat of the same is harmless."""
+        path = f"/api/blob-put/{quote(name, safe='')}"
+        self._decoded(await self._write("PUT", path, data))
+
+    async def get(self, name: str) -> bytes | None:
+        """Return the object named `name`, or None."""
+        path = f"/api/blob-get/{quote(name, safe='')}"
+        reply = await self._call("GET", path, b"", 0)
+        if reply is None:
+            raise PlatformUnavailable(f"no answer to GET {path}")
+        if reply.status == 404:
+            return None
+        if reply.status != 200:
+            raise PlatformUnavailable(f"{reply.status} to GET {path}")
+        return reply.body
+
+    async def delete(self, name: str) -> None:
+        """Delete the object named `name`, if there is one."""
+        path = f"/api/blob-drop/{quote(name, safe='')}"
+        reply = await self._write("DELETE", path, b"")
+        if reply.status != 404:
+            self._decoded(reply)
+
+    # Calls.
+
+    async def _read_json(self, path, query, wait_ms=0):
+        target = f"{path}?{urlencode(query)}"
+        reply = await self._call("GET", target, b"", wait_ms)
+        if reply is None:
+            raise PlatformUnavailable(f"no answer to GET {path}")
+        if reply.status == 410:
+            raise HistoryLost(f"410 to GET {path}")
+        return self._decoded(reply)
+
+    def _decoded(self, reply):
+        if reply.status not in (200, 201, 204):
+            raise PlatformUnavailable(f"the store answered {reply.status}")
+        if not reply.body:
+            return {}
+        try:
+            return reply.json()
+        except ValueError:
+            raise PlatformUnavailable("the answer is not JSON") from None
+
+    async def _write(self, method, target, body):
+        reply = await self._call(method, target, body, 0)
+        if reply is None:
+            raise WriteOutcomeUnknown(f"no answer to {method} {target}")
+        if reply.status in _REFUSED:
+            raise PlatformUnavailable(f"the store answered {reply.status}")
+        return reply
+
+    async def _call(self, method, target, body, wait_ms):
+        """Return the answer, or None if none came; raise if not sent."""
+        try:
+            connection = await self._pool.take(self._address)
+        except ConnectFailed as error:
+            raise PlatformUnavailable(str(error)) from None
+        headers = [self._host]
+        if body:
+            headers.append(("Content-Type", _content_type(method)))
+        request = encode_request(method, target, headers, body)
+        try:
+            answer = await exchange_whole(
+                connection, request, self._clock, ANSWER_MS + wait_ms
+            )
+        except BaseException:
+            # Cancelled between request and answer: what comes late must
+            # not be read by the next call.
+            connection.abort()
+            raise
+        self._pool.give_back(self._address, connection)
+        if answer is None:
+            return None
+        return _Reply(answer.head.status, answer.body)
+
+
+def _content_type(method):
+    if method == "PUT":
+        return "application/octet-stream"
+    return "application/json"
+
+
+def _split(key):
+    table, _, rest = key.partition("/")
+    part, _, key = rest.partition("/")
+    return table, part, key
+
+
+def _key(fields):
+    return f"{fields['table']}/{fields.get('part', '')}/{fields['key']}"
+
+
+def _row(fields):
+    try:
+        value = base64.b64decode(fields.get("value") or "", validate=True)
+        text = value.decode("utf-8")
+    except (binascii.Error, ValueError):
+        # Another writer's row with bytes that cannot be read: empty text
+        # is what every reader of ours takes as "names nothing".
+        text = ""
+    return Row(_key(fields), text, fields["ver"])
+
+
+def _transaction(writes):
+    conditions, puts, removes = [], [], []
+    for each in writes:
+        table, part, key = _split(each.key)
+        name = {"table": table, "part": part, "key": key}
+        if each.expect is not MustBe.ANY:
+            version = 0 if each.expect is MustBe.ABSENT else each.expect
+            conditions.append({**name, "ver": version})
+        if each.check_only:
+            continue
+        if each.value is None:
+            removes.append(name)
+        else:
+            value = base64.b64encode(each.value.encode()).decode()
+            puts.append({**name, "value": value})
+    return {"if-rev": conditions, "writes": puts, "remove": removes}
--- a/dahliashunt/ports/__init__.py
+++ b/dahliashunt/ports/__init__.py
@@ -4,6 +4,7 @@
 from dahliashunt.ports.engine import Engine
 from dahliashunt.ports.instances import InstanceList
 from dahliashunt.ports.objects import ObjectStore
+from dahliashunt.ports.table import TableFeed
 from dahliashunt.ports.table import TableService
 from dahliashunt.ports.weights import WeightStore
 
@@ -12,6 +13,7 @@
     "Engine",
     "InstanceList",
     "ObjectStore",
+    "TableFeed",
     "TableService",
     "WeightStore",
 ]
--- a/dahliashunt/ports/table.py
+++ b/dahliashunt/ports/table.py
@@ -9,7 +9,14 @@
 import enum
 from typing import Protocol
 
-__all__ = ["MustBe", "Row", "TableService", "Write"]
+__all__ = [
+    "Changes",
+    "MustBe",
+    "Row",
+    "TableFeed",
+    "TableService",
+    "Write",
+]
 
 
 class MustBe(enum.Enum):
@@ -82,3 +89,44 @@
             The answer was lost. Settle it by reading: every transaction
             of this package writes an id of its own into a row.
         """
+
+
+@dataclass(frozen=True, slots=True)
+class Changes:
+    """Rows of a table, and the version up to which they are known.
+
+    Attributes
+    ----------
+    rows : tuple of Row
+        As they are now, in order of change.
+    removed : tuple of str
+        Keys of rows that no longer exist.
+    version : int
+        Where to go on.
+    """
+
+    rows: tuple[Row, ...]
+    removed: tuple[str, ...]
+    version: int
+
+
+class TableFeed(Protocol):
+    """Reads of a whole table, and of what changes in it.
+
+    Keys start with the table's name and a slash. Calls raise
+    `PlatformUnavailable`.
+    """
+
+    async def snapshot(self, prefix: str) -> Changes:
+        """Return every row whose key starts with `prefix`."""
+
+    async def changes(self, table: str, after: int, wait_ms: int) -> Changes:
+        """Return what changed after version `after`.
+
+        Waits up to `wait_ms` for a first change; none is no error.
+
+        Raises
+        ------
+        HistoryLost
+            The changes after `after` are no longer kept.
+        """
--- /dev/null
+++ b/dahliashunt/process.py
@@ -0,0 +1,60 @@
+"""Signals, exit codes, and the life of a program's main coroutine."""
+
+import asyncio
+import enum
+import signal
+
+__all__ = ["ExitCode", "Signals", "run_served"]
+
+
+class ExitCode(enum.IntEnum):
+    """Exit codes of the daemons."""
+
+    OK = 0
+    FAILED = 1
+    SETTINGS = 2
+    STOPPED_AT_ONCE = 3
+
+
+class Signals:
+    """SIGTERM and SIGINT: the first asks for a graceful shutdown.
+
+    Attributes
+    ----------
+    leave : asyncio.Event
+        Set by the first signal.
+    stop : asyncio.Event
+        Set by the second: stop at once.
+    """
+
+    def __init__(self):
+        self.leave = asyncio.Event()
+        self.stop = asyncio.Event()
+
+    def install(self) -> None:
+        """Listen for signals on the running loop."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._arrived)
+
+    def _arrived(self):
+        if self.leave.is_set():
+            self.stop.set()
+        self.leave.set()
+
+
+async def run_served(settings, serve, log) -> ExitCode:
+    """Run `serve` until it ends, or a second signal stops it at once."""
+    signals = Signals()
+    signals.install()
+    served = asyncio.create_task(serve(settings, signals, log))
+    stopped = asyncio.create_task(signals.stop.wait())
+    await asyncio.wait({served, stopped}, return_when=asyncio.FIRST_COMPLETED)
+    stopped.cancel()
+    if served.done():
+        served.result()
+        return ExitCode.OK
+    log.warning("stopped_at_once")
+    served.cancel()
+    await asyncio.wait({served}, timeout=1)
+    return ExitCode.STOPPED_AT_ONCE
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,7 +6,7 @@
 import pytest
 import structlog
 
-from dahliashunt.daemon import Signals
+from dahliashunt.process import Signals
 from dahliashunt.local.fleet import serve_local
 
 READY_WITHIN_S = 30
--- a/tests/test_gallery.py
+++ b/tests/test_gallery.py
@@ -5,7 +5,7 @@
 import pytest
 import structlog
 
-from dahliashunt.daemon import Signals
+from dahliashunt.process import Signals
 from dahliashunt.local.fleet import serve_local
 from examples.gallery import batch_job
 from examples.gallery import drive_agent
