Batch jobs kept in the platform's tables, run by the entries

Cause: jobs were refused. An entry now accepts a job in one transaction with its route's token count, runs its items in idle slots, resumes revoked ones from their last event and lists results at fixed positions; jobs of a node that is gone are taken over.

--- a/dahliashunt/forwarding/follower.py
+++ b/dahliashunt/forwarding/follower.py
@@ -27,8 +27,9 @@
     Parameters
     ----------
     feed : TableFeed
-    prefix : str
-        Table, slash and perhaps the start of keys.
+    prefixes : tuple of str
+        Each with table, part and perhaps the start of keys; all of one
+        table.
     listener : object
         Has ``replaced(rows)``, ``changed(row)``, ``removed(key)`` and
         ``outage_ended()``.
@@ -45,15 +46,15 @@
     def __init__(
         self,
         feed: TableFeed,
-        prefix: str,
+        prefixes: tuple[str, ...],
         listener,
         clock: Clock,
         rng: random.Random,
         log,
     ):
         self._feed = feed
-        self._prefix = prefix
-        self._table = prefix.split("/", 1)[0]
+        self._prefixes = prefixes
+        self._table = prefixes[0].split("/", 1)[0]
         self._listener = listener
         self._clock = clock
         self._rng = rng
@@ -77,23 +78,31 @@
 
     async def _step(self):
         if self._after is None:
-            found = await self._feed.snapshot(self._prefix)
-            self._heard()
-            self._listener.replaced(found.rows)
-        else:
-            found = await self._feed.changes(
-                self._table, self._after, WAIT_MS
-            )
-            self._heard()
-            self._apply(found)
+            await self._read_whole()
+            return
+        found = await self._feed.changes(self._table, self._after, WAIT_MS)
+        self._heard()
+        self._apply(found)
         self._after = found.version
 
+    async def _read_whole(self):
+        rows = []
+        after = None
+        for prefix in self._prefixes:
+            found = await self._feed.snapshot(prefix)
+            rows += found.rows
+            after = found.version if after is None else after
+        self._heard()
+        self._listener.replaced(tuple(rows))
+        # What changed between the first page and the last comes again.
+        self._after = after
+
     def _apply(self, found):
         for row in found.rows:
-            if row.key.startswith(self._prefix):
+            if row.key.startswith(self._prefixes):
                 self._listener.changed(row)
         for key in found.removed:
-            if key.startswith(self._prefix):
+            if key.startswith(self._prefixes):
                 self._listener.removed(key)
 
     def _heard(self):
--- /dev/null
+++ b/dahliashunt/jobs/beats.py
@@ -0,0 +1,133 @@
+"""Which nodes that own jobs are alive, from rows that they renew.
+
+An owner writes its row every period while it owns jobs. An observer takes
+it for gone only after it has seen the same row unchanged for the whole
+term on its own clock while the table answered; no clocks are compared. A
+row of another boot of the node means that the owner's life has ended.
+"""
+
+from dataclasses import dataclass
+import json
+
+from dahliashunt.errors import PlatformUnavailable
+from dahliashunt.errors import TransactionConflict
+from dahliashunt.errors import WriteOutcomeUnknown
+from dahliashunt.ids import NodeId
+from dahliashunt.jobs.model import Owner
+from dahliashunt.ports import Clock
+from dahliashunt.ports import TableService
+from dahliashunt.ports.table import MustBe
+from dahliashunt.ports.table import Write
+
+__all__ = ["BEAT_MS", "BeatReader", "BeatWriter", "period_ms"]
+
+BEAT_MS = 1_000
+"""Between renewals. A job's results are due in some 18 s, of which finding
+a dead owner takes the term."""
+
+TERM_MS = 3_500
+"""Unchanged for so long, an owner is gone: three renewals were missed."""
+
+MS_A_NODE = 15
+"""Lengthens the period with the number of owners, so that their renewals
+together stay under 70 writes a second, of the 150 that a part takes, and
+the reads of all nodes under a fixed number of rows a second."""
+
+MOST_ROWS = 2_000
+
+
+def period_ms(owners: int) -> int:
+    """Return the time between renewals with so many owners."""
+    return max(BEAT_MS, owners * MS_A_NODE)
+
+
+def _key(node_id):
+    return f"beats//{node_id}"
+
+
+class BeatWriter:
+    """Renews this node's row."""
+
+    def __init__(self, table: TableService, owner: Owner, log):
+        self._table = table
+        self._owner = owner
+        self._log = log
+        self._count = 0
+        self._version = None
+
+    async def beat(self) -> bool:
+        """Renew once; return whether the table took it."""
+        key = _key(self._owner.node_id)
+        try:
+            if self._version is None:
+                row = await self._table.read(key)
+                self._version = row.version if row else MustBe.ABSENT
+            self._count += 1
+            value = json.dumps([self._owner.boot, self._count])
+            write = Write(key, value, self._version)
+            (self._version,) = await self._table.transact((write,))
+        except (
+            PlatformUnavailable,
+            TransactionConflict,
+            WriteOutcomeUnknown,
+        ) as error:
+            self._log.warning("beat_failed", reason=str(error))
+            self._version = None
+            return False
+        return True
+
+
+@dataclass(slots=True)
+class _Seen:
+    value: str
+    since_ms: int
+
+
+class BeatReader:
+    """Watches other nodes' rows."""
+
+    def __init__(self, table: TableService, clock: Clock, log):
+        self._table = table
+        self._clock = clock
+        self._log = log
+        self._seen_by_node: dict[NodeId, _Seen] = {}
+        self._regained = True
+        self.owners = 0
+
+    async def look(self) -> None:
+        """Read all rows once."""
+        try:
+            rows = await self._table.read_range(
+                "beats//", "beats//~", MOST_ROWS
+            )
+        except PlatformUnavailable as error:
+            self._log.warning("beats_unread", reason=str(error))
+            self._regained = True
+            return
+        now_ms = self._clock.now_ms()
+        if self._regained:
+            # Owners could not renew either: every term starts again.
+            for seen in self._seen_by_node.values():
+                seen.since_ms = now_ms
+            self._regained = False
+        for row in rows:
+            self._see(NodeId(row.key.removeprefix("beats//")), row, now_ms)
+        self.owners = len(rows)
+
+    def _see(self, node_id, row, now_ms):
+        seen = self._seen_by_node.get(node_id)
+        if seen is None or seen.value != row.value:
+            self._seen_by_node[node_id] = _Seen(row.value, now_ms)
+
+    def is_gone(self, owner: Owner) -> bool:
+        """Tell whether that life of the node has surely ended."""
+        now_ms = self._clock.now_ms()
+        seen = self._seen_by_node.get(owner.node_id)
+        if seen is None:
+            # Never renewed: counted from the first look at it.
+            self._seen_by_node[owner.node_id] = _Seen("", now_ms)
+            return False
+        if seen.value and json.loads(seen.value)[0] != owner.boot:
+            return True
+        term_ms = TERM_MS * period_ms(self.owners) // BEAT_MS
+        return not self._regained and now_ms - seen.since_ms > term_ms
--- /dev/null
+++ b/dahliashunt/jobs/item_run.py
@@ -0,0 +1,180 @@
+"""One batch item on its way: attempts at replicas, and its text so far."""
+
+import enum
+
+from dahliashunt.adapters.http1 import ConnectFailed
+from dahliashunt.adapters.http1 import ConnectionPool
+from dahliashunt.adapters.http1 import End
+from dahliashunt.adapters.http1 import ResponseHead
+from dahliashunt.forwarding.call import Call
+from dahliashunt.forwarding.events import EventCutter
+from dahliashunt.forwarding.events import EventOutOfOrder
+from dahliashunt.forwarding.placing import Place
+from dahliashunt.forwarding.ports import ReplicaDialect
+from dahliashunt.ports import Clock
+
+__all__ = ["ItemEnd", "ItemRun"]
+
+SILENCE_MS = 1_500
+"""An item's replica that sends nothing for so long is left. Tokens come
+every few milliseconds, ten times as slowly at a slowed replica; what was
+made is kept, so that leaving costs a prompt's reading only."""
+
+CRASHES = 3
+"""Losses in a row without an event after which an item is suspected to
+crash its replicas, and waits `CRASHED_WAIT_MS` before each further try."""
+
+CRASHED_WAIT_MS = 15_000
+"""Longer than replicas need to come back: a crashing item then takes one
+replica down now and then, instead of all of them one after another."""
+
+IDLE_MS = 3_000
+"""Idle time of a connection that an item may take."""
+
+
+class ItemEnd(enum.Enum):
+    """How an attempt at a replica ended."""
+
+    DONE = "done"
+    REVOKED = "revoked"
+    """Its slot was taken back for an online request."""
+
+    NOT_RUN = "not_run"
+    LOST = "lost"
+    FAILED = "failed"
+    """The replica ran it and answered with a failure of its own."""
+
+    IMPOSSIBLE = "impossible"
+    """The replica says that the item can never be done."""
+
+
+class ItemRun:
+    """An item's text and failures over all its attempts.
+
+    Parameters
+    ----------
+    index : int
+        Of the item in its job.
+    call : Call
+    due_ms, abandon_ms : int
+        Monotonic times of this node.
+    """
+
+    def __init__(self, index: int, call: Call, due_ms: int, abandon_ms: int):
+        self.index = index
+        self.call = call
+        self.due_ms = due_ms
+        self.abandon_ms = abandon_ms
+        self.failures = 0
+        self.not_before_ms = 0
+        self._losses = 0
+        self._last_event = 0
+        self._texts: list[str] = []
+        self._connection = None
+        self._revoked = False
+
+    @property
+    def text(self) -> str:
+        """Data of all events so far, joined by line feeds."""
+        return "\n".join(self._texts)
+
+    def revoke(self) -> None:
+        """Stop the attempt in progress: its slot is wanted elsewhere."""
+        self._revoked = True
+        if self._connection is not None:
+            self._connection.abort()
+
+    async def attempt(
+        self,
+        place: Place,
+        pool: ConnectionPool,
+        dialect: ReplicaDialect,
+        clock: Clock,
+    ) -> ItemEnd:
+        """Run the item at `place`, from its last event on."""
+        address = place.replica.address
+        try:
+            connection = await pool.take(address, IDLE_MS)
+        except ConnectFailed:
+            return self._ended(ItemEnd.NOT_RUN, clock)
+        if self._revoked:
+            self._revoked = False
+            pool.give_back(address, connection)
+            return ItemEnd.REVOKED
+        left_ms = self.abandon_ms - clock.now_ms()
+        request = dialect.request(
+            self.call, place.replica, left_ms, self._last_event
+        )
+        box = connection.start(
+            request, lambda head: dialect.answers(self.call, head)
+        )
+        self._connection = connection
+        end = ItemEnd.LOST
+        try:
+            end = await self._relay(connection, box, dialect)
+        finally:
+            self._connection = None
+            if end in (ItemEnd.LOST, ItemEnd.REVOKED):
+                connection.abort()
+            pool.give_back(address, connection)
+        return self._ended(end, clock)
+
+    def _ended(self, end, clock):
+        if self._revoked:
+            self._revoked = False
+            if end is ItemEnd.LOST:
+                return ItemEnd.REVOKED
+        if end is ItemEnd.FAILED:
+            self.failures += 1
+        if end is ItemEnd.LOST:
+            self._losses += 1
+            if self._losses >= CRASHES:
+                self.not_before_ms = clock.now_ms() + CRASHED_WAIT_MS
+        return end
+
+    async def _relay(self, connection, box, dialect):
+        head = None
+        cutter = EventCutter()
+        while True:
+            events = await box.take(SILENCE_MS)
+            if not events:
+                return ItemEnd.LOST
+            for event in events:
+                if isinstance(event, ResponseHead):
+                    head = event
+                elif isinstance(event, End):
+                    return self._judge(event, head, cutter, dialect)
+                else:
+                    connection.taken(len(event))
+                    if 200 <= head.status < 300 and not self._keep(
+                        cutter, event
+                    ):
+                        return ItemEnd.LOST
+
+    def _keep(self, cutter, data):
+        """Keep the text of whole events; False if they do not follow."""
+        try:
+            for event in cutter.feed(data):
+                if event.number is None:
+                    continue
+                if event.number != self._last_event + 1:
+                    return False
+                self._last_event = event.number
+                self._texts.append(event.data())
+                self._losses = 0
+        except EventOutOfOrder:
+            return False
+        return True
+
+    def _judge(self, end, head, cutter, dialect):
+        if end is End.BROKEN or head is None:
+            return ItemEnd.LOST
+        if dialect.proves_not_run(head):
+            return ItemEnd.NOT_RUN
+        if head.status == 422:
+            return ItemEnd.IMPOSSIBLE
+        if head.status >= 300:
+            return ItemEnd.FAILED
+        if cutter.rest or not dialect.is_signed(head):
+            return ItemEnd.LOST
+        return ItemEnd.DONE
--- /dev/null
+++ b/dahliashunt/jobs/keys.py
@@ -0,0 +1,56 @@
+"""Keys of the jobs' rows."""
+
+import hashlib
+
+from dahliashunt.ids import JobId
+
+__all__ = [
+    "JOBS_PREFIX",
+    "PROGRESS_PREFIXES",
+    "job_key",
+    "progress_key",
+    "quota_key",
+    "result_key",
+    "results_range",
+]
+
+SHARDS = 8
+"""Parts that progress and results are spread over. A part takes 150
+transactions a second on the platforms known; eight carry 12 million items
+a day (139 a second) eight times over, and a restart reads eight pages."""
+
+JOBS_PREFIX = "jobs//"
+PROGRESS_PREFIXES = tuple(f"progress/{n}/" for n in range(SHARDS))
+
+
+def shard_of(job_id: JobId) -> int:
+    """Return the part that `job_id` is in."""
+    digest = hashlib.blake2b(job_id.encode(), digest_size=2).digest()
+    return int.from_bytes(digest) % SHARDS
+
+
+def job_key(job_id: JobId) -> str:
+    """Return the key of the job's row."""
+    return f"{JOBS_PREFIX}{job_id}"
+
+
+def quota_key(route: str) -> str:
+    """Return the key of a route's token count."""
+    return f"quotas//{route}"
+
+
+def progress_key(job_id: JobId) -> str:
+    """Return the key of the job's progress."""
+    return f"progress/{shard_of(job_id)}/{job_id}"
+
+
+def result_key(job_id: JobId, position: int, piece: int) -> str:
+    """Return the key of one piece of a result's text."""
+    shard = shard_of(job_id)
+    return f"results/{shard}/{job_id}/{position:05d}/{piece:03d}"
+
+
+def results_range(job_id: JobId, first: int, last: int) -> tuple[str, str]:
+    """Return where rows of positions `first` to `last` - 1 lie."""
+    prefix = f"results/{shard_of(job_id)}/{job_id}"
+    return f"{prefix}/{first:05d}", f"{prefix}/{last:05d}"
--- /dev/null
+++ b/dahliashunt/jobs/ledger.py
@@ -0,0 +1,393 @@
+"""The transactions on jobs, and how an unknown outcome is settled."""
+
+from dataclasses import dataclass
+from dataclasses import replace
+import json
+
+from dahliashunt.errors import ErrorKind
+from dahliashunt.errors import PlatformUnavailable
+from dahliashunt.errors import Ran
+from dahliashunt.errors import RequestError
+from dahliashunt.errors import TransactionConflict
+from dahliashunt.errors import WriteOutcomeUnknown
+from dahliashunt.ids import JobId
+from dahliashunt.jobs.keys import job_key
+from dahliashunt.jobs.keys import progress_key
+from dahliashunt.jobs.keys import quota_key
+from dahliashunt.jobs.keys import result_key
+from dahliashunt.jobs.keys import results_range
+from dahliashunt.jobs.model import decode_job
+from dahliashunt.jobs.model import decode_progress
+from dahliashunt.jobs.model import encode_job
+from dahliashunt.jobs.model import encode_progress
+from dahliashunt.jobs.model import Job
+from dahliashunt.jobs.model import JobState
+from dahliashunt.jobs.model import Listed
+from dahliashunt.jobs.model import Outcome
+from dahliashunt.jobs.model import Owner
+from dahliashunt.jobs.model import Progress
+from dahliashunt.jobs.view import JobView
+from dahliashunt.ports import ObjectStore
+from dahliashunt.ports import TableService
+from dahliashunt.ports.table import MustBe
+from dahliashunt.ports.table import Write
+
+__all__ = ["Finished", "JobLedger", "OwnershipLost", "Result"]
+
+CONFLICT_TRIES = 8
+"""Tries of a transaction that another node's was ahead of. A route sees a
+few acceptances a second at the most, each of some 10 ms."""
+
+PIECE_CHARACTERS = 12_000
+"""Text a row: at most 48 KB in UTF-8, under the 64 KB that a row takes."""
+
+PAGE_CHARACTERS = 600_000
+"""Text of one read of results, and of one listing: with its escapes well
+under the 1 MB that an answer or a transaction takes."""
+
+QUOTA_RETRY_MS = 1_000
+"""Retry-After of a job that does not fit: items of some five seconds end
+all the time, and the oldest job's in about so long."""
+
+
+class OwnershipLost(Exception):
+    """Another node has taken the job over."""
+
+
+@dataclass(frozen=True, slots=True)
+class Finished:
+    """An item that is to be listed."""
+
+    index: int
+    outcome: Outcome
+    text: str
+
+
+@dataclass(frozen=True, slots=True)
+class Result:
+    """A listed result, as callers read it."""
+
+    item_id: str
+    outcome: Outcome
+    text: str
+
+
+class JobLedger:
+    """Reads and writes jobs; teaches `view` what it learns.
+
+    Parameters
+    ----------
+    table : TableService
+    objects : ObjectStore
+    view : JobView
+    owner : Owner
+        This node.
+    log : structlog logger
+    """
+
+    def __init__(
+        self,
+        table: TableService,
+        objects: ObjectStore,
+        view: JobView,
+        owner: Owner,
+        log,
+    ):
+        self._table = table
+        self._objects = objects
+        self._view = view
+        self.owner = owner
+        self._log = log
+
+    # Acceptance.
+
+    async def accept(self, job: Job, payload: bytes, most_tokens: int) -> None:
+        """Accept `job` for good, or raise; a repeat succeeds again.
+
+        Raises
+        ------
+        RequestError
+            It does not fit, or the store does not answer. Only where it
+            is certain that the job was not accepted is it said so.
+        """
+        if await self.find(job.job_id) is not None:
+            return
+        try:
+            await self._objects.put(job.payload, payload)
+        except (PlatformUnavailable, WriteOutcomeUnknown) as error:
+            # Without a job row the object is never read.
+            raise _store_away(error, Ran.NO) from None
+        for _ in range(CONFLICT_TRIES):
+            if await self._try_accept(job, most_tokens):
+                return
+        raise RequestError(
+            ErrorKind.OVERLOADED, "too many jobs come at once"
+        )
+
+    async def _try_accept(self, job, most_tokens):
+        quota = await self._read(quota_key(job.route), Ran.NO)
+        held = json.loads(quota.value)["tokens"] if quota else 0
+        waiting = held - self._view.finished_tokens(job.route)
+        if most_tokens and max(0, waiting) + job.tokens > most_tokens:
+            self._log.info(
+                "job_over_quota",
+                job_id=job.job_id,
+                tokens=job.tokens,
+                waiting=waiting,
+                most=most_tokens,
+            )
+            raise RequestError(
+                ErrorKind.OVER_LIMIT,
+                "the route's waiting tokens are at their limit",
+                retry_after_ms=QUOTA_RETRY_MS,
+            )
+        writes = (
+            Write(job_key(job.job_id), encode_job(job), MustBe.ABSENT),
+            _quota_write(job.route, quota, held + job.tokens),
+        )
+        try:
+            versions = await self._table.transact(writes)
+        except TransactionConflict:
+            return await self.find(job.job_id) is not None
+        except PlatformUnavailable as error:
+            raise _store_away(error, Ran.NO) from None
+        except WriteOutcomeUnknown as error:
+            return await self._settle_accept(job, error)
+        self._view.learn_job(job, versions[0])
+        return True
+
+    async def _settle_accept(self, job, error):
+        """Find out whether a transaction without answer was applied.
+
+        One that is not there now may still land: "not run" cannot be said
+        any more, whatever the read shows.
+        """
+        try:
+            found = await self.find(job.job_id)
+        except RequestError:
+            raise _store_away(error, Ran.UNKNOWN) from None
+        if found is not None:
+            return True
+        raise _store_away(error, Ran.UNKNOWN)
+
+    # Reads.
+
+    async def find(self, job_id: JobId, fresh: bool = False) -> Job | None:
+        """Return the job, or None if there is none for certain.
+
+        Parameters
+        ----------
+        job_id : JobId
+        fresh : bool
+            Read the store even if the job is known here.
+
+        Raises
+        ------
+        RequestError
+            The store does not answer.
+        """
+        job = self._view.job(job_id)
+        if job is not None and not fresh:
+            return job
+        row = await self._read(job_key(job_id), Ran.NO)
+        if row is None:
+            return None
+        self._view.learn_job(decode_job(row.value), row.version)
+        return self._view.job(job_id)
+
+    async def refresh_progress(self, job: Job) -> Progress:
+        """Return the job's progress as the store has it now."""
+        row = await self._read(progress_key(job.job_id), Ran.NO)
+        if row is not None:
+            progress = decode_progress(row.value)
+            self._view.learn_progress(job.job_id, progress, row.version)
+        return self._view.progress(job)
+
+    async def results(self, job: Job, first: int) -> list[Result]:
+        """Return listed results from position `first`, a page of them."""
+        listed = self._view.progress(job).listed
+        last, size = first, 0
+        while last < len(listed):
+            size += listed[last].size
+            if last > first and size > PAGE_CHARACTERS:
+                break
+            last += 1
+        if last <= first:
+            return []
+        return await self._read_results(job, listed, first, last)
+
+    async def _read_results(self, job, listed, first, last):
+        start, end = results_range(job.job_id, first, last)
+        wanted = sum(each.pieces for each in listed[first:last])
+        try:
+            rows = await self._table.read_range(start, end, wanted)
+        except PlatformUnavailable as error:
+            raise _store_away(error, Ran.NO) from None
+        texts = iter(json.loads(row.value) for row in rows)
+        results = []
+        for each in listed[first:last]:
+            pieces = [next(texts) for _ in range(each.pieces)]
+            item = job.items[each.index]
+            results.append(
+                Result(item.item_id, each.outcome, "".join(pieces))
+            )
+        return results
+
+    async def payload(self, job: Job) -> bytes:
+        """Return the items' requests, as they were submitted."""
+        try:
+            data = await self._objects.get(job.payload)
+        except PlatformUnavailable as error:
+            raise _store_away(error, Ran.NO) from None
+        if data is None:
+            raise RequestError(
+                ErrorKind.INTERNAL, f"object {job.payload} is missing"
+            )
+        return data
+
+    async def _read(self, key, ran):
+        try:
+            return await self._table.read(key)
+        except PlatformUnavailable as error:
+            raise _store_away(error, ran) from None
+
+    # Changes of state.
+
+    async def set_state(self, job_id: JobId, state: JobState) -> bool:
+        """End or close an open job and free its tokens.
+
+        Returns
+        -------
+        bool
+            Whether there is such a job; one that is not open stays as it
+            is.
+        """
+        for _ in range(CONFLICT_TRIES):
+            row = await self._read(job_key(job_id), Ran.NO)
+            if row is None:
+                return False
+            job = decode_job(row.value)
+            self._view.learn_job(job, row.version)
+            if job.state is not JobState.OPEN:
+                return True
+            if await self._try_state(job, row.version, state):
+                return True
+        raise RequestError(ErrorKind.OVERLOADED, "the job changes too fast")
+
+    async def _try_state(self, job, version, state):
+        quota = await self._read(quota_key(job.route), Ran.NO)
+        held = json.loads(quota.value)["tokens"] if quota else 0
+        changed = replace(job, state=state)
+        writes = (
+            Write(job_key(job.job_id), encode_job(changed), version),
+            _quota_write(job.route, quota, max(0, held - job.tokens)),
+        )
+        try:
+            versions = await self._table.transact(writes)
+        except (TransactionConflict, WriteOutcomeUnknown):
+            return False
+        except PlatformUnavailable as error:
+            raise _store_away(error, Ran.NO) from None
+        self._view.learn_job(changed, versions[0])
+        return True
+
+    # Ownership and listing.
+
+    async def take_over(self, job: Job) -> bool:
+        """Become the job's owner, unless another node was faster."""
+        known = self._view.progress_by_id.get(job.job_id)
+        progress = replace(self._view.progress(job), owner=self.owner)
+        return await self._write_progress(job, known, progress, ())
+
+    async def list_results(self, job: Job, finished: list[Finished]) -> int:
+        """List `finished` at the next positions; return how many.
+
+        Items that are listed already are left out.
+
+        Raises
+        ------
+        OwnershipLost
+            Another node owns the job.
+        PlatformUnavailable
+            Nothing was listed, or it is not known: try again.
+        """
+        known = self._view.progress_by_id.get(job.job_id)
+        progress = self._view.progress(job)
+        if progress.owner != self.owner:
+            raise OwnershipLost
+        todo = [f for f in finished if f.index not in progress.indices]
+        todo = _page(todo)
+        if not todo:
+            return len(finished)
+        entries, writes = [], []
+        for position, each in enumerate(todo, len(progress.listed)):
+            pieces = _pieces(each.text)
+            entries.append(
+                Listed(each.index, each.outcome, len(pieces), len(each.text))
+            )
+            writes += [
+                Write(result_key(job.job_id, position, n), json.dumps(piece))
+                for n, piece in enumerate(pieces)
+            ]
+        progress = replace(progress, listed=(*progress.listed, *entries))
+        if not await self._write_progress(job, known, progress, writes):
+            raise PlatformUnavailable("the progress was changed meanwhile")
+        return len(todo)
+
+    async def _write_progress(self, job, known, progress, writes):
+        key = progress_key(job.job_id)
+        expect = known.version if known else MustBe.ABSENT
+        row = Write(key, encode_progress(progress), expect)
+        try:
+            versions = await self._table.transact((row, *writes))
+        except TransactionConflict:
+            await self._relearn(job)
+            return False
+        except WriteOutcomeUnknown as error:
+            # Read what is there: if it was applied, the items are found
+            # listed at the next try; if it lands later, its condition has
+            # failed by then or nothing else was written.
+            await self._relearn(job)
+            raise PlatformUnavailable(str(error)) from None
+        self._view.learn_progress(job.job_id, progress, versions[0])
+        return True
+
+    async def _relearn(self, job):
+        row = await self._table.read(progress_key(job.job_id))
+        if row is not None:
+            progress = decode_progress(row.value)
+            self._view.learn_progress(job.job_id, progress, row.version)
+
+
+def _store_away(error, ran):
+    return RequestError(
+        ErrorKind.STORE_UNAVAILABLE,
+        f"the store does not answer: {error}",
+        ran=ran,
+        retry_after_ms=500,
+    )
+
+
+def _quota_write(route, row, tokens):
+    expect = row.version if row else MustBe.ABSENT
+    value = json.dumps({"tokens": tokens})
+    return Write(quota_key(route), value, expect)
+
+
+def _pieces(text):
+    return [
+        text[at : at + PIECE_CHARACTERS]
+        for at in range(0, max(1, len(text)), PIECE_CHARACTERS)
+    ]
+
+
+def _page(finished):
+    """Return as many of `finished` as fit one transaction."""
+    page, size = [], 0
+    for each in finished:
+        size += len(each.text)
+        rows = size // PIECE_CHARACTERS + 2 * len(page) + 2
+        if page and (size > PAGE_CHARACTERS or rows > 90):
+            break
+        page.append(each)
+    return page
--- /dev/null
+++ b/dahliashunt/jobs/takeover.py
@@ -0,0 +1,94 @@
+"""Take over open jobs whose owner is gone."""
+
+import random
+
+from dahliashunt.errors import PlatformUnavailable
+from dahliashunt.jobs.beats import BeatReader
+from dahliashunt.jobs.beats import BeatWriter
+from dahliashunt.jobs.beats import period_ms
+from dahliashunt.jobs.ledger import JobLedger
+from dahliashunt.jobs.view import JobView
+from dahliashunt.jobs.worker import JobWorker
+from dahliashunt.ports import Clock
+
+__all__ = ["Takeover"]
+
+SPREAD_MS = 400
+"""Most time by which nodes wait at random before they take a job over:
+the first one's row reaches the others within some 20 ms."""
+
+MOST_AT_ONCE = 4
+"""Jobs that one node takes over in one look: the jobs of a lost node
+spread over those that are left."""
+
+
+class Takeover:
+    """Renews this node's own row and watches the others'."""
+
+    def __init__(
+        self,
+        view: JobView,
+        ledger: JobLedger,
+        worker: JobWorker,
+        writer: BeatWriter,
+        reader: BeatReader,
+        clock: Clock,
+        rng: random.Random,
+        log,
+    ):
+        self._view = view
+        self._ledger = ledger
+        self._worker = worker
+        self._writer = writer
+        self._reader = reader
+        self._clock = clock
+        self._rng = rng
+        self._log = log
+
+    async def renew(self) -> None:
+        """Renew this node's row while it owns jobs, for ever."""
+        while True:
+            if self._worker.owns_jobs:
+                await self._writer.beat()
+            await self._clock.sleep_ms(period_ms(self._reader.owners))
+
+    async def watch(self) -> None:
+        """Look for orphaned jobs, for ever."""
+        while True:
+            others = [
+                job
+                for job in self._view.open_jobs()
+                if self._view.progress(job).owner != self._ledger.owner
+            ]
+            if others:
+                await self._reader.look()
+                await self._take_some(others)
+            await self._clock.sleep_ms(period_ms(self._reader.owners))
+
+    async def _take_some(self, others):
+        orphans = [
+            job
+            for job in others
+            if self._reader.is_gone(self._view.progress(job).owner)
+        ]
+        if not orphans:
+            return
+        self._rng.shuffle(orphans)
+        await self._clock.sleep_ms(self._rng.randint(0, SPREAD_MS))
+        for job in orphans[:MOST_AT_ONCE]:
+            owner = self._view.progress(job).owner
+            if owner == self._ledger.owner or not self._reader.is_gone(owner):
+                continue
+            try:
+                taken = await self._ledger.take_over(job)
+            except PlatformUnavailable as error:
+                self._log.warning(
+                    "takeover_failed", job_id=job.job_id, reason=str(error)
+                )
+                return
+            if taken:
+                self._log.info(
+                    "job_taken_over",
+                    job_id=job.job_id,
+                    from_node=owner.node_id,
+                )
--- a/dahliashunt/metrics.py
+++ b/dahliashunt/metrics.py
@@ -50,7 +50,7 @@
     """
 
     def __init__(self, node_id: str):
-        self._node_id = node_id
+        self.node_id = node_id
         self.counts_by_name: dict[tuple, int] = {}
         self.histograms_by_name: dict[tuple, HdrHistogram] = {}
         self.gauges_by_name: dict[tuple, float] = {}
@@ -107,7 +107,7 @@
         return lines
 
     def _labels(self, labels):
-        pairs = (("node", self._node_id), *labels)
+        pairs = (("node", self.node_id), *labels)
         inside = ",".join(f'{k}="{_escaped(v)}"' for k, v in pairs)
         return "{" + inside + "}"
 
--- a/dahliashunt/platform/ingress.py
+++ b/dahliashunt/platform/ingress.py
@@ -13,7 +13,6 @@
 from dahliashunt.errors import RequestError
 from dahliashunt.forwarding.call import Call
 from dahliashunt.forwarding.catalog import IngressLimits
-from dahliashunt.forwarding.catalog import Route
 from dahliashunt.forwarding.catalog import RouteKind
 from dahliashunt.forwarding.forwarder import AnswerCut
 from dahliashunt.forwarding.node import Node
@@ -24,6 +23,8 @@
 from dahliashunt.platform.names import PROMPT_PARTS
 from dahliashunt.platform.names import REQUEST_ID
 from dahliashunt.platform.names import TOKENS
+from dahliashunt.platform.prompts import shared_parts
+from dahliashunt.platform.prompts import token_sum
 
 __all__ = ["Ingress"]
 
@@ -234,31 +235,3 @@
         shared_parts=shared_parts(headers.get(PROMPT_PARTS, "")),
         tokens=token_sum(headers.get(TOKENS, "")),
     )
-
-
-def shared_parts(text: str) -> tuple[str, ...]:
-    """Return the ids of a prompt's parts but the last, its own.
-
-    Examples
-    --------
-    >>> shared_parts("5c1e:800,91bd:410,e440:250")
-    ('5c1e', '91bd')
-    """
-    parts = [part.partition(":")[0].strip() for part in text.split(",")]
-    return tuple(part for part in parts[:-1] if part)
-
-
-def token_sum(text: str) -> int:
-    """Return prompt and output tokens together; 0 if unreadable.
-
-    Examples
-    --------
-    >>> token_sum("1460,80"), token_sum("")
-    (1540, 0)
-    """
-    numbers = [part.strip() for part in text.split(",")]
-    if not all(number.isdigit() for number in numbers):
-        return 0
-    return sum(map(int, numbers))
-
-
--- /dev/null
+++ b/dahliashunt/platform/job_bodies.py
@@ -0,0 +1,130 @@
+"""JSON bodies of calls about batch jobs, decoded and encoded."""
+
+import base64
+import binascii
+from dataclasses import dataclass
+import json
+
+from dahliashunt.errors import ErrorKind
+from dahliashunt.errors import RequestError
+from dahliashunt.forwarding.call import Call
+from dahliashunt.ids import RequestId
+from dahliashunt.jobs.ledger import Result
+from dahliashunt.jobs.model import Item
+from dahliashunt.jobs.model import ItemId
+from dahliashunt.platform.names import PROMPT_PARTS
+from dahliashunt.platform.names import REQUEST_ID
+from dahliashunt.platform.prompts import shared_parts
+
+__all__ = ["JobBodies", "Submitted", "decode_submission", "encode_results"]
+
+MOST_ITEMS = 200
+"""Items of one job, by the platform's pages."""
+
+
+@dataclass(frozen=True, slots=True)
+class Submitted:
+    """One item of a submission."""
+
+    item: Item
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+def decode_submission(payload: bytes) -> list[Submitted]:
+    """Return the items of a submitted job.
+
+    Raises
+    ------
+    RequestError
+        The payload is not a job; names the item and what is wrong.
+    """
+    try:
+        fields = json.loads(payload)
+        requests = fields["requests"]
+    except (KeyError, TypeError, ValueError) as error:
+        raise _bad(f"not a job: {error!r}") from None
+    if not isinstance(requests, list) or not requests:
+        raise _bad("requests: a list of items is wanted")
+    if len(requests) > MOST_ITEMS:
+        raise _bad(f"requests: at most {MOST_ITEMS} items are taken")
+    items = [_item(number, each) for number, each in enumerate(requests)]
+    if len({each.item.item_id for each in items}) < len(items):
+        raise _bad("requests: an id stands twice")
+    return items
+
+
+def _item(number, fields):
+    try:
+        tokens = fields["tokens"]
+        if type(tokens) is not int or tokens < 0:
+            raise ValueError("tokens")
+        return Submitted(
+            item=Item(ItemId(str(fields["id"])), tokens),
+            path=str(fields["path"]),
+            headers=tuple(
+                (str(name), str(value))
+                for name, value in (fields.get("headers") or {}).items()
+            ),
+            body=base64.b64decode(fields.get("body") or "", validate=True),
+        )
+    except (
+        KeyError,
+        TypeError,
+        ValueError,
+        AttributeError,
+        binascii.Error,
+    ) as error:
+        raise _bad(f"requests[{number}]: {error!r}") from None
+
+
+def _bad(message):
+    return RequestError(ErrorKind.BAD_REQUEST, message)
+
+
+class JobBodies:
+    """`PayloadReader` of jobs as the platform's callers submit them."""
+
+    def calls(self, host: str, payload: bytes) -> list[Call]:
+        """Return the items' calls, in the job's order."""
+        return [_call(host, each) for each in decode_submission(payload)]
+
+
+def _call(host, submitted):
+    by_name = {name.lower(): value for name, value in submitted.headers}
+    item_id = submitted.item.item_id
+    own = (("Host", host), (REQUEST_ID, item_id))
+    named = {"host", REQUEST_ID}
+    return Call(
+        request_id=RequestId(item_id),
+        method="POST",
+        target=submitted.path,
+        headers=(
+            *own,
+            *(h for h in submitted.headers if h[0].lower() not in named),
+        ),
+        body=submitted.body,
+        arrived_ms=0,
+        shared_parts=shared_parts(by_name.get(PROMPT_PARTS, "")),
+        tokens=submitted.item.tokens,
+    )
+
+
+def encode_results(total: int, first: int, results: list[Result]) -> bytes:
+    """Return the body of a read of results."""
+    return json.dumps(
+        {
+            "total": total,
+            # Where the caller goes on reading.
+            "next": first + len(results),
+            "results": [
+                {
+                    "id": each.item_id,
+                    "state": each.outcome.value,
+                    "output": each.text,
+                }
+                for each in results
+            ],
+        }
+    ).encode()
--- /dev/null
+++ b/dahliashunt/platform/job_parts.py
@@ -0,0 +1,71 @@
+"""Join the parts that keep and run batch jobs on an entry."""
+
+import secrets
+
+from dahliashunt.adapters.http1 import ConnectionPool
+from dahliashunt.forwarding.node import Node
+from dahliashunt.forwarding.placing import Places
+from dahliashunt.ids import NodeId
+from dahliashunt.jobs.beats import BeatReader
+from dahliashunt.jobs.beats import BeatWriter
+from dahliashunt.jobs.ledger import JobLedger
+from dahliashunt.jobs.model import Owner
+from dahliashunt.jobs.takeover import Takeover
+from dahliashunt.jobs.view import JobView
+from dahliashunt.jobs.worker import JobWorker
+from dahliashunt.platform.dialect import PlatformDialect
+from dahliashunt.platform.job_bodies import JobBodies
+from dahliashunt.platform.store import PlatformStore
+
+__all__ = ["JobParts"]
+
+
+class JobParts:
+    """The view, the ledger and the worker of one entry.
+
+    Attributes
+    ----------
+    view : JobView
+    ledger : JobLedger
+    """
+
+    def __init__(
+        self,
+        node: Node,
+        store: PlatformStore,
+        places: Places,
+        pool: ConnectionPool,
+    ):
+        node_id = NodeId(node.metrics.node_id)
+        owner = Owner(node_id, secrets.token_hex(6))
+        self.store = store
+        self.view = JobView(node.log)
+        self.ledger = JobLedger(store, store, self.view, owner, node.log)
+        self._worker = JobWorker(
+            node,
+            self.view,
+            self.ledger,
+            places,
+            pool,
+            PlatformDialect(),
+            JobBodies(),
+            store.now_ms,
+        )
+        self._takeover = Takeover(
+            self.view,
+            self.ledger,
+            self._worker,
+            BeatWriter(store, owner, node.log),
+            BeatReader(store, node.clock, node.log),
+            node.clock,
+            node.rng,
+            node.log,
+        )
+
+    def loops(self) -> list:
+        """Return the coroutines that run for ever."""
+        return [
+            self._worker.run(),
+            self._takeover.renew(),
+            self._takeover.watch(),
+        ]
--- a/dahliashunt/platform/serve_entry.py
+++ b/dahliashunt/platform/serve_entry.py
@@ -14,12 +14,15 @@
 from dahliashunt.forwarding.node import Node
 from dahliashunt.forwarding.placing import Places
 from dahliashunt.forwarding.replicas import ReplicaBook
+from dahliashunt.jobs.keys import JOBS_PREFIX
+from dahliashunt.jobs.keys import PROGRESS_PREFIXES
 from dahliashunt.metrics import Metrics
 from dahliashunt.platform.boot import Boot
 from dahliashunt.platform.dialect import PlatformDialect
 from dahliashunt.platform.health import Health
 from dahliashunt.platform.ingress import Ingress
 from dahliashunt.platform.job_calls import JobCalls
+from dahliashunt.platform.job_parts import JobParts
 from dahliashunt.platform.listeners import CONFIG_KEY
 from dahliashunt.platform.listeners import ConfigRows
 from dahliashunt.platform.listeners import REPLICAS_PREFIX
@@ -109,25 +112,30 @@
             metrics,
             log,
         )
+        self._jobs = JobParts(
+            self._node, self._store, self._places, self._pool
+        )
         self._followers = [
-            self._follower(CONFIG_KEY, ConfigRows(self._node, log)),
+            self._follower((CONFIG_KEY,), ConfigRows(self._node, log)),
             self._follower(
-                REPLICAS_PREFIX, ReplicaRows(self._book, self._clock, log)
+                (REPLICAS_PREFIX,), ReplicaRows(self._book, self._clock, log)
             ),
+            self._follower((JOBS_PREFIX,), self._jobs.view),
+            self._follower(PROGRESS_PREFIXES, self._jobs.view),
         ]
         config = self._followers[0]
         self._node.config_heard = lambda: config.heard_ms
         self._servers = []
 
-    def _follower(self, prefix, listener):
+    def _follower(self, prefixes, listener):
         return TableFollower(
-            self._store, prefix, listener, self._clock, self._rng, self._log
+            self._store, prefixes, listener, self._clock, self._rng, self._log
         )
 
     async def start(self):
         boot = self._boot
         await self._slots.start(boot.ip, boot.last_port)
-        jobs = JobCalls()
+        jobs = JobCalls(self._node, self._jobs, self._followers[2:])
         bounds = HttpBounds()
         self._servers = [
             HttpServer(
@@ -146,6 +154,7 @@
         return [
             *(follower.run() for follower in self._followers),
             self._places.keep_states(RENEW_MS),
+            *self._jobs.loops(),
             self._sweep(),
         ]
 
--- a/dahliashunt/platform/store.py
+++ b/dahliashunt/platform/store.py
@@ -61,6 +61,15 @@
         self._pool = pool
         self._clock = clock
         self._host = ("Host", f"{address[0]}:{address[1]}")
+        self._clock_offset_ms = 0
+
+    def now_ms(self) -> int:
+        """Return the store's steady clock, as of its last answer.
+
+        All nodes share it, to within the time of an answer; wall clocks
+        differ by seconds.
+        """
+        return self._clock.now_ms() + self._clock_offset_ms
 
     # Table service.
 
@@ -107,7 +116,10 @@
     # Feed.
 
     async def snapshot(self, prefix: str) -> Changes:
-        """Return every row of a part whose key starts with `prefix`."""
+        """Return every row of a part whose key starts with `prefix`.
+
+        A row is never older than the version returned.
+        """
         table, part, first = _split(prefix)
         rows = []
         version = None
@@ -176,9 +188,13 @@
         if not reply.body:
             return {}
         try:
-            return reply.json()
+            fields = reply.json()
         except ValueError:
             raise PlatformUnavailable("the answer is not JSON") from None
+        if "now-ms" in fields:
+            now_ms = int(fields["now-ms"])
+            self._clock_offset_ms = now_ms - self._clock.now_ms()
+        return fields
 
     async def _write(self, method, target, body):
         reply = await self._call(method, target, body, 0)
