--- a/dahliashunt/adapters/http1/request.py
+++ b/dahliashunt/adapters/http1/request.py
@@ -9,7 +9,7 @@
     headers: list[tuple[str, str]],
     body: bytes = b"",
 ) -> bytes:
-    """Return a request with a body of known length.
+    r"""Return a request with a body of known length.
 
     Parameters
     ----------
@@ -22,7 +22,7 @@
     Examples
     --------
     >>> encode_request("GET", "/a", [("Host", "h")])
-    b'GET /a HTTP/1.1\\r\\nHost: h\\r\\n\\r\\n'
+    b'GET /a HTTP/1.1\r\nHost: h\r\n\r\n'
     """
     lines = [f"{method} {target} HTTP/1.1"]
     lines += [f"{name}: {value}" for name, value in headers]
--- a/dahliashunt/decisions/slot_keeper.py
+++ b/dahliashunt/decisions/slot_keeper.py
@@ -230,9 +230,7 @@
             if held is not None and held.ask.asker == asker:
                 held.renewed_ms = now_ms
 
-    def report(
-        self, running: frozenset, waiting: int, now_ms: int
-    ) -> list:
+    def report(self, running: frozenset, waiting: int, now_ms: int) -> list:
         """Compare with what the replica says that it runs.
 
         Parameters
--- a/dahliashunt/entry/serve.py
+++ b/dahliashunt/entry/serve.py
@@ -9,6 +9,7 @@
 from blacksheep import Router
 
 from dahliashunt.adapters.clock import SystemClock
+from dahliashunt.adapters.http_server import HttpServer
 from dahliashunt.adapters.instances import HttpInstanceList
 from dahliashunt.adapters.objects import HttpObjectStore
 from dahliashunt.adapters.table import HttpTableService
@@ -30,7 +31,6 @@
 from dahliashunt.entry.directory import Directory
 from dahliashunt.entry.dispatcher import Dispatcher
 from dahliashunt.entry.health_routes import add_health_routes
-from dahliashunt.adapters.http_server import HttpServer
 from dahliashunt.entry.measures import Measures
 from dahliashunt.entry.messages import DrainsChanged
 from dahliashunt.entry.once import OnceRunner
--- a/dahliashunt/forwarding/events.py
+++ b/dahliashunt/forwarding/events.py
@@ -45,7 +45,7 @@
 
 
 class EventCutter:
-    """Collects bytes and returns the events that are whole.
+    r"""Collects bytes and returns the events that are whole.
 
     Only whole events are passed on: a replica may stop in the middle of
     one, and the replica that goes on sends that event again from its
@@ -54,10 +54,10 @@
     Examples
     --------
     >>> cutter = EventCutter()
-    >>> cutter.feed(b"id: 1\\ndata: a\\n\\nid: 2\\nda")[0].number
+    >>> cutter.feed(b"id: 1\ndata: a\n\nid: 2\nda")[0].number
     1
     >>> cutter.rest
-    b'id: 2\\nda'
+    b'id: 2\nda'
     """
 
     def __init__(self):
--- a/dahliashunt/forwarding/forwarder.py
+++ b/dahliashunt/forwarding/forwarder.py
@@ -284,8 +284,7 @@
     def _can_leave(self):
         """Whether a silent replica may be left for another."""
         return (
-            self._route.repeatable
-            and self._ran + 1 < self._route.max_attempts
+            self._route.repeatable and self._ran + 1 < self._route.max_attempts
         )
 
     async def _take(self, box, silence_ms):
@@ -428,9 +427,7 @@
         if end is _End.NOT_RUN:
             self._not_sent += 1
             return self._not_sent < NOT_SENT_TRIES
-        return (
-            self._route.repeatable and self._ran < self._route.max_attempts
-        )
+        return self._route.repeatable and self._ran < self._route.max_attempts
 
     async def _give_up(self, end):
         self._note("gave_up", end=end.value)
--- a/dahliashunt/forwarding/placing.py
+++ b/dahliashunt/forwarding/placing.py
@@ -205,9 +205,7 @@
         full.sort(key=self._expected_wait_ms)
         if full and want.wait_ms > 0:
             replica = full[0]
-            verdict = await self._ask(
-                replica, want, request_id, want.wait_ms
-            )
+            verdict = await self._ask(replica, want, request_id, want.wait_ms)
             if verdict is Verdict.GRANTED:
                 return self._granted(replica, request_id)
         wait_ms = min(map(self._expected_wait_ms, full), default=0)
--- a/dahliashunt/jobs/ledger.py
+++ b/dahliashunt/jobs/ledger.py
@@ -120,9 +120,7 @@
         for _ in range(CONFLICT_TRIES):
             if await self._try_accept(job, most_tokens):
                 return
-        raise RequestError(
-            ErrorKind.OVERLOADED, "too many jobs come at once"
-        )
+        raise RequestError(ErrorKind.OVERLOADED, "too many jobs come at once")
 
     async def _try_accept(self, job, most_tokens):
         quota = await self._read(quota_key(job.route), Ran.NO)
@@ -228,9 +226,7 @@
         for each in listed[first:last]:
             pieces = [next(texts) for _ in range(each.pieces)]
             item = job.items[each.index]
-            results.append(
-                Result(item.item_id, each.outcome, "".join(pieces))
-            )
+            results.append(Result(item.item_id, each.outcome, "".join(pieces)))
         return results
 
     async def payload(self, job: Job) -> bytes:
--- a/dahliashunt/jobs/view.py
+++ b/dahliashunt/jobs/view.py
@@ -14,7 +14,7 @@
 from dahliashunt.jobs.model import UnreadableRow
 from dahliashunt.ports.table import Row
 
-__all__ = ["Versioned", "JobView"]
+__all__ = ["JobView", "Versioned"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,9 +60,7 @@
                 progress = decode_progress(row.value)
                 self.learn_progress(job_id, progress, row.version)
         except UnreadableRow as error:
-            self._log.error(
-                "row_unreadable", key=row.key, reason=str(error)
-            )
+            self._log.error("row_unreadable", key=row.key, reason=str(error))
 
     def removed(self, key: str) -> None:
         """Forget an expired job."""
--- a/dahliashunt/local/main.py
+++ b/dahliashunt/local/main.py
@@ -26,12 +26,12 @@
 
 from docopt import docopt
 
-from dahliashunt.process import ExitCode
-from dahliashunt.process import Signals
 from dahliashunt.local.fleet import KEY
 from dahliashunt.local.fleet import MODEL
 from dahliashunt.local.fleet import serve_local
 from dahliashunt.logs import set_up_logs
+from dahliashunt.process import ExitCode
+from dahliashunt.process import Signals
 from dahliashunt.version import VERSION
 
 __all__ = ["main"]
--- a/dahliashunt/platform/__main__.py
+++ b/dahliashunt/platform/__main__.py
@@ -25,11 +25,11 @@
 
 from docopt import docopt
 
-from dahliashunt.process import ExitCode
-from dahliashunt.process import run_served
 from dahliashunt.errors import SettingsError
 from dahliashunt.logs import set_up_logs
 from dahliashunt.platform.boot import load_boot
+from dahliashunt.process import ExitCode
+from dahliashunt.process import run_served
 
 __all__ = ["main"]
 
@@ -51,7 +51,7 @@
     role = "entry" if arguments["entry"] else "agent"
     log = set_up_logs(f"dahliashunt-{role}", boot.node_id, to_stdout=True)
     try:
-        return asyncio.run(run_served(boot, _serve(role), log))
+        return asyncio.run(run_served((path, boot), _serve(role), log))
     except OSError as error:
         log.error("failed", reason=str(error))
         return ExitCode.FAILED
--- a/dahliashunt/platform/health.py
+++ b/dahliashunt/platform/health.py
@@ -24,6 +24,10 @@
             (b"content-length", str(len(body)).encode()),
         ]
         await send(
-            {"type": "http.response.start", "status": status, "headers": headers}
+            {
+                "type": "http.response.start",
+                "status": status,
+                "headers": headers,
+            }
         )
         await send({"type": "http.response.body", "body": body})
--- a/dahliashunt/platform/listeners.py
+++ b/dahliashunt/platform/listeners.py
@@ -58,9 +58,7 @@
         found = [self._decoded(row) for row in rows]
         replicas = [replica for replica in found if replica is not None]
         self._book.replace_all(replicas, self._clock.now_ms())
-        self._log.info(
-            "replicas_read", listed=len(rows), usable=len(replicas)
-        )
+        self._log.info("replicas_read", listed=len(rows), usable=len(replicas))
 
     def changed(self, row: Row) -> None:
         """Take over one entry."""
--- a/dahliashunt/platform/serve_agent.py
+++ b/dahliashunt/platform/serve_agent.py
@@ -9,14 +9,15 @@
 from dahliashunt.adapters.http1 import exchange_whole
 from dahliashunt.adapters.slots import SlotServer
 from dahliashunt.decisions.slot_keeper import SlotKeeper
+from dahliashunt.errors import PlatformUnavailable
 from dahliashunt.platform.boot import Boot
 from dahliashunt.platform.dialect import decode_report
 from dahliashunt.platform.dialect import REPORT_PATH
+from dahliashunt.platform.listeners import REPLICAS_PREFIX
 from dahliashunt.platform.operator import decode_replica
 from dahliashunt.platform.operator import Undecodable
-from dahliashunt.platform.listeners import REPLICAS_PREFIX
+from dahliashunt.platform.reload import SettingsWatch
 from dahliashunt.platform.store import PlatformStore
-from dahliashunt.errors import PlatformUnavailable
 
 __all__ = ["serve_agent"]
 
@@ -34,10 +35,13 @@
 """Between reads of the list until the replica's slots are known."""
 
 
-async def serve_agent(boot: Boot, signals, log) -> None:
+async def serve_agent(source: tuple[str, Boot], signals, log) -> None:
     """Keep the slots of the replica on this machine until told to leave."""
+    path, boot = source
     agent = _Agent(boot, log)
-    loops = [asyncio.create_task(agent.run())]
+    watch = SettingsWatch(path, boot, agent.apply, SystemClock(), log)
+    watch.install()
+    loops = [asyncio.create_task(each) for each in (agent.run(), watch.run())]
     leave = asyncio.create_task(signals.leave.wait())
     done, _ = await asyncio.wait(
         {leave, *loops}, return_when=asyncio.FIRST_COMPLETED
@@ -62,6 +66,11 @@
         self._server = None
         self._missing = 0
 
+    def apply(self, boot):
+        """Take over new settings; where it listens stays as it is."""
+        self._boot = boot
+        self._store.address = boot.store.address
+
     async def run(self):
         replica = await self._find_replica()
         keeper = SlotKeeper(replica.slots)
--- a/dahliashunt/platform/serve_entry.py
+++ b/dahliashunt/platform/serve_entry.py
@@ -5,10 +5,10 @@
 
 from dahliashunt.adapters.clock import SystemClock
 from dahliashunt.adapters.http1 import ConnectionPool
-from dahliashunt.adapters.slots import SlotClient
-from dahliashunt.decisions.suspicion import Suspicion
 from dahliashunt.adapters.http_server import HttpBounds
 from dahliashunt.adapters.http_server import HttpServer
+from dahliashunt.adapters.slots import SlotClient
+from dahliashunt.decisions.suspicion import Suspicion
 from dahliashunt.forwarding.follower import TableFollower
 from dahliashunt.forwarding.forwarder import Forwarder
 from dahliashunt.forwarding.node import Node
@@ -25,8 +25,9 @@
 from dahliashunt.platform.job_parts import JobParts
 from dahliashunt.platform.listeners import CONFIG_KEY
 from dahliashunt.platform.listeners import ConfigRows
-from dahliashunt.platform.listeners import REPLICAS_PREFIX
 from dahliashunt.platform.listeners import ReplicaRows
+from dahliashunt.platform.listeners import REPLICAS_PREFIX
+from dahliashunt.platform.reload import SettingsWatch
 from dahliashunt.platform.store import PlatformStore
 
 __all__ = ["serve_entry"]
@@ -45,18 +46,23 @@
 for readiness every second and turns away after two misses."""
 
 
-async def serve_entry(boot: Boot, signals, log) -> None:
+async def serve_entry(source: tuple[str, Boot], signals, log) -> None:
     """Run an entry until it was told to leave and nothing is in progress.
 
     Parameters
     ----------
-    boot : Boot
+    source : (str, Boot)
+        The settings file's path, and what was read from it.
     signals : Signals
     log : structlog logger
     """
+    path, boot = source
     entry = _Entry(boot, log)
+    watch = SettingsWatch(path, boot, entry.apply, SystemClock(), log)
+    watch.install()
     await entry.start()
-    tasks = [asyncio.create_task(each) for each in entry.loops()]
+    loops = [*entry.loops(), watch.run()]
+    tasks = [asyncio.create_task(each) for each in loops]
     try:
         await _first_of(signals.leave, tasks)
         await entry.leave()
@@ -150,6 +156,11 @@
             await server.start()
         self._log.info("started", data_centre=boot.data_centre)
 
+    def apply(self, boot):
+        """Take over new settings; where it listens stays as it is."""
+        self._boot = boot
+        self._store.address = boot.store.address
+
     def loops(self):
         return [
             *(follower.run() for follower in self._followers),
--- a/dahliashunt/platform/store.py
+++ b/dahliashunt/platform/store.py
@@ -52,15 +52,15 @@
     Parameters
     ----------
     address : (str, int)
+        May be set anew; calls in progress end at the old one.
     pool : ConnectionPool
     clock : Clock
     """
 
     def __init__(self, address, pool: ConnectionPool, clock: Clock):
-        self._address = address
+        self.address = address
         self._pool = pool
         self._clock = clock
-        self._host = ("Host", f"{address[0]}:{address[1]}")
         self._clock_offset_ms = 0
 
     def now_ms(self) -> int:
@@ -206,11 +206,13 @@
 
     async def _call(self, method, target, body, wait_ms):
         """Return the answer, or None if none came; raise if not sent."""
+        address = self.address
         try:
-            connection = await self._pool.take(self._address)
+            connection = await self._pool.take(address)
         except ConnectFailed as error:
             raise PlatformUnavailable(str(error)) from None
-        headers = [self._host]
+        host, port = address
+        headers = [("Host", f"{host}:{port}")]
         if body:
             headers.append(("Content-Type", _content_type(method)))
         request = encode_request(method, target, headers, body)
@@ -223,7 +225,7 @@
             # not be read by the next call.
             connection.abort()
             raise
-        self._pool.give_back(self._address, connection)
+        self._pool.give_back(address, connection)
         if answer is None:
             return None
         return _Reply(answer.head.status, answer.body)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,8 +6,8 @@
 import pytest
 import structlog
 
-from dahliashunt.process import Signals
 from dahliashunt.local.fleet import serve_local
+from dahliashunt.process import Signals
 
 READY_WITHIN_S = 30
 
--- a/tests/test_gallery.py
+++ b/tests/test_gallery.py
@@ -5,8 +5,8 @@
 import pytest
 import structlog
 
-from dahliashunt.process import Signals
 from dahliashunt.local.fleet import serve_local
+from dahliashunt.process import Signals
 from examples.gallery import batch_job
 from examples.gallery import drive_agent
 from examples.gallery import drive_entry
