Jobs: a restarted node ends its former life at once

A node now writes its row once at its start, and knows that an owner of its own name with another boot is gone.

--- a/dahliashunt/jobs/beats.py
+++ b/dahliashunt/jobs/beats.py
@@ -86,8 +86,9 @@
 class BeatReader:
     """Watches other nodes' rows."""
 
-    def __init__(self, table: TableService, clock: Clock, log):
+    def __init__(self, table: TableService, own: Owner, clock: Clock, log):
         self._table = table
+        self._own = own
         self._clock = clock
         self._log = log
         self._seen_by_node: dict[NodeId, _Seen] = {}
@@ -122,6 +123,8 @@
     def is_gone(self, owner: Owner) -> bool:
         """Tell whether that life of the node has surely ended."""
         now_ms = self._clock.now_ms()
+        if owner.node_id == self._own.node_id and owner != self._own:
+            return True
         seen = self._seen_by_node.get(owner.node_id)
         if seen is None:
             # Never renewed: counted from the first look at it.
--- a/dahliashunt/jobs/takeover.py
+++ b/dahliashunt/jobs/takeover.py
@@ -46,10 +46,17 @@
         self._log = log
 
     async def renew(self) -> None:
-        """Renew this node's row while it owns jobs, for ever."""
+        """Renew this node's row while it owns jobs, for ever.
+
+        The first renewal is written in any case: it ends this node's
+        former life at once for everybody, instead of after the term.
+        With everything restarted, jobs go on within a second or two
+        instead of five.
+        """
+        announced = False
         while True:
-            if self._worker.owns_jobs:
-                await self._writer.beat()
+            if self._worker.owns_jobs or not announced:
+                announced = await self._writer.beat() or announced
             await self._clock.sleep_ms(period_ms(self._reader.owners))
 
     async def watch(self) -> None:
--- a/dahliashunt/platform/job_parts.py
+++ b/dahliashunt/platform/job_parts.py
@@ -56,7 +56,7 @@
             self.ledger,
             self._worker,
             BeatWriter(store, owner, node.log),
-            BeatReader(store, node.clock, node.log),
+            BeatReader(store, owner, node.clock, node.log),
             node.clock,
             node.rng,
             node.log,
