--- a/dahliashunt/jobs/beats.py
+++ b/dahliashunt/jobs/beats.py
@@ -92,11 +92,17 @@
         self._clock = clock
         self._log = log
         self._seen_by_node: dict[NodeId, _Seen] = {}
+        self._watched_ms_by_owner: dict[Owner, int] = {}
         self._regained = True
         self.owners = 0
 
-    async def look(self) -> None:
-        """Read all rows once."""
+    async def look(self, owners) -> None:
+        """Read all rows once; `owners` are those of open jobs.
+
+        An owner's term starts when it is first seen to own a job: its row
+        stood still before, since it had nothing to renew, and so did this
+        reader.
+        """
         try:
             rows = await self._table.read_range(
                 "beats//", "beats//~", MOST_ROWS
@@ -108,9 +114,12 @@
         now_ms = self._clock.now_ms()
         if self._regained:
             # Owners could not renew either: every term starts again.
-            for seen in self._seen_by_node.values():
-                seen.since_ms = now_ms
+            self._watched_ms_by_owner.clear()
             self._regained = False
+        watched = self._watched_ms_by_owner
+        self._watched_ms_by_owner = {
+            owner: watched.get(owner, now_ms) for owner in owners
+        }
         for row in rows:
             self._see(NodeId(row.key.removeprefix("beats//")), row, now_ms)
         self.owners = len(rows)
@@ -122,15 +131,15 @@
 
     def is_gone(self, owner: Owner) -> bool:
         """Tell whether that life of the node has surely ended."""
-        now_ms = self._clock.now_ms()
         if owner.node_id == self._own.node_id and owner != self._own:
             return True
-        seen = self._seen_by_node.get(owner.node_id)
-        if seen is None:
-            # Never renewed: counted from the first look at it.
-            self._seen_by_node[owner.node_id] = _Seen("", now_ms)
+        since_ms = self._watched_ms_by_owner.get(owner)
+        if since_ms is None or self._regained:
             return False
-        if seen.value and json.loads(seen.value)[0] != owner.boot:
-            return True
+        seen = self._seen_by_node.get(owner.node_id)
+        if seen is not None:
+            if json.loads(seen.value)[0] != owner.boot:
+                return True
+            since_ms = max(since_ms, seen.since_ms)
         term_ms = TERM_MS * period_ms(self.owners) // BEAT_MS
-        return not self._regained and now_ms - seen.since_ms > term_ms
+        return self._clock.now_ms() - since_ms > term_ms
--- a/dahliashunt/jobs/takeover.py
+++ b/dahliashunt/jobs/takeover.py
@@ -68,7 +68,8 @@
                 if self._view.progress(job).owner != self._ledger.owner
             ]
             if others:
-                await self._reader.look()
+                owners = {self._view.progress(job).owner for job in others}
+                await self._reader.look(owners)
                 await self._take_some(others)
             await self._clock.sleep_ms(period_ms(self._reader.owners))
 
