--- /dev/null
+++ b/dahliashunt/adapters/http1/tests/test_connection.py
@@ -0,0 +1,175 @@
+"""Answers that are late, doubled, cut or silent on one connection."""
+
+import asyncio
+import contextlib
+import socket
+import struct
+
+import pytest
+
+from dahliashunt.adapters.clock import SystemClock
+from dahliashunt.adapters.http1 import ConnectFailed
+from dahliashunt.adapters.http1 import ConnectionPool
+from dahliashunt.adapters.http1 import encode_request
+from dahliashunt.adapters.http1 import End
+from dahliashunt.adapters.http1 import exchange_whole
+from dahliashunt.adapters.http1 import open_connection
+from dahliashunt.adapters.http1 import ResponseHead
+
+RESET = struct.pack("ii", 1, 0)
+"""Linger for no time: closing sends a reset."""
+
+REQUEST = encode_request("GET", "/", [("Host", "h")])
+
+
+@contextlib.asynccontextmanager
+async def server(*parts, close=False, reset=False):
+    """Serve `parts` one after the other to whoever connects."""
+
+    async def connected(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        for part in parts:
+            writer.write(part)
+            await writer.drain()
+        if reset:
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            writer.transport.abort()
+        elif close:
+            writer.close()
+        else:
+            await reader.read()
+
+    listening = await asyncio.start_server(connected, "127.0.0.1", 0)
+    try:
+        yield listening.sockets[0].getsockname()
+    finally:
+        listening.close()
+
+
+def head(status=200, **headers):
+    lines = [f"HTTP/1.1 {status} X"]
+    lines += [f"{n.replace('_', '-')}: {v}" for n, v in headers.items()]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n"
+
+
+async def exchange(address, accept=None):
+    """Return the events of one exchange, up to its end."""
+    connection = await open_connection(*address, 1000)
+    box = connection.start(REQUEST, accept)
+    events = []
+    while not (events and isinstance(events[-1], End)):
+        events += await box.take(5000)
+    return events, connection
+
+
+def play(*parts, accept=None, **how):
+    async def main():
+        async with server(*parts, **how) as address:
+            events, connection = await exchange(address, accept)
+            usable = connection.usable
+            connection.abort()
+            return events, usable
+
+    return asyncio.run(main())
+
+
+def body(events):
+    return b"".join(e for e in events if isinstance(e, bytes))
+
+
+def test_a_whole_answer_leaves_the_connection_usable():
+    events, usable = play(head(content_length=2) + b"ok")
+    assert events[0].status == 200
+    assert body(events) == b"ok"
+    assert (events[-1], usable) == (End.WHOLE, True)
+
+
+def test_a_cut_answer_is_broken():
+    events, usable = play(head(content_length=9) + b"ok", close=True)
+    assert (events[-1], usable) == (End.BROKEN, False)
+
+
+def test_an_answer_without_length_ends_with_its_connection():
+    events, usable = play(head() + b"ok", close=True)
+    assert body(events) == b"ok"
+    assert (events[-1], usable) == (End.CLOSED, False)
+
+
+def test_an_answer_without_length_that_is_reset_is_broken():
+    # A reset may have thrown away bytes on the way: such an answer must
+    # not be taken for whole.
+    events, _ = play(head() + b"ok", reset=True)
+    assert events[-1] is End.BROKEN
+
+
+def test_bytes_that_are_no_answer_break_the_exchange():
+    events, usable = play(b"garbage\r\n\r\n")
+    assert (events[-1], usable) == (End.BROKEN, False)
+
+
+def test_surplus_bytes_end_the_connection():
+    # A second answer in the same packet would be read as the answer to
+    # the next caller's request.
+    answer = head(content_length=2) + b"ok"
+    events, usable = play(answer + head(content_length=3) + b"bad")
+    assert body(events) == b"ok"
+    assert usable is False
+
+
+def test_a_late_answer_to_an_earlier_request_is_skipped():
+    # The answer before ours names another request's id. It belongs to
+    # nobody; ours still follows on the same connection.
+    late = head(content_length=3, x_id="old") + b"bad"
+    ours = head(content_length=2, x_id="new") + b"ok"
+    events, usable = play(
+        late, ours, accept=lambda found: found.get("x-id") == "new"
+    )
+    assert isinstance(events[0], ResponseHead)
+    assert body(events) == b"ok"
+    assert usable is False
+
+
+def test_connection_close_is_obeyed():
+    _, usable = play(head(content_length=0, connection="close"))
+    assert usable is False
+
+
+def test_silence_ends_the_exchange_and_the_connection():
+    async def main():
+        async with server() as address:
+            connection = await open_connection(*address, 1000)
+            answer = await exchange_whole(
+                connection, REQUEST, SystemClock(), 50
+            )
+            assert answer is None
+            assert connection.usable is False
+
+    asyncio.run(main())
+
+
+def test_no_listener_means_certainly_not_sent():
+    async def main():
+        async with server() as address:
+            pass
+        with pytest.raises(ConnectFailed):
+            await open_connection(*address, 1000)
+
+    asyncio.run(main())
+
+
+def test_the_pool_gives_a_connection_out_once_and_drops_old_ones():
+    async def main():
+        clock = SystemClock()
+        pool = ConnectionPool(clock)
+        async with server(head(content_length=0)) as address:
+            connection = await pool.take(address)
+            await exchange_whole(connection, REQUEST, clock, 1000)
+            pool.give_back(address, connection)
+            assert await pool.take(address) is connection
+            pool.give_back(address, connection)
+            assert await pool.take(address, idle_ms=0) is not connection
+            assert pool.opened == 2
+            pool.close()
+
+    asyncio.run(main())
--- a/dahliashunt/adapters/http_server.py
+++ b/dahliashunt/adapters/http_server.py
@@ -137,6 +137,8 @@
             app,
             http=_BoundedProtocol,
             ws="none",
+            interface="asgi3",
+            proxy_headers=False,
             lifespan="on" if lifespan else "off",
             log_config=None,
             log_level="error",
--- /dev/null
+++ b/dahliashunt/decisions/tests/test_replica_choice.py
@@ -0,0 +1,101 @@
+"""Orders of replicas, and suspicion, under the loads that they are for."""
+
+import random
+
+from dahliashunt.decisions.replica_choice import Candidate
+from dahliashunt.decisions.replica_choice import FRESH_MS
+from dahliashunt.decisions.replica_choice import order_replicas
+from dahliashunt.decisions.suspicion import FIRST_AVOID_MS
+from dahliashunt.decisions.suspicion import MOST_AVOID_MS
+from dahliashunt.decisions.suspicion import Suspicion
+
+
+def candidate(name, taken=0, **changed):
+    fields = {"slots": 8, "age_ms": 0, "avoided": False, "near": True}
+    return Candidate(replica_id=name, taken=taken, **{**fields, **changed})
+
+
+def order(candidates, affinity="", seed=1):
+    ordered = order_replicas(candidates, affinity, random.Random(seed))
+    return [one.replica_id for one in ordered]
+
+
+def test_more_room_goes_first():
+    assert order([candidate("a", 7), candidate("b", 3)]) == ["b", "a"]
+
+
+def test_a_broken_replica_that_looks_idle_goes_last():
+    # It fails fast, so it has all slots free: routing by room alone sends
+    # it everything.
+    broken = candidate("a", 0, avoided=True)
+    assert order([broken, candidate("b", 7)]) == ["b", "a"]
+
+
+def test_unknown_load_counts_as_half_full():
+    unknown = candidate("a", 0, age_ms=FRESH_MS + 1)
+    names = order([candidate("b", 7), unknown, candidate("c", 1)])
+    assert names == ["c", "a", "b"]
+
+
+def test_equals_are_drawn_so_that_entries_spread():
+    equals = [candidate(name) for name in "abcd"]
+    first = {order(equals, seed=seed)[0] for seed in range(40)}
+    assert first == set("abcd")
+
+
+def test_a_prompts_parts_choose_the_same_replica_while_it_has_room():
+    fleet = [candidate(name, taken) for taken, name in enumerate("abcde")]
+    chosen = {order(fleet, "part-7", seed)[0] for seed in range(20)}
+    assert len(chosen) == 1
+    full = [
+        candidate(one.replica_id, 8 if one.replica_id in chosen else 0)
+        for one in fleet
+    ]
+    assert order(full, "part-7")[0] not in chosen
+
+
+def test_a_lost_replica_moves_only_its_own_prompts():
+    fleet = [candidate(name) for name in "abcde"]
+    parts = [f"part-{n}" for n in range(60)]
+    before = {part: order(fleet, part)[0] for part in parts}
+    after = {part: order(fleet[1:], part)[0] for part in parts}
+    moved = [part for part in parts if before[part] != after[part]]
+    assert all(before[part] == "a" for part in moved)
+
+
+def test_avoidance_doubles_up_to_its_bound():
+    suspicion = Suspicion()
+    for _ in range(2):
+        suspicion.failed("a", 0)
+    assert suspicion.is_avoided("a", 2 * FIRST_AVOID_MS - 1)
+    assert not suspicion.is_avoided("a", 2 * FIRST_AVOID_MS)
+    for _ in range(20):
+        suspicion.failed("a", 0)
+    assert not suspicion.is_avoided("a", MOST_AVOID_MS)
+
+
+def test_probes_come_one_at_a_time():
+    # A replica that was avoided gets one request, not the whole wave that
+    # came meanwhile.
+    suspicion = Suspicion()
+    suspicion.failed("a", 0)
+    now_ms = FIRST_AVOID_MS
+    assert not suspicion.is_avoided("a", now_ms)
+    suspicion.probe("a", now_ms)
+    assert suspicion.is_avoided("a", now_ms + 1)
+    suspicion.served("a")
+    assert not suspicion.is_avoided("a", now_ms + 2)
+
+
+def test_a_replica_that_fails_a_third_stays_suspected():
+    # Its health answers are good; only outcomes show the failures.
+    suspicion = Suspicion()
+    avoided = 0
+    for step in range(60):
+        now_ms = step * 100
+        avoided += suspicion.is_avoided("a", now_ms)
+        if step % 3 == 0:
+            suspicion.failed("a", now_ms)
+        else:
+            suspicion.served("a")
+    assert avoided > 10
--- /dev/null
+++ b/dahliashunt/decisions/tests/test_slot_keeper.py
@@ -0,0 +1,157 @@
+"""One replica's slots under waves, lost messages and dead entries."""
+
+import pytest
+
+from dahliashunt.decisions.slot_keeper import Answered
+from dahliashunt.decisions.slot_keeper import Ask
+from dahliashunt.decisions.slot_keeper import RENEW_WITHIN_MS
+from dahliashunt.decisions.slot_keeper import Revoked
+from dahliashunt.decisions.slot_keeper import SlotKeeper
+from dahliashunt.decisions.slot_keeper import UNSEEN_MS
+from dahliashunt.decisions.slot_keeper import Use
+from dahliashunt.decisions.slot_keeper import Verdict
+
+NOTHING = frozenset()
+
+
+@pytest.fixture
+def keeper():
+    return SlotKeeper(slots=2)
+
+
+def online(name, wait_ms=0, asker="e1"):
+    return Ask(name, name, asker, Use.ONLINE, wait_ms=wait_ms)
+
+
+def batch(name, slack_ms=1000, asker="e1"):
+    return Ask(name, name, asker, Use.BATCH, slack_ms=slack_ms)
+
+
+def verdicts(effects):
+    return [e.verdict for e in effects if isinstance(e, Answered)]
+
+
+def revoked(effects):
+    return [e.attempt_id for e in effects if isinstance(e, Revoked)]
+
+
+def test_slots_are_granted_up_to_their_number(keeper):
+    assert verdicts(keeper.ask(online("a"), 0)) == [Verdict.GRANTED]
+    assert verdicts(keeper.ask(online("b"), 0)) == [Verdict.GRANTED]
+    assert verdicts(keeper.ask(online("c"), 0)) == [Verdict.FULL]
+
+
+def test_an_online_request_takes_the_slot_of_the_laxest_item(keeper):
+    # A wave of online requests meets replicas full of batch items. Without
+    # the revoke the first tokens come when an item ends, five seconds
+    # later; with it the slot is free within a round trip.
+    keeper.ask(batch("urgent", slack_ms=1_000), 0)
+    keeper.ask(batch("lax", slack_ms=9_000), 0)
+    effects = keeper.ask(online("a"), 10)
+    assert revoked(effects) == ["lax"]
+    assert verdicts(effects) == [Verdict.GRANTED]
+
+
+def test_a_batch_item_never_takes_a_slot_from_a_waiting_request(keeper):
+    for name in ("a", "b"):
+        keeper.ask(online(name), 0)
+    assert verdicts(keeper.ask(online("c", 400), 0)) == [Verdict.QUEUED]
+    assert verdicts(keeper.ask(batch("d"), 0)) == [Verdict.FULL]
+    effects = keeper.release("a", 300)
+    assert [(e.attempt_id, e.verdict) for e in effects] == [
+        ("c", Verdict.GRANTED)
+    ]
+
+
+def test_a_request_that_cannot_be_in_time_is_told_at_once(keeper):
+    for name in ("a", "b"):
+        keeper.ask(online(name), 0)
+    assert keeper.expected_wait_ms() == 350
+    assert verdicts(keeper.ask(online("c", 349), 0)) == [Verdict.FULL]
+    assert verdicts(keeper.ask(online("d", 350), 0)) == [Verdict.QUEUED]
+
+
+def test_a_repeated_ask_holds_one_slot(keeper):
+    # The answer to an ask was lost and the entry asks again.
+    keeper.ask(online("a"), 0)
+    assert verdicts(keeper.ask(online("a"), 25)) == [Verdict.GRANTED]
+    assert keeper.state().online == 1
+
+
+def test_a_lost_release_is_found_by_the_report(keeper):
+    # The entry's release datagram was lost: without the comparison with
+    # the replica's own list the slot is lost until the entry restarts.
+    keeper.ask(online("a"), 0)
+    keeper.report(frozenset({"a"}), 0, 100)
+    keeper.report(NOTHING, 0, UNSEEN_MS)
+    assert keeper.state().online == 1
+    keeper.report(NOTHING, 0, UNSEEN_MS + 1)
+    assert keeper.state().online == 0
+
+
+def test_a_dead_entrys_slots_come_back(keeper):
+    keeper.ask(online("a"), 0)
+    keeper.renew(["a"], "e1", 1_000)
+    running = frozenset({"a"})
+    keeper.report(running, 0, 1_000 + RENEW_WITHIN_MS)
+    assert keeper.state().online == 1
+    keeper.report(NOTHING, 0, 1_001 + RENEW_WITHIN_MS)
+    assert keeper.state().online == 0
+
+
+def test_another_entrys_renewal_keeps_nothing(keeper):
+    keeper.ask(online("a"), 0)
+    keeper.renew(["a"], "e2", RENEW_WITHIN_MS)
+    keeper.report(frozenset({"a"}), 0, RENEW_WITHIN_MS + 1)
+    # It still runs, so that it counts, though nobody holds it.
+    assert keeper.state().online == 1
+    assert verdicts(keeper.ask(batch("b"), RENEW_WITHIN_MS + 2)) == [
+        Verdict.GRANTED
+    ]
+
+
+def test_runs_from_before_a_restart_are_counted(keeper):
+    # An agent restarts while its replica is full. It knows no holds, and
+    # granting by them alone would fill the replica's own queue.
+    keeper.report(frozenset({"x", "y"}), 0, 0)
+    assert verdicts(keeper.ask(batch("a"), 1)) == [Verdict.FULL]
+    assert verdicts(keeper.ask(online("b"), 1)) == [Verdict.FULL]
+
+
+def test_a_revoked_run_is_not_counted_while_it_ends(keeper):
+    keeper.ask(batch("i"), 0)
+    keeper.ask(online("a"), 0)
+    keeper.report(frozenset({"i", "a"}), 0, 50)
+    keeper.ask(online("b"), 60)
+    keeper.report(frozenset({"i", "a"}), 1, 80)
+    assert keeper.state().online == 2
+
+
+def test_a_queued_ask_is_refused_when_its_time_is_over(keeper):
+    for name in ("a", "b"):
+        keeper.ask(online(name), 0)
+    keeper.ask(online("c", 400), 0)
+    effects = keeper.report(frozenset({"a", "b"}), 0, 401)
+    assert verdicts(effects) == [Verdict.FULL]
+    assert keeper.state().waiting == 0
+
+
+def test_an_absent_replica_grants_nothing(keeper):
+    keeper.away = True
+    assert verdicts(keeper.ask(online("a"), 0)) == [Verdict.AWAY]
+
+
+@pytest.mark.parametrize("kept", [True, False], ids=["keeper", "own_counts"])
+def test_a_wave_through_many_entries(kept):
+    # Nine entries, each with a few requests, meet at two slots that batch
+    # items hold. With own counts alone, the baseline, every entry sees
+    # free slots and the replica's queue holds the rest.
+    keeper = SlotKeeper(slots=2)
+    for name in ("i1", "i2"):
+        keeper.ask(batch(name), 0)
+    inside = 2
+    for entry in range(9):
+        asked = keeper.ask(online(f"r{entry}", asker=entry), 10)
+        if not kept or Verdict.GRANTED in verdicts(asked):
+            inside += 1 - len(revoked(asked) if kept else ())
+    assert (inside <= 2) is kept
--- a/dahliashunt/platform/serve_entry.py
+++ b/dahliashunt/platform/serve_entry.py
@@ -30,7 +30,7 @@
 from dahliashunt.platform.reload import SettingsWatch
 from dahliashunt.platform.store import PlatformStore
 
-__all__ = ["serve_entry"]
+__all__ = ["Entry", "serve_entry"]
 
 RENEW_MS = 1_000
 """Between renewals of held slots; agents drop holds after 3.5 of them."""
@@ -57,7 +57,7 @@
     log : structlog logger
     """
     path, boot = source
-    entry = _Entry(boot, log)
+    entry = Entry(boot, log)
     watch = SettingsWatch(path, boot, entry.apply, SystemClock(), log)
     watch.install()
     await entry.start()
@@ -84,7 +84,16 @@
             task.result()
 
 
-class _Entry:
+class Entry:
+    """An entry's parts on the platform.
+
+    Attributes
+    ----------
+    node : Node
+    ports : tuple of int
+        Where callers and questions for readiness go, once started.
+    """
+
     def __init__(self, boot, log):
         self._boot = boot
         self._log = log
@@ -92,7 +101,7 @@
         self._rng = random.Random()
         self._book = ReplicaBook()
         metrics = Metrics(boot.node_id)
-        self._node = Node(self._clock, self._rng, metrics, log, self._book)
+        self.node = Node(self._clock, self._rng, metrics, log, self._book)
         self._pool = ConnectionPool(self._clock)
         self._store_pool = ConnectionPool(self._clock)
         self._store = PlatformStore(
@@ -109,7 +118,7 @@
             boot.data_centre,
             boot.first_port,
         )
-        self._node.forwarder = Forwarder(
+        self.node.forwarder = Forwarder(
             self._places,
             self._pool,
             PlatformDialect(),
@@ -118,11 +127,9 @@
             metrics,
             log,
         )
-        self._jobs = JobParts(
-            self._node, self._store, self._places, self._pool
-        )
+        self._jobs = JobParts(self.node, self._store, self._places, self._pool)
         self._followers = [
-            self._follower((CONFIG_KEY,), ConfigRows(self._node, log)),
+            self._follower((CONFIG_KEY,), ConfigRows(self.node, log)),
             self._follower(
                 (REPLICAS_PREFIX,), ReplicaRows(self._book, self._clock, log)
             ),
@@ -130,8 +137,9 @@
             self._follower(PROGRESS_PREFIXES, self._jobs.view),
         ]
         config = self._followers[0]
-        self._node.config_heard = lambda: config.heard_ms
+        self.node.config_heard = lambda: config.heard_ms
         self._servers = []
+        self.ports: tuple[int, ...] = ()
 
     def _follower(self, prefixes, listener):
         return TableFollower(
@@ -139,21 +147,23 @@
         )
 
     async def start(self):
+        """Listen."""
         boot = self._boot
         await self._slots.start(boot.ip, boot.last_port)
-        jobs = JobCalls(self._node, self._jobs, self._followers[2:])
+        jobs = JobCalls(self.node, self._jobs, self._followers[2:])
         bounds = HttpBounds()
         self._servers = [
             HttpServer(
-                Ingress(self._node, jobs),
+                Ingress(self.node, jobs),
                 *boot.callers,
                 lifespan=False,
                 bounds=bounds,
             ),
-            HttpServer(Health(self._node), *boot.readiness, lifespan=False),
+            HttpServer(Health(self.node), *boot.readiness, lifespan=False),
         ]
         for server in self._servers:
             await server.start()
+        self.ports = tuple(server.port for server in self._servers)
         self._log.info("started", data_centre=boot.data_centre)
 
     def apply(self, boot):
@@ -162,6 +172,7 @@
         self._store.address = boot.store.address
 
     def loops(self):
+        """Return the coroutines that run for ever."""
         return [
             *(follower.run() for follower in self._followers),
             self._places.keep_states(RENEW_MS),
@@ -177,19 +188,20 @@
 
     async def leave(self):
         """Turn away new connections, then let requests in progress end."""
-        self._node.leaving.set()
+        self.node.leaving.set()
         now_ms = self._clock.now_ms()
         until_ms = now_ms + self._boot.bounds.leave_ms - LEAVE_MARGIN_MS
         quiet_ms = now_ms + NEW_CONNECTIONS_MS
-        self._log.info("leaving", in_progress=self._node.busy)
+        self._log.info("leaving", in_progress=self.node.busy)
         while now_ms < until_ms:
-            if now_ms >= quiet_ms and not self._node.busy:
+            if now_ms >= quiet_ms and not self.node.busy:
                 break
             await self._clock.sleep_ms(50)
             now_ms = self._clock.now_ms()
 
     async def stop(self):
-        self._log.info("stopped", in_progress=self._node.busy)
+        """Close everything at once."""
+        self._log.info("stopped", in_progress=self.node.busy)
         for server in self._servers:
             await server.stop_now()
         self._slots.stop()
--- /dev/null
+++ b/dahliashunt/platform/standins/__init__.py
@@ -0,0 +1,12 @@
+"""The platform's side, small enough for tests and trials.
+
+Written from the platform's pages: its store, its replicas, and settings
+as it hands them to a process.
+"""
+
+from dahliashunt.platform.standins.replica import ReplicaStandin
+from dahliashunt.platform.standins.replica import Step
+from dahliashunt.platform.standins.settings import settings_fields
+from dahliashunt.platform.standins.store import StoreStandin
+
+__all__ = ["ReplicaStandin", "Step", "StoreStandin", "settings_fields"]
--- /dev/null
+++ b/dahliashunt/platform/tests/conftest.py
@@ -0,0 +1,185 @@
+"""An entry of the real parts between stand-ins of the platform."""
+
+import asyncio
+import json
+
+import pytest
+import structlog
+
+from dahliashunt.adapters.http1 import encode_request
+from dahliashunt.adapters.http1 import End
+from dahliashunt.adapters.http1 import open_connection
+from dahliashunt.adapters.http1 import ResponseHead
+from dahliashunt.platform.boot import load_boot
+from dahliashunt.platform.serve_entry import Entry
+from dahliashunt.platform.standins import ReplicaStandin
+from dahliashunt.platform.standins import settings_fields
+from dahliashunt.platform.standins import StoreStandin
+from dahliashunt.platform.standins.settings import config_fields
+from dahliashunt.platform.standins.settings import replica_fields
+from dahliashunt.platform.standins.settings import route_fields
+
+LIMIT_S = 20
+"""Longest that a condition is waited for: far beyond any wait of the
+parts, so that only a fault reaches it."""
+
+
+class Answer:
+    """What a caller got.
+
+    Attributes
+    ----------
+    head : ResponseHead or None
+    body : bytes
+    whole : bool
+    """
+
+    def __init__(self, events):
+        heads = [e for e in events if isinstance(e, ResponseHead)]
+        self.head = heads[0] if heads else None
+        self.body = b"".join(e for e in events if isinstance(e, bytes))
+        self.whole = events[-1] is End.WHOLE
+
+    @property
+    def status(self):
+        return self.head.status if self.head else None
+
+    def json(self):
+        return json.loads(self.body)
+
+
+class Platform:
+    """Stand-ins, one entry or more, and a caller.
+
+    Attributes
+    ----------
+    store : StoreStandin
+    replicas : list of ReplicaStandin
+    entries : list of Entry
+    """
+
+    def __init__(self, folder):
+        self.store = StoreStandin()
+        self.replicas = []
+        self.entries = []
+        self._folder = folder
+        self._tasks = {}
+        self._store_address = None
+
+    async def open(self, routes, replicas=1, engine=False):
+        self._store_address = await self.store.start()
+        for _ in range(replicas):
+            await self.add_replica()
+        config = config_fields(routes, engine=engine)
+        self.store.put("op", "config", config)
+        return await self.add_entry()
+
+    async def add_replica(self):
+        replica = ReplicaStandin(f"i-{len(self.replicas)}")
+        address = await replica.start()
+        self.replicas.append(replica)
+        fields = replica_fields(address)
+        self.store.put("servers", replica.replica_id, fields)
+        return replica
+
+    async def add_entry(self):
+        name = f"front-{len(self.entries)}"
+        path = self._folder / f"{name}.json"
+        fields = settings_fields(self._store_address, **{"node-name": name})
+        path.write_text(json.dumps(fields))
+        entry = Entry(load_boot(str(path)), structlog.get_logger())
+        await entry.start()
+        self._tasks[entry] = [
+            asyncio.create_task(loop) for loop in entry.loops()
+        ]
+        self.entries.append(entry)
+        await self.until(lambda: self.is_up(entry))
+        return entry
+
+    def is_up(self, entry):
+        return entry.node.ready and len(entry.node.book.all()) == len(
+            self.replicas
+        )
+
+    async def kill(self, entry):
+        """Stop an entry as a kill does: nothing is said to anybody."""
+        for task in self._tasks.pop(entry):
+            task.cancel()
+        self.entries.remove(entry)
+        await entry.stop()
+
+    async def close(self):
+        for entry in list(self.entries):
+            await self.kill(entry)
+        for replica in self.replicas:
+            await replica.stop()
+        await self.store.stop()
+
+    async def until(self, condition):
+        """Wait until `condition` holds."""
+        async with asyncio.timeout(LIMIT_S):
+            while not condition():  # noqa: ASYNC110
+                await asyncio.sleep(0.005)
+
+    async def dial(self, entry=None, port=0):
+        entry = entry or self.entries[0]
+        return await open_connection("127.0.0.1", entry.ports[port], 1000)
+
+    async def call(
+        self,
+        method="POST",
+        target="/a/x",
+        body=b"",
+        entry=None,
+        port=0,
+        **headers,
+    ):
+        """Send one request to an entry; return the `Answer`.
+
+        Port 0 is the callers', 1 the one for questions of readiness.
+        """
+        connection = await self.dial(entry, port)
+        box = connection.start(request(method, target, body, **headers))
+        events = []
+        while not (events and isinstance(events[-1], End)):
+            taken = await box.take(LIMIT_S * 1000)
+            assert taken, "no answer at all"
+            for event in taken:
+                if isinstance(event, bytes):
+                    connection.taken(len(event))
+            events += taken
+        connection.abort()
+        return Answer(events)
+
+
+def request(method="POST", target="/a/x", body=b"", **headers):
+    """Return a caller's request; ``request_id`` becomes a header."""
+    names = {
+        "request_id": "Dahliashunt-Request-Id",
+        "budget_ms": "Dahliashunt-Request-Timeout-Ms",
+        "wait_ms": "Dahliashunt-Poll-Wait-Ms",
+        "last_event": "Last-Event-Id",
+    }
+    headers = {"request_id": "r1", "budget_ms": "3000", **headers}
+    pairs = [("Host", "a.example")]
+    pairs += [(names[name], str(value)) for name, value in headers.items()]
+    return encode_request(method, target, pairs, body)
+
+
+@pytest.fixture
+def platform(tmp_path):
+    """Return ``play(scenario, **open)``, which runs one in a loop."""
+
+    def play(scenario, *routes, **how):
+        async def main():
+            platform = Platform(tmp_path)
+            routes_ = routes or (route_fields(),)
+            await platform.open(routes_, **how)
+            try:
+                return await scenario(platform)
+            finally:
+                await platform.close()
+
+        return asyncio.run(main())
+
+    return play
--- /dev/null
+++ b/dahliashunt/platform/tests/test_online.py
@@ -0,0 +1,258 @@
+"""Requests through an entry between stand-ins of store and replicas."""
+
+import asyncio
+
+import pytest
+
+from dahliashunt.platform.standins.settings import config_fields
+from dahliashunt.platform.standins.settings import replica_fields
+from dahliashunt.platform.standins.settings import route_fields
+from dahliashunt.platform.tests.conftest import request
+
+IDEMPOTENT = route_fields(kind="idempotent", resumable=False)
+ONCE = route_fields(kind="non_idempotent", resumable=False)
+
+
+def texts(body):
+    return [line for line in body.decode().splitlines() if line[:4] == "data"]
+
+
+def whole_stream(events):
+    return [f"data: text {n}" for n in range(1, events + 1)]
+
+
+def test_a_whole_stream_is_relayed_with_its_signature(platform):
+    async def scenario(p):
+        p.replicas[0].then(events=5)
+        answer = await p.call(body=b"prompt")
+        assert (answer.status, answer.whole) == (200, True)
+        assert texts(answer.body) == whole_stream(5)
+        assert answer.head.get("dahliashunt-response-seal") == "seal-i-0"
+        arrival = p.replicas[0].arrivals[0]
+        assert arrival.body == b"prompt"
+        assert arrival.headers["dahliashunt-expect-instance"] == "i-0"
+        left_ms = int(arrival.headers["dahliashunt-request-timeout-ms"])
+        assert 2000 < left_ms <= 3000
+
+    platform(scenario)
+
+
+def test_a_broken_stream_goes_on_elsewhere(platform):
+    # A restorer's answer stops in the middle of a word: the replica was
+    # reset inside its fourth event. The caller sees one whole answer, no
+    # event missing and none twice.
+    async def scenario(p):
+        for replica in p.replicas:
+            replica.then(events=6, cut_after=3).then(events=6)
+        first = {r.replica_id: r for r in p.replicas}
+        answer = await p.call()
+        assert answer.whole
+        assert texts(answer.body) == whole_stream(6)
+        arrivals = [a for r in first.values() for a in r.arrivals]
+        assert sorted(
+            a.headers.get("last-event-id", "0") for a in arrivals
+        ) == ["0", "3"]
+
+    platform(scenario, replicas=2)
+
+
+def test_a_silent_stream_is_left_when_another_replica_has_room(platform):
+    # The replica goes dark after two events, without a reset. Nothing but
+    # the pause between events shows it.
+    async def scenario(p):
+        for replica in p.replicas:
+            replica.then(events=4, silent_after=2).then(events=4)
+        answer = await p.call()
+        assert answer.whole
+        assert texts(answer.body) == whole_stream(4)
+
+    platform(scenario, replicas=2)
+
+
+def test_a_stream_that_cannot_be_resumed_does_not_look_whole(platform):
+    async def scenario(p):
+        p.replicas[0].then(events=4, cut_after=2)
+        answer = await p.call()
+        assert answer.status == 200
+        assert not answer.whole
+        assert len(p.replicas[0].arrivals) == 1
+
+    platform(scenario, route_fields(resumable=False))
+
+
+def test_the_callers_last_event_is_where_a_stream_starts(platform):
+    async def scenario(p):
+        p.replicas[0].then(events=4)
+        answer = await p.call(last_event=2)
+        assert texts(answer.body) == ["data: text 3", "data: text 4"]
+
+    platform(scenario)
+
+
+def test_a_call_that_may_run_once_is_never_sent_twice(platform):
+    # A buyer is told of the same gearbox twice: the replica ran the call
+    # and its answer was lost. Whether it ran is unknown, so that neither
+    # a retry nor a "not run" may follow.
+    async def scenario(p):
+        for replica in p.replicas:
+            replica.then(events=3, cut_after=0)
+        answer = await p.call()
+        assert answer.status == 502
+        assert answer.head.get("retry-after") is None
+        assert sum(len(r.arrivals) for r in p.replicas) == 1
+
+    platform(scenario, ONCE, replicas=2)
+
+
+def test_a_refusal_by_a_full_replica_goes_to_another(platform):
+    async def scenario(p):
+        p.replicas[0].then(status=503, not_run=True, body=b"")
+        p.replicas[1].then()
+        for number in range(4):
+            answer = await p.call(request_id=f"r{number}")
+            assert (answer.status, answer.body) == (200, b"answer")
+
+    platform(scenario, ONCE, replicas=2)
+
+
+def test_nobody_took_it_is_said_as_not_run(platform):
+    async def scenario(p):
+        for replica in p.replicas:
+            replica.then(status=503, not_run=True, body=b"")
+        answer = await p.call()
+        assert answer.status == 503
+        assert 0 < float(answer.head.get("retry-after")) < 1
+
+    platform(scenario, ONCE, replicas=2)
+
+
+def test_an_idempotent_call_is_repeated_up_to_its_attempts(platform):
+    async def scenario(p):
+        for replica in p.replicas:
+            replica.then(status=500, body=b"broken")
+        answer = await p.call()
+        assert (answer.status, answer.body) == (500, b"broken")
+        assert sum(len(r.arrivals) for r in p.replicas) == 2
+
+    platform(scenario, IDEMPOTENT, replicas=3)
+
+
+def test_a_replicas_own_4xx_is_passed_on_and_raises_no_suspicion(platform):
+    async def scenario(p):
+        p.replicas[0].then(status=404, body=b"none")
+        answer = await p.call()
+        assert (answer.status, answer.body) == (404, b"none")
+        assert len(p.replicas[0].arrivals) == 1
+
+    platform(scenario, IDEMPOTENT)
+
+
+def test_a_caller_that_leaves_ends_the_work(platform):
+    async def scenario(p):
+        replica = p.replicas[0].then(events=1000, gap_ms=10)
+        connection = await p.dial()
+        connection.start(request())
+        await p.until(lambda: replica.running == 1)
+        connection.abort()
+        await p.until(lambda: replica.running == 0)
+
+    platform(scenario)
+
+
+def test_the_final_answer_comes_when_the_route_says_so(platform):
+    # A caller would wait for five seconds, the operator for 300 ms.
+    async def scenario(p):
+        p.replicas[0].then(events=2, silent_after=0)
+        answer = await p.call(budget_ms=5000)
+        assert answer.status == 504
+
+    route = {"timeout-ms": 300, "resumable": False}
+    platform(scenario, route_fields(**route))
+
+
+def test_an_unknown_route_is_404_once_the_configuration_is_known(platform):
+    async def scenario(p):
+        answer = await p.call(target="/none/")
+        assert answer.status == 404
+
+    platform(scenario)
+
+
+def test_routes_follow_the_store_and_never_go_back(platform):
+    async def scenario(p):
+        p.replicas[0].then()
+        newer = [IDEMPOTENT, {**IDEMPOTENT, "name": "b", "prefix": "/b/"}]
+        p.store.put("op", "config", config_fields(newer, 7, engine=False))
+        await p.until(lambda: p.entries[0].node.catalog.revision == 7)
+        older = config_fields([IDEMPOTENT], 3, engine=False)
+        p.store.put("op", "config", older)
+        p.store.put("op", "config", "not JSON")
+        p.store.put("servers", "i-9", "neither")
+        await p.until(lambda: "/api/rows-feed" in p.store.calls)
+        p.store.forget_history()
+        assert (await p.call(target="/b/x")).status == 200
+        assert p.entries[0].node.catalog.revision == 7
+
+    platform(scenario, IDEMPOTENT)
+
+
+def test_a_leaving_replica_gets_no_new_requests(platform):
+    async def scenario(p):
+        for replica in p.replicas:
+            replica.then()
+        leaving = p.replicas[0]
+        address = leaving._server.sockets[0].getsockname()
+        fields = replica_fields(address, state="draining")
+        p.store.put("servers", leaving.replica_id, fields)
+        book = p.entries[0].node.book
+        await p.until(lambda: book.get("i-0").leaving)
+        for number in range(6):
+            await p.call(request_id=f"r{number}")
+        assert leaving.arrivals == []
+
+    platform(scenario, IDEMPOTENT, replicas=2)
+
+
+def test_an_address_with_another_replica_runs_nothing(platform):
+    # The replica at that address is another one by now.
+    async def scenario(p):
+        p.replicas[0].replica_id = "i-new"
+        p.replicas[0].then()
+        answer = await p.call()
+        assert answer.status == 503
+
+    platform(scenario, ONCE)
+
+
+@pytest.mark.parametrize("trouble", ["refuses", "silent"])
+def test_requests_go_on_while_the_store_is_away(platform, trouble):
+    async def scenario(p):
+        p.replicas[0].then()
+        p.store.trouble.status = 503 if trouble == "refuses" else None
+        p.store.trouble.silent = trouble == "silent"
+        for number in range(3):
+            answer = await p.call(request_id=f"r{number}")
+            assert answer.status == 200
+
+    platform(scenario, IDEMPOTENT)
+
+
+def test_a_leaving_entry_ends_its_requests_in_order(platform):
+    async def scenario(p):
+        p.replicas[0].then(events=20, gap_ms=20)
+        entry = p.entries[0]
+        connection = await p.dial()
+        box = connection.start(request())
+        await p.until(lambda: p.replicas[0].running == 1)
+        leaving = asyncio.create_task(entry.leave())
+        await p.until(entry.node.leaving.is_set)
+        ready = await p.call("GET", "/api/readiness", port=1)
+        assert ready.status == 503
+        events = []
+        while p.replicas[0].running or not events:
+            events += await box.take(5000)
+        late = await p.call(request_id="late")
+        assert late.head.get("connection") == "close"
+        await leaving
+
+    platform(scenario)
