--- a/dahliashunt/platform/serve_entry.py
+++ b/dahliashunt/platform/serve_entry.py
@@ -90,6 +90,7 @@
     Attributes
     ----------
     node : Node
+    jobs : JobParts
     ports : tuple of int
         Where callers and questions for readiness go, once started.
     """
@@ -127,14 +128,14 @@
             metrics,
             log,
         )
-        self._jobs = JobParts(self.node, self._store, self._places, self._pool)
+        self.jobs = JobParts(self.node, self._store, self._places, self._pool)
         self._followers = [
             self._follower((CONFIG_KEY,), ConfigRows(self.node, log)),
             self._follower(
                 (REPLICAS_PREFIX,), ReplicaRows(self._book, self._clock, log)
             ),
-            self._follower((JOBS_PREFIX,), self._jobs.view),
-            self._follower(PROGRESS_PREFIXES, self._jobs.view),
+            self._follower((JOBS_PREFIX,), self.jobs.view),
+            self._follower(PROGRESS_PREFIXES, self.jobs.view),
         ]
         config = self._followers[0]
         self.node.config_heard = lambda: config.heard_ms
@@ -150,7 +151,7 @@
         """Listen."""
         boot = self._boot
         await self._slots.start(boot.ip, boot.last_port)
-        jobs = JobCalls(self.node, self._jobs, self._followers[2:])
+        jobs = JobCalls(self.node, self.jobs, self._followers[2:])
         bounds = HttpBounds()
         self._servers = [
             HttpServer(
@@ -176,7 +177,7 @@
         return [
             *(follower.run() for follower in self._followers),
             self._places.keep_states(RENEW_MS),
-            *self._jobs.loops(),
+            *self.jobs.loops(),
             self._sweep(),
         ]
 
--- a/dahliashunt/platform/tests/conftest.py
+++ b/dahliashunt/platform/tests/conftest.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import socket
 
 import pytest
 import structlog
@@ -24,6 +25,13 @@
 parts, so that only a fault reaches it."""
 
 
+def free_port():
+    """Return a UDP port that nothing is bound to."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
 class Answer:
     """What a caller got.
 
@@ -85,7 +93,9 @@
     async def add_entry(self):
         name = f"front-{len(self.entries)}"
         path = self._folder / f"{name}.json"
-        fields = settings_fields(self._store_address, **{"node-name": name})
+        port = free_port()
+        changed = {"node-name": name, "port-range": [port - 1, port]}
+        fields = settings_fields(self._store_address, **changed)
         path.write_text(json.dumps(fields))
         entry = Entry(load_boot(str(path)), structlog.get_logger())
         await entry.start()
--- /dev/null
+++ b/dahliashunt/platform/tests/test_jobs.py
@@ -0,0 +1,284 @@
+"""Batch jobs through entries between stand-ins of store and replicas."""
+
+import asyncio
+import base64
+import json
+
+import pytest
+
+from dahliashunt.jobs import JobState
+from dahliashunt.platform.standins.settings import route_fields
+
+ROUTE = route_fields(
+    **{
+        "kind": "batch",
+        "prefix": "/j/",
+        "goal-ms": 400,
+        "completion-target-ms": 18_000,
+        "max-wait-s": 60,
+        "max-attempts": 2,
+        "cap": 1000,
+    }
+)
+
+
+def job_body(*names, tokens=100):
+    items = [
+        {
+            "id": name,
+            "path": f"/j/{name}",
+            "headers": {"Dahliashunt-Prompt-Prefix": "aa:10,bb:5"},
+            "body": base64.b64encode(f"body {name}".encode()).decode(),
+            "tokens": tokens,
+        }
+        for name in names
+    ]
+    return json.dumps({"requests": items}).encode()
+
+
+async def submit(p, job="j1", body=None, **how):
+    body = body or job_body("a", "b")
+    return await p.call("POST", f"/j/{job}", body, request_id=job, **how)
+
+
+async def read(p, job="j1", after=0, **how):
+    target = f"/api/lots/{job}?after={after}"
+    return await p.call("GET", target, wait_ms=1000, **how)
+
+
+async def read_all(p, job="j1", **how):
+    """Read until every result is there; return them in order."""
+    results = []
+    async with asyncio.timeout(20):
+        while True:
+            answer = await read(p, job, len(results), **how)
+            assert answer.status == 200
+            page = answer.json()
+            results += page["results"]
+            if len(results) == page["total"]:
+                return results
+
+
+def output(events):
+    return "\n".join(f"text {n}" for n in range(1, events + 1))
+
+
+def test_a_job_is_done_once_and_read_anywhere(platform):
+    async def scenario(p):
+        p.replicas[0].then(events=3)
+        other = await p.add_entry()
+        assert (await submit(p)).status == 202
+        results = await read_all(p)
+        assert sorted(r["id"] for r in results) == ["a", "b"]
+        assert {r["output"] for r in results} == {output(3)}
+        assert await read_all(p, entry=other) == results
+        arrival = p.replicas[0].arrivals[0]
+        assert arrival.body.startswith(b"body ")
+        assert arrival.headers["dahliashunt-request-id"] in ("a", "b")
+        assert arrival.headers["host"] == "a.example"
+
+    platform(scenario, ROUTE)
+
+
+def test_a_job_that_comes_again_is_accepted_once(platform):
+    # The 202 was lost on its way, and the same job arrives at another
+    # entry. A second acceptance would run and bill everything twice.
+    async def scenario(p):
+        p.replicas[0].then(events=2)
+        other = await p.add_entry()
+        answers = await asyncio.gather(
+            submit(p), submit(p, entry=other), submit(p)
+        )
+        assert {a.status for a in answers} == {202}
+        assert len(await read_all(p)) == 2
+        assert (await submit(p, entry=other)).status == 202
+        assert len(p.replicas[0].arrivals) == 2
+
+    platform(scenario, ROUTE)
+
+
+def test_the_quota_counts_over_all_entries(platform):
+    # Two jobs arrive at two entries at the same moment and only one fits.
+    async def scenario(p):
+        p.replicas[0].then(events=1, silent_after=0)
+        other = await p.add_entry()
+        body = job_body("a", tokens=700)
+        answers = await asyncio.gather(
+            submit(p, "j1", body), submit(p, "j2", body, entry=other)
+        )
+        assert sorted(a.status for a in answers) == [202, 429]
+        refused = next(a for a in answers if a.status == 429)
+        assert float(refused.head.get("retry-after")) > 0
+
+    platform(scenario, ROUTE)
+
+
+def test_listed_items_free_their_tokens(platform):
+    async def scenario(p):
+        p.replicas[0].then(events=1)
+        for number in range(4):
+            job = f"j{number}"
+            body = job_body("a", tokens=900)
+            assert (await submit(p, job, body)).status == 202
+            await read_all(p, job)
+
+    platform(scenario, ROUTE)
+
+
+def test_an_item_that_can_never_be_done_is_listed_as_dead(platform):
+    async def scenario(p):
+        p.replicas[0].then(status=422, body=b"no")
+        await submit(p, body=job_body("a"))
+        (result,) = await read_all(p)
+        assert (result["state"], result["output"]) == ("dead", "")
+        assert len(p.replicas[0].arrivals) == 1
+
+    platform(scenario, ROUTE)
+
+
+def test_an_item_that_fails_each_time_uses_up_its_attempts(platform):
+    async def scenario(p):
+        p.replicas[0].then(status=500, body=b"no")
+        await submit(p, body=job_body("a"))
+        (result,) = await read_all(p)
+        assert result["state"] == "dead"
+        assert len(p.replicas[0].arrivals) == 2
+
+    platform(scenario, ROUTE)
+
+
+def test_a_broken_item_goes_on_from_its_last_event(platform):
+    async def scenario(p):
+        p.replicas[0].then(events=6, cut_after=2).then(events=6)
+        await submit(p, body=job_body("a"))
+        (result,) = await read_all(p)
+        assert result["output"] == output(6)
+        assert [
+            a.headers.get("last-event-id") for a in p.replicas[0].arrivals
+        ] == [None, "2"]
+
+    platform(scenario, ROUTE)
+
+
+def test_the_jobs_of_a_killed_entry_are_finished_by_another(platform):
+    # All collections of a museum were accepted by one entry, which loses
+    # power with one item listed. What was listed keeps its position, the
+    # rest is run again elsewhere.
+    async def scenario(p):
+        p.replicas[0].then(events=2).then(events=2, silent_after=1)
+        other = await p.add_entry()
+        assert (await submit(p)).status == 202
+        first = (await read(p)).json()["results"]
+        await p.until(lambda: len(p.replicas[0].arrivals) == 2)
+        await p.kill(p.entries[0])
+        p.replicas[0].steps.clear()
+        p.replicas[0].then(events=2)
+        results = await read_all(p, entry=other)
+        assert results[0] == first[0]
+        assert sorted(r["id"] for r in results) == ["a", "b"]
+
+    platform(scenario, ROUTE)
+
+
+def test_everything_is_lost_right_after_the_acceptance(platform):
+    async def scenario(p):
+        p.replicas[0].then(events=2)
+        assert (await submit(p)).status == 202
+        await p.kill(p.entries[0])
+        await p.add_entry()
+        assert len(await read_all(p)) == 2
+
+    platform(scenario, ROUTE)
+
+
+def test_an_ended_job_keeps_what_is_listed_and_runs_no_more(platform):
+    async def scenario(p):
+        replica = p.replicas[0].then(events=500, gap_ms=10)
+        await submit(p)
+        await p.until(lambda: replica.running == 2)
+        for _ in range(2):
+            ended = await p.call("DELETE", "/api/lots/j1")
+            assert ended.status == 200
+        await p.until(lambda: replica.running == 0)
+        page = (await read(p)).json()
+        assert (page["total"], page["results"]) == (2, [])
+        view = p.entries[0].jobs.view
+        assert view.job("j1").state is JobState.ENDED
+
+    platform(scenario, ROUTE)
+
+
+def test_bodies_come_back_as_they_were(platform):
+    async def scenario(p):
+        p.replicas[0].then(events=1, silent_after=0)
+        await submit(p)
+        answer = await p.call("GET", "/api/items/j1?id=b")
+        assert (answer.status, answer.body) == (200, b"body b")
+        missing = await p.call("GET", "/api/items/j1?id=z")
+        assert missing.status == 404
+
+    platform(scenario, ROUTE)
+
+
+def test_a_job_that_does_not_exist_is_404_only_for_certain(platform):
+    async def scenario(p):
+        assert (await read(p, "none")).status == 404
+        p.store.trouble.status = 503
+        answer = await read(p, "none")
+        assert answer.status == 503
+        assert answer.head.get("retry-after")
+
+    platform(scenario, ROUTE)
+
+
+@pytest.mark.parametrize("lost", [1, 2], ids=["object", "transaction"])
+def test_a_lost_answer_of_the_store_is_settled(platform, lost):
+    # The store applied a write and its answer was lost. "Not run" may be
+    # said only if no part of the job can ever be accepted.
+    async def scenario(p):
+        p.replicas[0].then(events=1)
+        if lost == 2:
+            await p.entries[0].jobs.ledger._objects.put("warm", b"")
+        p.store.trouble.lose_answers = 1
+        before = p.store.value("jobs", "j1")
+        answer = await submit(p)
+        accepted = p.store.value("jobs", "j1") is not None
+        assert before is None
+        if answer.status == 503:
+            assert not accepted
+        else:
+            assert answer.status == 202
+            assert accepted
+
+    platform(scenario, ROUTE)
+
+
+def test_results_wait_for_the_store_to_return(platform):
+    async def scenario(p):
+        replica = p.replicas[0].then(events=3)
+        assert (await submit(p)).status == 202
+        p.store.trouble.status = 503
+        await p.until(lambda: not replica.running)
+        p.store.trouble.status = None
+        results = await read_all(p)
+        assert {r["output"] for r in results} == {output(3)}
+
+    platform(scenario, ROUTE)
+
+
+@pytest.mark.parametrize(
+    ("body", "named"),
+    [
+        (b"{", "not a job"),
+        (b'{"requests": []}', "requests"),
+        (job_body("a", "a"), "twice"),
+        (b'{"requests": [{"id": "a"}]}', "requests[0]"),
+    ],
+)
+def test_what_is_no_job_is_refused_and_named(platform, body, named):
+    async def scenario(p):
+        answer = await submit(p, body=body)
+        assert answer.status == 400
+        assert named in answer.body.decode()
+
+    platform(scenario, ROUTE)
