--- a/dahliashunt/adapters/slots/datagrams.py
+++ b/dahliashunt/adapters/slots/datagrams.py
@@ -51,6 +51,11 @@
             data = serialize(frame, protocol_factory=_FACTORY)
             self._transport.sendto(data, address)
 
+    @property
+    def address(self) -> tuple[str, int]:
+        """Where this socket is bound."""
+        return self._transport.get_extra_info("sockname")
+
     def close(self) -> None:
         """Close the socket."""
         if self._transport is not None:
--- a/dahliashunt/adapters/slots/server.py
+++ b/dahliashunt/adapters/slots/server.py
@@ -52,6 +52,11 @@
         """Take datagrams at `host` and `port`."""
         self._datagrams = await open_datagrams(self._received, host, port)
 
+    @property
+    def address(self) -> tuple[str, int]:
+        """Where datagrams are taken."""
+        return self._datagrams.address
+
     def stop(self) -> None:
         """Take no more."""
         if self._datagrams is not None:
--- /dev/null
+++ b/dahliashunt/adapters/slots/tests/test_slots.py
@@ -0,0 +1,146 @@
+"""Entries and an agent over loopback datagrams."""
+
+import asyncio
+
+import pytest
+import structlog
+
+from dahliashunt.adapters.clock import SystemClock
+from dahliashunt.adapters.slots import Attempt
+from dahliashunt.adapters.slots import SlotClient
+from dahliashunt.adapters.slots import SlotServer
+from dahliashunt.decisions.slot_keeper import SlotKeeper
+from dahliashunt.decisions.slot_keeper import Use
+from dahliashunt.decisions.slot_keeper import Verdict
+
+LIMIT_S = 10
+
+
+class Fleet:
+    """One agent with two slots, and entries."""
+
+    def __init__(self):
+        self.clock = SystemClock()
+        self.server = SlotServer(
+            SlotKeeper(slots=2), self.clock, structlog.get_logger()
+        )
+        self.entries = []
+        self.revoked = []
+        self.address = None
+
+    async def start(self):
+        await self.server.start("127.0.0.1", 0)
+        self.address = self.server.address
+
+    async def entry(self):
+        client = SlotClient(self.clock)
+        await client.start("127.0.0.1", 0)
+        self.entries.append(client)
+        return client
+
+    async def ask(self, client, name, use=Use.ONLINE, wait_ms=0):
+        attempt = Attempt(
+            name, name, use, 1000, lambda: self.revoked.append(name)
+        )
+        return await client.ask(attempt, self.address, wait_ms)
+
+    async def until(self, condition):
+        async with asyncio.timeout(LIMIT_S):
+            while not condition():  # noqa: ASYNC110
+                await asyncio.sleep(0.002)
+
+    def close(self):
+        self.server.stop()
+        for client in self.entries:
+            client.stop()
+
+
+@pytest.fixture
+def play():
+    def run(scenario):
+        async def main():
+            fleet = Fleet()
+            await fleet.start()
+            try:
+                await scenario(fleet)
+            finally:
+                fleet.close()
+
+        asyncio.run(main())
+
+    return run
+
+
+def test_entries_share_the_slots(play):
+    async def scenario(fleet):
+        one, two = await fleet.entry(), await fleet.entry()
+        assert await fleet.ask(one, "a") is Verdict.GRANTED
+        assert await fleet.ask(two, "b") is Verdict.GRANTED
+        assert await fleet.ask(one, "c") is Verdict.FULL
+        two.release("b")
+        await fleet.until(lambda: fleet.server.keeper.state().online == 1)
+        assert await fleet.ask(one, "d") is Verdict.GRANTED
+
+    play(scenario)
+
+
+def test_a_waiting_request_is_granted_when_a_slot_is_released(play):
+    async def scenario(fleet):
+        entry = await fleet.entry()
+        for name in "ab":
+            await fleet.ask(entry, name)
+        waiting = asyncio.create_task(
+            fleet.ask(entry, "c", wait_ms=LIMIT_S * 1000)
+        )
+        await fleet.until(lambda: fleet.server.keeper.state().waiting == 1)
+        entry.release("a")
+        assert await waiting is Verdict.GRANTED
+
+    play(scenario)
+
+
+def test_a_batch_item_is_told_to_stop(play):
+    async def scenario(fleet):
+        one, two = await fleet.entry(), await fleet.entry()
+        for name in "ij":
+            await fleet.ask(one, name, Use.BATCH)
+        assert await fleet.ask(two, "a") is Verdict.GRANTED
+        await fleet.until(lambda: len(fleet.revoked) == 1)
+
+    play(scenario)
+
+
+def test_a_silent_agent_is_left_alone_for_a_while(play):
+    # The agent's machine is gone. Each request would otherwise lose the
+    # time of all its asks before it goes to the replica directly.
+    async def scenario(fleet):
+        entry = await fleet.entry()
+        fleet.server.stop()
+        assert await fleet.ask(entry, "a") is None
+        assert entry.is_silent(fleet.address)
+
+    play(scenario)
+
+
+def test_an_agent_that_starts_is_known_at_the_next_renewal(play):
+    async def scenario(fleet):
+        entry = await fleet.entry()
+        entry.renew({fleet.address})
+        await fleet.until(lambda: fleet.address in entry.known_by_address)
+        assert entry.known_by_address[fleet.address].state.slots == 2
+
+    play(scenario)
+
+
+def test_bytes_of_a_foreign_sender_are_dropped(play):
+    async def scenario(fleet):
+        loop = asyncio.get_running_loop()
+        transport, _ = await loop.create_datagram_endpoint(
+            asyncio.DatagramProtocol, remote_addr=fleet.address
+        )
+        transport.sendto(b"\x82\xff nonsense")
+        entry = await fleet.entry()
+        assert await fleet.ask(entry, "a") is Verdict.GRANTED
+        transport.close()
+
+    play(scenario)
--- /dev/null
+++ b/dahliashunt/jobs/tests/test_ledger.py
@@ -0,0 +1,162 @@
+"""Two owners of one job, and writes whose answers are lost."""
+
+import asyncio
+
+import pytest
+import structlog
+
+from dahliashunt.adapters.objects.memory import MemoryObjectStore
+from dahliashunt.adapters.table.memory import MemoryTableService
+from dahliashunt.errors import PlatformUnavailable
+from dahliashunt.errors import Ran
+from dahliashunt.errors import RequestError
+from dahliashunt.ids import JobId
+from dahliashunt.ids import NodeId
+from dahliashunt.jobs import Item
+from dahliashunt.jobs import Job
+from dahliashunt.jobs import JobLedger
+from dahliashunt.jobs import JobState
+from dahliashunt.jobs import JobView
+from dahliashunt.jobs import Outcome
+from dahliashunt.jobs import Owner
+from dahliashunt.jobs.ledger import Finished
+from dahliashunt.jobs.ledger import OwnershipLost
+
+LOG = structlog.get_logger()
+FIRST = Owner(NodeId("a"), "1")
+SECOND = Owner(NodeId("b"), "1")
+JOB = Job(
+    job_id=JobId("j"),
+    route="r",
+    host="h",
+    items=(Item("x", 10), Item("y", 20)),
+    payload="object",
+    accepted_ms=0,
+    accepted_by=FIRST,
+)
+
+
+@pytest.fixture
+def table():
+    return MemoryTableService()
+
+
+@pytest.fixture
+def objects():
+    return MemoryObjectStore()
+
+
+@pytest.fixture
+def node(table, objects):
+    """Return ``make(owner)``, the ledger of one node with its own view."""
+    return lambda owner: JobLedger(table, objects, JobView(LOG), owner, LOG)
+
+
+def done(index, text="text"):
+    return Finished(index, Outcome.DONE, text)
+
+
+async def results(ledger):
+    job = await ledger.find(JOB.job_id, fresh=True)
+    await ledger.refresh_progress(job)
+    return [(r.item_id, r.text) for r in await ledger.results(job, 0)]
+
+
+def test_a_replaced_owner_lists_nothing(node):
+    # An entry stands still for seconds; its job is taken over. When it
+    # wakes it lists what it holds: a caller would read an item twice.
+    async def main():
+        old, new = node(FIRST), node(SECOND)
+        await old.accept(JOB, b"payload", 0)
+        await new.find(JOB.job_id)
+        assert await new.take_over(JOB)
+        await new.list_results(JOB, [done(0, "new")])
+        with pytest.raises(PlatformUnavailable):
+            await old.list_results(JOB, [done(0, "old"), done(1, "old")])
+        with pytest.raises(OwnershipLost):
+            await old.list_results(JOB, [done(0, "old"), done(1, "old")])
+        assert await results(new) == [("x", "new")]
+
+    asyncio.run(main())
+
+
+def test_of_two_takers_one_gets_the_job(node):
+    async def main():
+        await node(FIRST).accept(JOB, b"payload", 0)
+        takers = [node(SECOND), node(Owner(NodeId("c"), "1"))]
+        for taker in takers:
+            await taker.find(JOB.job_id)
+        taken = [await taker.take_over(JOB) for taker in takers]
+        assert taken == [True, False]
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("applied", [True, False])
+def test_a_listing_without_answer_is_listed_once(node, table, applied):
+    async def main():
+        ledger = node(FIRST)
+        await ledger.accept(JOB, b"payload", 0)
+        if applied:
+            table.drop_answers = 1
+        else:
+            table.lose_writes = 1
+        with pytest.raises(PlatformUnavailable):
+            await ledger.list_results(JOB, [done(0)])
+        await ledger.list_results(JOB, [done(0), done(1)])
+        assert await results(ledger) == [("x", "text"), ("y", "text")]
+
+    asyncio.run(main())
+
+
+def test_a_long_text_comes_back_whole(node):
+    async def main():
+        ledger = node(FIRST)
+        await ledger.accept(JOB, b"payload", 0)
+        text = "".join(chr(0x100 + n % 5000) for n in range(100_000))
+        await ledger.list_results(JOB, [done(1, text), done(0, "")])
+        assert await results(ledger) == [("y", text), ("x", "")]
+
+    asyncio.run(main())
+
+
+def test_an_acceptance_without_trace_is_never_called_not_run(node, table):
+    # The transaction was sent and its answer lost; nothing is there yet,
+    # but it may land any moment.
+    async def main():
+        ledger = node(FIRST)
+        table.lose_writes = 1
+        with pytest.raises(RequestError) as raised:
+            await ledger.accept(JOB, b"payload", 0)
+        assert raised.value.ran is Ran.UNKNOWN
+
+    asyncio.run(main())
+
+
+def test_an_acceptance_whose_answer_was_lost_stands(node, table):
+    async def main():
+        ledger = node(FIRST)
+        table.drop_answers = 1
+        await ledger.accept(JOB, b"payload", 0)
+        assert await node(SECOND).find(JOB.job_id) == JOB
+
+    asyncio.run(main())
+
+
+def test_ending_twice_frees_the_tokens_once(node):
+    async def main():
+        ledger = node(FIRST)
+        await ledger.accept(JOB, b"payload", 30)
+        for _ in range(2):
+            assert await ledger.set_state(JOB.job_id, JobState.ENDED)
+        await ledger.accept(_other("k"), b"payload", 30)
+        with pytest.raises(RequestError):
+            await ledger.accept(_other("l"), b"payload", 30)
+        assert not await ledger.set_state(JobId("none"), JobState.ENDED)
+
+    asyncio.run(main())
+
+
+def _other(name):
+    fields = {f: getattr(JOB, f) for f in Job.__slots__}
+    return Job(**{**fields, "job_id": JobId(name)})
--- /dev/null
+++ b/dahliashunt/platform/tests/test_boot.py
@@ -0,0 +1,137 @@
+"""The platform's settings file: what is read, and what is refused."""
+
+import json
+
+import pytest
+import structlog
+
+from dahliashunt.adapters.clock import VirtualClock
+from dahliashunt.errors import SettingsError
+from dahliashunt.platform.boot import load_boot
+from dahliashunt.platform.operator import decode_catalog
+from dahliashunt.platform.operator import decode_replica
+from dahliashunt.platform.operator import Undecodable
+from dahliashunt.platform.reload import SettingsWatch
+from dahliashunt.platform.standins.settings import config_fields
+from dahliashunt.platform.standins.settings import replica_fields
+from dahliashunt.platform.standins.settings import route_fields
+from dahliashunt.platform.standins.settings import settings_fields
+
+STORE = ("10.0.0.1", 80)
+
+
+@pytest.fixture
+def write(tmp_path):
+    """Return ``write(**changed)``, which writes a file and names it."""
+    path = tmp_path / "boot.json"
+
+    def written(text=None, **changed):
+        fields = settings_fields(STORE, **changed)
+        path.write_text(json.dumps(fields) if text is None else text)
+        return str(path)
+
+    return written
+
+
+def test_settings_are_read_and_unknown_keys_left_alone(write):
+    boot = load_boot(write(**{"port-range": [7, 9], "new-key": {}}))
+    assert boot.store.address == STORE
+    assert (boot.first_port, boot.last_port) == (7, 9)
+    assert boot.bounds.leave_ms == 8000
+    assert boot.replica is None
+
+
+@pytest.mark.parametrize(
+    ("changed", "named"),
+    [
+        ({"zone": 3}, "zone"),
+        ({"port-range": [9, 7]}, "port-range"),
+        ({"listen": None}, "listen"),
+        ({"limits": {"cpu-share": 1, "cores": 1}}, "limits.memory-mb"),
+        ({"bounds": {"grace-s": "8"}}, "bounds.grace-s"),
+        ({"platform": {"address": "10.0.0.1"}}, "platform.address"),
+    ],
+)
+def test_a_wrong_key_is_named(write, changed, named):
+    with pytest.raises(SettingsError, match=f"json: {named}: "):
+        load_boot(write(**changed))
+
+
+def test_a_file_that_is_no_table_is_refused(write):
+    for text in ("{", "[]"):
+        with pytest.raises(SettingsError):
+            load_boot(write(text))
+
+
+def test_a_broken_file_changes_nothing(write):
+    # An operator saves a half-written file. The process goes on with the
+    # settings it has, and takes the next whole file.
+    path = write()
+    taken = []
+    watch = SettingsWatch(
+        path,
+        load_boot(path),
+        taken.append,
+        VirtualClock(),
+        structlog.get_logger(),
+    )
+    write('{"node-name": ')
+    watch.read_again()
+    assert taken == []
+    write(**{"zone": "south"})
+    watch.read_again()
+    assert [boot.data_centre for boot in taken] == ["south"]
+
+
+@pytest.mark.parametrize(
+    "changed",
+    [
+        {"address": None},
+        {"address": "nowhere"},
+        {"slots": "8"},
+        {"slots": 0},
+        {"state": "asleep"},
+        {"service": 7},
+        {"born": "yesterday"},
+    ],
+)
+def test_an_entry_of_another_writer_names_no_replica(changed):
+    text = json.dumps({**replica_fields(STORE), **changed})
+    with pytest.raises(Undecodable):
+        decode_replica("i-1", text)
+
+
+def test_two_lives_under_one_name_differ():
+    lives = {
+        decode_replica(
+            "i-1", json.dumps(replica_fields(STORE, born=born))
+        ).life
+        for born in (1000, 2000)
+    }
+    assert len(lives) == 2
+
+
+def test_a_split_route_sends_by_its_weights():
+    route = route_fields()
+    del route["service"]
+    route["traffic-split"] = [
+        {"service": "llm", "weight": 90},
+        {"service": "new", "weight": 10},
+        {"service": "off", "weight": 0},
+    ]
+    catalog = decode_catalog(json.dumps(config_fields([route])))
+    route = catalog.match("a.example", "/a/x")
+    drawn = [route.service_for(f"r{n}") for n in range(2000)]
+    assert set(drawn) == {"llm", "new"}
+    assert 120 < drawn.count("new") < 280
+
+
+def test_an_unknown_kind_may_run_once():
+    text = json.dumps(config_fields([route_fields(kind="novel")]))
+    assert not decode_catalog(text).routes[0].repeatable
+
+
+@pytest.mark.parametrize("text", ["", "[]", "{}", '{"version": 1}'])
+def test_what_is_no_configuration_is_refused(text):
+    with pytest.raises(Undecodable):
+        decode_catalog(text)
