Leave in order: close the ports before waiting for requests in progress

Ruled out: the count of requests (it was right; nobody looked again). The ports now close first; the test failed before.

--- a/dahliashunt/platform/serve_entry.py
+++ b/dahliashunt/platform/serve_entry.py
@@ -192,13 +192,26 @@
         self.node.leaving.set()
         now_ms = self._clock.now_ms()
         until_ms = now_ms + self._boot.bounds.leave_ms - LEAVE_MARGIN_MS
-        quiet_ms = now_ms + NEW_CONNECTIONS_MS
         self._log.info("leaving", in_progress=self.node.busy)
-        while now_ms < until_ms:
-            if now_ms >= quiet_ms and not self.node.busy:
-                break
-            await self._clock.sleep_ms(50)
-            now_ms = self._clock.now_ms()
+        quiet_ms = min(now_ms + NEW_CONNECTIONS_MS, until_ms)
+        await self._clock.sleep_ms(quiet_ms - now_ms)
+        await self.finish(until_ms)
+
+    async def finish(self, until_ms):
+        """Close the ports and end what is in progress, up to `until_ms`.
+
+        The failure it guards against: a request that arrives between the
+        last look at what is in progress and the closing of the port would
+        be read, passed on and cut. The ports close first, and only then
+        the requests are waited for.
+        """
+        left_ms = max(0, until_ms - self._clock.now_ms())
+        callers = self._servers[0]
+        try:
+            async with asyncio.timeout(left_ms / 1000):
+                await callers.stop()
+        except TimeoutError:
+            self._log.warning("leaving_late", in_progress=self.node.busy)
 
     async def stop(self):
         """Close everything at once."""
--- a/dahliashunt/platform/tests/test_online.py
+++ b/dahliashunt/platform/tests/test_online.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from dahliashunt.adapters.http1 import End
 from dahliashunt.platform.standins.settings import config_fields
 from dahliashunt.platform.standins.settings import replica_fields
 from dahliashunt.platform.standins.settings import route_fields
@@ -256,3 +257,22 @@
         await leaving
 
     platform(scenario)
+
+
+def test_a_request_read_while_the_ports_close_is_ended_whole(platform):
+    # A leaving entry looked for requests in progress, found none, and
+    # stopped; a request that came in that tenth of a second was passed on
+    # and cut in the middle of its answer.
+    async def scenario(p):
+        p.replicas[0].then(events=20, gap_ms=10)
+        entry = p.entries[0]
+        connection = await p.dial()
+        box = connection.start(request())
+        await p.until(lambda: p.replicas[0].running == 1)
+        await entry.finish(entry.node.clock.now_ms() + 10_000)
+        events = await box.take()
+        while not isinstance(events[-1], End):
+            events += await box.take(5000)
+        assert events[-1] is End.WHOLE
+
+    platform(scenario)
