Name wrong types of known fields, and a batch file's first line that is no JSON

Cause: 'temperature': 'hot' went to the engine as it came; a file whose first line is broken gave 404 no model ''. Both are now 400 with the field or the line and the reason. Ruled out: checking each line of a file at the upload (its items fail one by one with their reason already).

--- a/dahliashunt/batch/cutter.py
+++ b/dahliashunt/batch/cutter.py
@@ -32,6 +32,7 @@
         self._chunk = []
         self._chunk_bytes = 0
         self._first = None
+        self._first_number = 0
         self._read = 0
         self.size = 0
         self.lines: list[int] = []
@@ -62,12 +63,20 @@
 
     @property
     def model(self) -> ModelId:
-        """The model that the first line names, or ''."""
-        return ModelId(_model(self._first))
+        """The model that the first line names, or ''.
+
+        Raises
+        ------
+        RequestError
+            The first line is not JSON; the text names line and reason.
+        """
+        return ModelId(_model(self._first, self._first_number))
 
     def _add(self, lines):
         for line in lines:
             line = line.strip()
+            if self._first is None:
+                self._first_number += 1
             if not line:
                 continue
             self._refuse(len(line) > self._policy.max_line_bytes, "line")
@@ -99,10 +108,18 @@
             )
 
 
-def _model(line):
+def _model(line, number):
     """Return the model that an input line names, or ''."""
     try:
-        model = json.loads(line)["body"]["model"]
-    except (ValueError, KeyError, TypeError, RecursionError):
+        fields = json.loads(line)
+    except (ValueError, RecursionError) as error:
+        raise RequestError(
+            ErrorKind.BAD_REQUEST,
+            f"line {number} of the file is not JSON: {error}",
+            param="file",
+        ) from None
+    try:
+        model = fields["body"]["model"]
+    except (KeyError, TypeError):
         return ""
     return model if isinstance(model, str) else ""
--- a/dahliashunt/batch/tests/test_work.py
+++ b/dahliashunt/batch/tests/test_work.py
@@ -115,3 +115,12 @@
     assert [chunk.count(b"\n") for chunk in chunks] == cutter.lines
     assert cutter.size == sum(map(len, chunks))
     assert max(cutter.lines) <= policy.chunk_lines
+
+
+def test_a_first_line_that_is_not_json_is_named():
+    # A file with a comma too many was answered as a job for model ''.
+    cutter = Cutter(BatchPolicy())
+    list(cutter.feed(b'\n{"custom_id": "a",}\n'))
+    list(cutter.rest())
+    with pytest.raises(RequestError, match="line 2 of the file is not JSON"):
+        _ = cutter.model
--- a/dahliashunt/entry/openai_requests.py
+++ b/dahliashunt/entry/openai_requests.py
@@ -36,6 +36,25 @@
 
 CHARS_A_TOKEN = 4
 
+_NUMBER = (int, float)
+
+KIND_BY_FIELD = {
+    "frequency_penalty": _NUMBER,
+    "logit_bias": (dict,),
+    "n": (int,),
+    "presence_penalty": _NUMBER,
+    "response_format": (dict,),
+    "seed": (int,),
+    "stop": (str, list),
+    "temperature": _NUMBER,
+    "tools": (list,),
+    "top_p": _NUMBER,
+    "user": (str,),
+}
+"""Types of the dialect's fields that only the engine uses. A wrong one is
+refused here with its name: engines answer it in forms of their own, some
+only after the request has waited for its slot."""
+
 
 @dataclass(frozen=True, slots=True)
 class ModelCall:
@@ -97,6 +116,8 @@
     streamed = _field(body, "stream", bool) or False
     options = _field(body, "stream_options", dict) or {}
     max_tokens = _max_tokens(body)
+    for name, kinds in KIND_BY_FIELD.items():
+        _check_kind(body.get(name), name, kinds)
     text = prompt_text(path, body)
     forwarded = {
         **body,
@@ -116,16 +137,22 @@
 
 def _field(body, name, kind, required=False):
     value = body.get(name)
+    if value is None and required:
+        raise _bad(f"'{name}' is missing", name)
+    _check_kind(value, name, (kind,))
+    return value
+
+
+def _check_kind(value, name, kinds):
     if value is None:
-        if required:
-            raise _bad(f"'{name}' is missing", name)
-        return None
+        return
     # bool is a subclass of int: true is no number of tokens.
-    if not isinstance(value, kind) or (
-        kind is int and isinstance(value, bool)
+    if isinstance(value, kinds) and (
+        bool in kinds or not isinstance(value, bool)
     ):
-        raise _bad(f"'{name}' must be of type {kind.__name__}", name)
-    return value
+        return
+    wanted = " or ".join(kind.__name__ for kind in kinds)
+    raise _bad(f"'{name}' must be of type {wanted}", name)
 
 
 def _max_tokens(body):
