A desk's first burst is served

Cause: dahliashunt-local refused 31 of 40 concurrent streams and 23 of 40 whole answers: an entry that has served nothing starts at 8 at a time and expects 2 s of each. Ruled out: something that is not given back (in_flight 0 after, and sequential streams left early are all served now).

--- a/dahliashunt/local/fleet.py
+++ b/dahliashunt/local/fleet.py
@@ -10,6 +10,7 @@
 from dahliashunt.agent.serve import serve as serve_agent
 from dahliashunt.agent.settings import AgentSettings
 from dahliashunt.agent.settings import BackEnd
+from dahliashunt.decisions.entry_policy import EntryPolicy
 from dahliashunt.entry.serve import Entry
 from dahliashunt.entry.settings import AgentAddress
 from dahliashunt.entry.settings import EntrySettings
@@ -32,6 +33,11 @@
 # A crashing request must not end the process in which all roles run.
 _ENGINE_OPTIONS = {"models": MODEL, "base_ms": 10, "crash": "restart"}
 
+_DECISIONS = EntryPolicy(limit_initial=64, default_service_ms=200)
+# At a desk the first thing tried is often a burst. An entry that knows
+# nothing yet starts from 8 at a time and 2 s each, and refuses 31 of 40
+# streams of 0.5 s that its one engine could serve at once.
+
 _RECORDS = """
 schema_version: 1
 kind: Model
@@ -127,6 +133,7 @@
 
 def _entry_settings(url_by_role, port, agent_port):
     return EntrySettings(
+        decisions=_DECISIONS,
         node_id="entry-1",
         data_centre=DATA_CENTRE,
         http=HttpSettings(port=port),
--- a/tests/test_openai_client.py
+++ b/tests/test_openai_client.py
@@ -7,9 +7,12 @@
 
 import openai
 import pytest
+import structlog
 
 from dahliashunt.local.fleet import KEY
 from dahliashunt.local.fleet import MODEL
+from dahliashunt.local.fleet import serve_local
+from dahliashunt.process import Signals
 from dahliashunt.standins import expected_text
 
 MESSAGES = [{"role": "user", "content": "a cracked bisque face"}]
@@ -74,6 +77,39 @@
         assert text == expected_text(MODEL, prompt, 1, 8)
 
 
+def test_a_first_burst_of_thirty_streams_is_served():
+    # The first thing tried at a desk: thirty streams at once on a server
+    # that has served nothing yet. It expected two seconds of each and
+    # refused three quarters of them.
+    async def ask(client, number):
+        stream = await client.completions.create(
+            model=MODEL, prompt=f"q{number}", max_tokens=8, stream=True
+        )
+        return len([event async for event in stream])
+
+    async def run(port):
+        url = f"http://127.0.0.1:{port}/v1"
+        client = openai.AsyncOpenAI(base_url=url, api_key=KEY, max_retries=0)
+        lengths = await asyncio.gather(*(ask(client, n) for n in range(30)))
+        await client.close()
+        return lengths
+
+    async def main():
+        signals = Signals()
+        ready = asyncio.get_running_loop().create_future()
+        log = structlog.get_logger()
+        local = asyncio.create_task(
+            serve_local(0, signals, log, ready.set_result)
+        )
+        try:
+            assert min(await run(await ready)) >= 8
+        finally:
+            signals.leave.set()
+            await local
+
+    asyncio.run(main())
+
+
 @pytest.mark.parametrize(
     ("body", "error", "code", "param"),
     [
