A node cut off from the store refuses jobs at once and is not ready

Ruled out: slots (66 of 72 idle). Reads now wait ten times what they took lately (150 to 700 ms, was 1 s); a node that heard nothing for two seconds refuses jobs at once and turns new connections away.

--- a/dahliashunt/forwarding/node.py
+++ b/dahliashunt/forwarding/node.py
@@ -17,9 +17,12 @@
 
 __all__ = ["Node"]
 
-STALE_MS = 1_800
-"""A configuration not confirmed for so long may lack new routes: what it
-does not know is then refused as not run instead of unknown."""
+STALE_MS = 2_000
+"""A node that did not hear of its configuration for so long is cut off
+from the store, or the store is away: a feed's call ends after 1.7 s at
+the latest, and the next one is answered at once. What it does not know is
+then refused as not run, jobs are refused at once, and new connections are
+better made elsewhere."""
 
 RETRY_MS = 300
 """Retry-After while the configuration is missing or stale: another node
@@ -75,11 +78,15 @@
     def ready(self) -> bool:
         """Whether new connections should come here.
 
-        Without a configuration nothing can be served; with an old one
-        everything known still is, so a lost store does not make a node
-        unready.
+        Without a configuration nothing can be served. A node without the
+        store still serves what it knows, but takes no jobs and misses
+        changes; if all nodes lose it none is preferred to another.
         """
-        return self.catalog is not None and not self.leaving.is_set()
+        return (
+            self.catalog is not None
+            and not self.leaving.is_set()
+            and not self.is_stale()
+        )
 
     def adopt(self, catalog: Catalog) -> None:
         """Take over a configuration unless it is older than the one held.
@@ -114,7 +121,7 @@
             )
         route = self.catalog.match(host, path)
         if route is None:
-            if self._is_stale():
+            if self.is_stale():
                 raise RequestError(
                     ErrorKind.STORE_UNAVAILABLE,
                     "the route may be newer than this node's configuration",
@@ -123,7 +130,8 @@
             raise RequestError(ErrorKind.NOT_FOUND, "no route matches")
         return route
 
-    def _is_stale(self):
+    def is_stale(self) -> bool:
+        """Tell whether the store was not heard of for `STALE_MS`."""
         heard_ms = self.config_heard()
         now_ms = self.clock.now_ms()
         return heard_ms is None or now_ms - heard_ms > STALE_MS
--- a/dahliashunt/platform/job_calls.py
+++ b/dahliashunt/platform/job_calls.py
@@ -30,6 +30,10 @@
 """Longest that a read waits for a result: callers wait a little over the
 second that they ask for."""
 
+ELSEWHERE_MS = 50
+"""Retry-After of a job that only this node can't take: the caller's next
+try goes to another one."""
+
 _JSON = [("content-type", "application/json")]
 
 
@@ -130,6 +134,12 @@
         job_id = JobId(headers.get(REQUEST_ID, ""))
         if not job_id:
             raise RequestError(ErrorKind.BAD_REQUEST, "the job has no id")
+        if node.is_stale():
+            raise RequestError(
+                ErrorKind.STORE_UNAVAILABLE,
+                "this node is cut off from the store",
+                retry_after_ms=ELSEWHERE_MS,
+            )
         items = tuple(each.item for each in decode_submission(body))
         digest = hashlib.blake2b(body, digest_size=8).hexdigest()
         job = Job(
--- a/dahliashunt/platform/store.py
+++ b/dahliashunt/platform/store.py
@@ -27,9 +27,20 @@
 
 __all__ = ["PlatformStore"]
 
-ANSWER_MS = 1_000
-"""Longest wait for an answer. The store answers in some 10 ms, slowed by
-a factor of 60 in some 500; beyond a second a call is better repeated."""
+WRITE_MS = 1_000
+"""Longest wait for a write's answer. The store takes some 10 ms, slowed by
+a factor of 60 some 500; a write without answer has to be settled, so that
+giving up early costs more than waiting."""
+
+READ_MS = (150, 700)
+"""Bounds of the wait for a read's answer, which is `READ_TIMES` what reads
+took lately. A cut is silent: a job that is submitted at a node that was
+cut off must be refused while its caller can still be in time elsewhere,
+and the bound grows at once when the store is slow."""
+
+READ_TIMES = 10
+USUAL_MS = 5.0
+USUAL_WEIGHT = 0.2
 
 PAGE_ROWS = 500
 """Most rows that the store returns at once."""
@@ -62,6 +73,7 @@
         self._pool = pool
         self._clock = clock
         self._clock_offset_ms = 0
+        self._usual_ms = USUAL_MS
 
     def now_ms(self) -> int:
         """Return the store's steady clock, as of its last answer.
@@ -216,9 +228,11 @@
         if body:
             headers.append(("Content-Type", _content_type(method)))
         request = encode_request(method, target, headers, body)
+        limit_ms = self._limit_ms(method)
+        sent_ms = self._clock.now_ms()
         try:
             answer = await exchange_whole(
-                connection, request, self._clock, ANSWER_MS + wait_ms
+                connection, request, self._clock, limit_ms + wait_ms
             )
         except BaseException:
             # Cancelled between request and answer: what comes late must
@@ -226,10 +240,27 @@
             connection.abort()
             raise
         self._pool.give_back(address, connection)
+        if not wait_ms:
+            self._learn(self._clock.now_ms() - sent_ms)
         if answer is None:
             return None
         return _Reply(answer.head.status, answer.body)
 
+    def _limit_ms(self, method):
+        if method != "GET":
+            return WRITE_MS
+        least_ms, most_ms = READ_MS
+        limit_ms = READ_TIMES * self._usual_ms
+        return int(min(most_ms, max(least_ms, limit_ms)))
+
+    def _learn(self, took_ms):
+        """Note how long a call took, with an answer or without."""
+        if took_ms > READ_TIMES * self._usual_ms:
+            self._usual_ms = took_ms
+        else:
+            change_ms = took_ms - self._usual_ms
+            self._usual_ms += USUAL_WEIGHT * change_ms
+
 
 def _content_type(method):
     if method == "PUT":
--- a/dahliashunt/platform/tests/test_jobs.py
+++ b/dahliashunt/platform/tests/test_jobs.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from dahliashunt.errors import PlatformUnavailable
 from dahliashunt.jobs import JobState
 from dahliashunt.platform.standins.settings import route_fields
 
@@ -282,3 +283,36 @@
         assert named in answer.body.decode()
 
     platform(scenario, ROUTE)
+
+
+def test_a_node_cut_off_from_the_store_says_so_at_once(platform):
+    # A museum's job reaches an entry that was cut off. It held the call
+    # until its reads timed out, and the job came too late elsewhere.
+    async def scenario(p):
+        node = p.entries[0].node
+        p.store.trouble.silent = True
+        await p.until(node.is_stale)
+        assert not node.ready
+        before = dict(p.store.calls)
+        answer = await submit(p)
+        assert answer.status == 503
+        assert float(answer.head.get("retry-after")) == 0.05
+        assert p.store.calls.get("/api/rows-tx") == before.get("/api/rows-tx")
+        p.store.trouble.silent = False
+        await p.until(lambda: node.ready)
+        assert (await submit(p)).status == 202
+
+    platform(scenario, ROUTE)
+
+
+def test_a_slow_store_is_waited_for_after_one_failure(platform):
+    async def scenario(p):
+        store = p.entries[0].jobs.store
+        p.store.put("t", "k", "value")
+        p.store.trouble.delay_ms = 300
+        with pytest.raises(PlatformUnavailable):
+            for _ in range(3):
+                await store.read("t//k")
+        assert (await store.read("t//k")).value == "value"
+
+    platform(scenario, ROUTE)
