A replaced replica ends the one at its address; refused items wait

Ruled out: slots (the keepers granted rightly, for the new replica). A new replica at an address now ends the one before, refusals count against a replica, and an item waits 100 ms after one.

--- a/dahliashunt/forwarding/replicas.py
+++ b/dahliashunt/forwarding/replicas.py
@@ -70,7 +70,16 @@
         self._outage_ended_ms = now_ms
 
     def put(self, replica: Replica) -> None:
-        """Take over one entry."""
+        """Take over one entry.
+
+        A replica that is new at an address ends the one that was listed
+        there: a machine that lost power comes back with another replica,
+        while the entry of the one before stands for some heartbeats more.
+        """
+        if replica.replica_id not in self._replica_by_id:
+            for other in self.all():
+                if other.address == replica.address:
+                    self._forget(other.replica_id)
         self._replica_by_id[replica.replica_id] = replica
         self._lapsed_ms_by_id.pop(replica.replica_id, None)
 
@@ -91,7 +100,9 @@
         for replica_id in list(self._replica_by_id):
             if replica_id not in listed:
                 self.remove(replica_id, now_ms)
-        for replica in listed.values():
+        known = [r for r in listed.values() if r.replica_id in self]
+        new = [r for r in listed.values() if r.replica_id not in self]
+        for replica in (*known, *new):
             self.put(replica)
 
     def expire(self, now_ms: int) -> None:
@@ -104,6 +115,9 @@
         self._replica_by_id.pop(replica_id, None)
         self._lapsed_ms_by_id.pop(replica_id, None)
 
+    def __contains__(self, replica_id: str) -> bool:
+        return replica_id in self._replica_by_id
+
     def get(self, replica_id: str) -> Replica | None:
         """Return the entry called `replica_id`, or None."""
         return self._replica_by_id.get(replica_id)
--- /dev/null
+++ b/dahliashunt/forwarding/tests/test_replicas.py
@@ -0,0 +1,74 @@
+"""The list of replicas over outages, restarts and reused addresses."""
+
+import pytest
+
+from dahliashunt.forwarding.replicas import AFTER_OUTAGE_MS
+from dahliashunt.forwarding.replicas import Replica
+from dahliashunt.forwarding.replicas import ReplicaBook
+
+
+def replica(name, port=1, **changed):
+    fields = {
+        "replica_id": name,
+        "born_ms": 0,
+        "service": "s",
+        "host": "h",
+        "port": port,
+        "data_centre": "d",
+        "slots": 8,
+        "leaving": False,
+    }
+    return Replica(**{**fields, **changed})
+
+
+@pytest.fixture
+def book():
+    book = ReplicaBook()
+    for port, name in enumerate("ab"):
+        book.put(replica(name, port))
+    return book
+
+
+def names(book):
+    return sorted(one.replica_id for one in book.of_service("s"))
+
+
+def test_a_leaving_replica_takes_no_new_requests(book):
+    book.put(replica("a", 0, leaving=True))
+    assert names(book) == ["b"]
+
+
+def test_a_removed_replica_is_gone_at_once_in_calm_times(book):
+    book.remove("a", 1_000)
+    assert names(book) == ["b"]
+
+
+def test_lapsed_entries_stay_for_a_while_after_an_outage(book):
+    # The list was away, all its entries lapsed unseen, and its first
+    # answer is empty. Believing it would refuse every request for two
+    # seconds although all replicas live.
+    book.outage_ended(1_000)
+    book.replace_all([], 1_000)
+    assert names(book) == ["a", "b"]
+    book.put(replica("a", 0))
+    book.expire(1_000 + AFTER_OUTAGE_MS)
+    assert names(book) == ["a"]
+
+
+def test_a_new_replica_ends_the_one_at_its_address(book):
+    # A machine lost power and came back with a new replica; requests for
+    # the one before were sent there and refused, again and again.
+    book.put(replica("c", 0))
+    assert names(book) == ["b", "c"]
+
+
+def test_the_new_one_of_a_whole_list_wins(book):
+    listed = [replica("0-new", 0), replica("a", 0), replica("b", 1)]
+    book.replace_all(listed, 0)
+    assert names(book) == ["0-new", "b"]
+
+
+def test_a_restart_under_the_same_name_is_another_life(book):
+    before = book.get("a").life
+    book.put(replica("a", 0, born_ms=5))
+    assert book.get("a").life != before
--- a/dahliashunt/jobs/item_run.py
+++ b/dahliashunt/jobs/item_run.py
@@ -28,6 +28,10 @@
 """Longer than replicas need to come back: a crashing item then takes one
 replica down now and then, instead of all of them one after another."""
 
+REFUSED_WAIT_MS = 100
+"""Before an item that a replica refused is tried again. Without it one
+item and a replica that was replaced made 250 attempts a second."""
+
 IDLE_MS = 3_000
 """Idle time of a connection that an item may take."""
 
@@ -126,6 +130,8 @@
                 return ItemEnd.REVOKED
         if end is ItemEnd.FAILED:
             self.failures += 1
+        if end is ItemEnd.NOT_RUN:
+            self.not_before_ms = clock.now_ms() + REFUSED_WAIT_MS
         if end is ItemEnd.LOST:
             self._losses += 1
             if self._losses >= CRASHES:
--- a/dahliashunt/jobs/worker.py
+++ b/dahliashunt/jobs/worker.py
@@ -253,7 +253,9 @@
             suspicion.served(life)
             job_run.finish(item, Outcome.DONE, "")
             return
-        if end in (ItemEnd.LOST, ItemEnd.FAILED):
+        if end in (ItemEnd.LOST, ItemEnd.FAILED, ItemEnd.NOT_RUN):
+            # Also where it did not run: the address may be another
+            # replica's by now, and its refusal comes within a millisecond.
             suspicion.failed(life, self.clock.now_ms())
         route = self.node.catalog.match(job_run.job.host, item.call.target)
         most = route.max_attempts if route else 1
--- a/dahliashunt/platform/tests/test_jobs.py
+++ b/dahliashunt/platform/tests/test_jobs.py
@@ -8,6 +8,7 @@
 
 from dahliashunt.errors import PlatformUnavailable
 from dahliashunt.jobs import JobState
+from dahliashunt.jobs.item_run import REFUSED_WAIT_MS
 from dahliashunt.platform.standins.settings import route_fields
 
 ROUTE = route_fields(
@@ -316,3 +317,20 @@
         assert (await store.read("t//k")).value == "value"
 
     platform(scenario, ROUTE)
+
+
+def test_an_item_that_is_refused_waits_before_its_next_try(platform):
+    # The machine came back with another replica at the same address; the
+    # list still names the one before, which refuses within a millisecond.
+    async def scenario(p):
+        replica = p.replicas[0].then(events=1)
+        replica.replica_id = "i-new"
+        await submit(p, body=job_body("a"))
+        clock = p.entries[0].node.clock
+        started_ms = clock.now_ms()
+        await p.until(lambda: len(replica.arrivals) >= 6)
+        assert clock.now_ms() - started_ms >= 4 * REFUSED_WAIT_MS
+        replica.replica_id = "i-0"
+        await read_all(p)
+
+    platform(scenario, ROUTE)
