--- a/dahliashunt/adapters/slots/server.py
+++ b/dahliashunt/adapters/slots/server.py
@@ -12,6 +12,7 @@
 from dahliashunt.decisions.slot_keeper import SlotKeeper
 from dahliashunt.decisions.slot_keeper import Use
 from dahliashunt.decisions.slot_keeper import Verdict
+from dahliashunt.metrics import Metrics
 from dahliashunt.ports import Clock
 
 __all__ = ["SlotServer"]
@@ -36,12 +37,16 @@
     ----------
     keeper : SlotKeeper
     clock : Clock
+    metrics : Metrics
     log : structlog logger
     """
 
-    def __init__(self, keeper: SlotKeeper, clock: Clock, log):
+    def __init__(
+        self, keeper: SlotKeeper, clock: Clock, metrics: Metrics, log
+    ):
         self.keeper = keeper
         self._clock = clock
+        self._metrics = metrics
         self._log = log
         self._datagrams = None
         self._heard_ms_by_asker: dict[tuple[str, int], int] = {}
@@ -85,6 +90,7 @@
     def _send_all(self, effects):
         for effect in effects:
             if isinstance(effect, Answered):
+                self._metrics.count("slot_asks", verdict=effect.verdict.value)
                 answer = SlotAnswer(
                     effect.attempt_id,
                     _VERDICT[effect.verdict],
@@ -92,6 +98,7 @@
                 )
                 frame = SlotFrame(answer=answer)
             else:
+                self._metrics.count("slots_revoked")
                 self._log.info("slot_revoked", attempt_id=effect.attempt_id)
                 frame = SlotFrame(revoke=SlotRevoke(effect.attempt_id))
             self._datagrams.send(frame, effect.asker)
--- a/dahliashunt/adapters/slots/tests/test_slots.py
+++ b/dahliashunt/adapters/slots/tests/test_slots.py
@@ -12,6 +12,7 @@
 from dahliashunt.decisions.slot_keeper import SlotKeeper
 from dahliashunt.decisions.slot_keeper import Use
 from dahliashunt.decisions.slot_keeper import Verdict
+from dahliashunt.metrics import Metrics
 
 LIMIT_S = 10
 
@@ -22,7 +23,10 @@
     def __init__(self):
         self.clock = SystemClock()
         self.server = SlotServer(
-            SlotKeeper(slots=2), self.clock, structlog.get_logger()
+            SlotKeeper(slots=2),
+            self.clock,
+            Metrics("agent-1"),
+            structlog.get_logger(),
         )
         self.entries = []
         self.revoked = []
--- a/dahliashunt/platform/__main__.py
+++ b/dahliashunt/platform/__main__.py
@@ -1,13 +1,15 @@
 """Run one program of dahliashunt on the users' platform.
 
 Usage:
-  dahliashunt-platform entry [--check-settings]
-  dahliashunt-platform agent [--check-settings]
+  dahliashunt-platform entry [--metrics-port PORT] [--check-settings]
+  dahliashunt-platform agent [--metrics-port PORT] [--check-settings]
   dahliashunt-platform -h | --help
 
 Options:
-  --check-settings   Only check the settings; exit 0 if they are right.
-  -h --help          Print this.
+  --metrics-port PORT  Serve metrics at /metrics on this port of the
+                       machine's address; 0 serves none [default: 0].
+  --check-settings     Only check the settings; exit 0 if they are right.
+  -h --help            Print this.
 
 The environment variable DAHLIASHUNT_CONFIG names the platform's settings
 file. Logs are JSON lines on standard output.
@@ -28,11 +30,13 @@
 from dahliashunt.errors import SettingsError
 from dahliashunt.logs import set_up_logs
 from dahliashunt.platform.boot import load_boot
+from dahliashunt.platform.boot import Source
 from dahliashunt.process import ExitCode
 from dahliashunt.process import run_served
 
 __all__ = ["main"]
 
+LAST_PORT = 65_535
 SETTINGS_VARIABLE = "DAHLIASHUNT_CONFIG"
 
 
@@ -48,10 +52,15 @@
     if arguments["--check-settings"]:
         print(f"{path}: ok")
         return ExitCode.OK
+    port = arguments["--metrics-port"]
+    if not port.isdigit() or int(port) > LAST_PORT:
+        print(f"--metrics-port: {port} is not a port", file=sys.stderr)
+        return ExitCode.SETTINGS
     role = "entry" if arguments["entry"] else "agent"
     log = set_up_logs(f"dahliashunt-{role}", boot.node_id, to_stdout=True)
+    source = Source(path, boot, int(port))
     try:
-        return asyncio.run(run_served((path, boot), _serve(role), log))
+        return asyncio.run(run_served(source, _serve(role), log))
     except OSError as error:
         log.error("failed", reason=str(error))
         return ExitCode.FAILED
--- a/dahliashunt/platform/boot.py
+++ b/dahliashunt/platform/boot.py
@@ -8,7 +8,7 @@
 from dahliashunt.ids import DataCentreId
 from dahliashunt.ids import NodeId
 
-__all__ = ["Address", "Boot", "Bounds", "StoreBoot", "load_boot"]
+__all__ = ["Address", "Boot", "Bounds", "Source", "StoreBoot", "load_boot"]
 
 Address = tuple[str, int]
 
@@ -90,6 +90,25 @@
     cores: float
 
 
+@dataclass(frozen=True, slots=True)
+class Source:
+    """How a program was started.
+
+    Attributes
+    ----------
+    path : str
+        The settings file, to be read again.
+    boot : Boot
+        What it held.
+    metrics_port : int
+        Where metrics are served; 0 for nowhere.
+    """
+
+    path: str
+    boot: Boot
+    metrics_port: int = 0
+
+
 class _Reader:
     """Reads keys of nested tables; an error names the whole key."""
 
--- a/dahliashunt/platform/serve_agent.py
+++ b/dahliashunt/platform/serve_agent.py
@@ -10,9 +10,11 @@
 from dahliashunt.adapters.slots import SlotServer
 from dahliashunt.decisions.slot_keeper import SlotKeeper
 from dahliashunt.errors import PlatformUnavailable
-from dahliashunt.platform.boot import Boot
+from dahliashunt.metrics import Metrics
+from dahliashunt.platform.boot import Source
 from dahliashunt.platform.dialect import decode_report
 from dahliashunt.platform.dialect import REPORT_PATH
+from dahliashunt.platform.health import serve_metrics
 from dahliashunt.platform.listeners import REPLICAS_PREFIX
 from dahliashunt.platform.operator import decode_replica
 from dahliashunt.platform.operator import Undecodable
@@ -35,12 +37,13 @@
 """Between reads of the list until the replica's slots are known."""
 
 
-async def serve_agent(source: tuple[str, Boot], signals, log) -> None:
+async def serve_agent(source: Source, signals, log) -> None:
     """Keep the slots of the replica on this machine until told to leave."""
-    path, boot = source
+    boot = source.boot
     agent = _Agent(boot, log)
-    watch = SettingsWatch(path, boot, agent.apply, SystemClock(), log)
+    watch = SettingsWatch(source.path, boot, agent.apply, SystemClock(), log)
     watch.install()
+    page = await serve_metrics(agent.metrics, boot.ip, source.metrics_port)
     loops = [asyncio.create_task(each) for each in (agent.run(), watch.run())]
     leave = asyncio.create_task(signals.leave.wait())
     done, _ = await asyncio.wait(
@@ -49,6 +52,8 @@
     for task in loops:
         task.cancel()
     agent.stop()
+    if page is not None:
+        await page.stop_now()
     log.info("stopped")
     for task in done:
         task.result()
@@ -59,6 +64,7 @@
         self._boot = boot
         self._log = log
         self._clock = SystemClock()
+        self.metrics = Metrics(boot.node_id)
         self._pool = ConnectionPool(self._clock)
         self._store = PlatformStore(
             boot.store.address, self._pool, self._clock
@@ -74,7 +80,7 @@
     async def run(self):
         replica = await self._find_replica()
         keeper = SlotKeeper(replica.slots)
-        self._server = SlotServer(keeper, self._clock, self._log)
+        self._server = SlotServer(keeper, self._clock, self.metrics, self._log)
         self._server.instance_id = replica.replica_id
         await self._server.start(self._boot.ip, self._boot.first_port)
         self._log.info(
@@ -83,8 +89,16 @@
         while True:
             await self._look(keeper)
             self._server.publish()
+            self._show(keeper.state())
             await self._clock.sleep_ms(REPORT_MS)
 
+    def _show(self, state):
+        self.metrics.gauge("slots", state.slots)
+        self.metrics.gauge("slots_online", state.online)
+        self.metrics.gauge("slots_batch", state.batch)
+        self.metrics.gauge("slots_waiting", state.waiting)
+        self.metrics.gauge("replica_away", int(state.away))
+
     async def _find_replica(self):
         """Return the listed replica at this machine's address."""
         while True:
--- a/dahliashunt/platform/serve_entry.py
+++ b/dahliashunt/platform/serve_entry.py
@@ -17,9 +17,10 @@
 from dahliashunt.jobs.keys import JOBS_PREFIX
 from dahliashunt.jobs.keys import PROGRESS_PREFIXES
 from dahliashunt.metrics import Metrics
-from dahliashunt.platform.boot import Boot
+from dahliashunt.platform.boot import Source
 from dahliashunt.platform.dialect import PlatformDialect
 from dahliashunt.platform.health import Health
+from dahliashunt.platform.health import serve_metrics
 from dahliashunt.platform.ingress import Ingress
 from dahliashunt.platform.job_calls import JobCalls
 from dahliashunt.platform.job_parts import JobParts
@@ -46,21 +47,23 @@
 for readiness every second and turns away after two misses."""
 
 
-async def serve_entry(source: tuple[str, Boot], signals, log) -> None:
+async def serve_entry(source: Source, signals, log) -> None:
     """Run an entry until it was told to leave and nothing is in progress.
 
     Parameters
     ----------
-    source : (str, Boot)
-        The settings file's path, and what was read from it.
+    source : Source
     signals : Signals
     log : structlog logger
     """
-    path, boot = source
+    boot = source.boot
     entry = Entry(boot, log)
-    watch = SettingsWatch(path, boot, entry.apply, SystemClock(), log)
+    watch = SettingsWatch(source.path, boot, entry.apply, SystemClock(), log)
     watch.install()
     await entry.start()
+    page = await serve_metrics(
+        entry.node.metrics, boot.ip, source.metrics_port
+    )
     loops = [*entry.loops(), watch.run()]
     tasks = [asyncio.create_task(each) for each in loops]
     try:
@@ -70,6 +73,8 @@
         for task in tasks:
             task.cancel()
         await entry.stop()
+        if page is not None:
+            await page.stop_now()
 
 
 async def _first_of(event, tasks):
--- a/dahliashunt/platform/tests/test_boot.py
+++ b/dahliashunt/platform/tests/test_boot.py
@@ -1,13 +1,22 @@
 """The platform's settings file: what is read, and what is refused."""
 
+import asyncio
 import json
 
 import pytest
 import structlog
 
+from dahliashunt.adapters.clock import SystemClock
 from dahliashunt.adapters.clock import VirtualClock
+from dahliashunt.adapters.http1 import encode_request
+from dahliashunt.adapters.http1 import exchange_whole
+from dahliashunt.adapters.http1 import open_connection
+from dahliashunt.adapters.http_server import HttpServer
 from dahliashunt.errors import SettingsError
+from dahliashunt.metrics import Metrics
+from dahliashunt.platform.__main__ import main
 from dahliashunt.platform.boot import load_boot
+from dahliashunt.platform.health import MetricsPage
 from dahliashunt.platform.operator import decode_catalog
 from dahliashunt.platform.operator import decode_replica
 from dahliashunt.platform.operator import Undecodable
@@ -135,3 +144,34 @@
 def test_what_is_no_configuration_is_refused(text):
     with pytest.raises(Undecodable):
         decode_catalog(text)
+
+
+def test_the_command_line_checks_settings(write, monkeypatch, capsys):
+    monkeypatch.setenv("DAHLIASHUNT_CONFIG", write(zone=3))
+    assert main(["entry", "--check-settings"]) == 2
+    assert "zone: a text is wanted" in capsys.readouterr().err
+    monkeypatch.setenv("DAHLIASHUNT_CONFIG", write())
+    assert main(["agent", "--check-settings"]) == 0
+    assert main(["entry", "--metrics-port", "x"]) == 2
+
+
+def test_metrics_are_served_as_text():
+    async def run():
+        metrics = Metrics("front-1")
+        metrics.count("served", kind="stream")
+        server = HttpServer(
+            MetricsPage(metrics), "127.0.0.1", 0, lifespan=False
+        )
+        await server.start()
+        connection = await open_connection("127.0.0.1", server.port, 1000)
+        answer = await exchange_whole(
+            connection,
+            encode_request("GET", "/metrics", [("Host", "h")]),
+            SystemClock(),
+            5000,
+        )
+        await server.stop_now()
+        return answer.body.decode()
+
+    line = 'dahliashunt_served_total{node="front-1",kind="stream"} 1'
+    assert line in asyncio.run(run())
