Requests that are lost with each replica are not sent for ever

Cause: nothing stopped a request that crashes whatever runs it: each resend, at any entry, took another replica. Losses in a row are now counted by the request's digest, shared through a table, and three end it; one served run clears it. Ruled out: the lane for suspects of the product's own fleets (a replica that admits in order can't run one alone).

--- a/dahliashunt/forwarding/forwarder.py
+++ b/dahliashunt/forwarding/forwarder.py
@@ -28,6 +28,8 @@
 from dahliashunt.forwarding.catalog import RouteKind
 from dahliashunt.forwarding.events import EventCutter
 from dahliashunt.forwarding.events import EventOutOfOrder
+from dahliashunt.forwarding.losses import digest_of
+from dahliashunt.forwarding.losses import SharedLosses
 from dahliashunt.forwarding.placing import Places
 from dahliashunt.forwarding.placing import Want
 from dahliashunt.forwarding.ports import AnswerSink
@@ -98,6 +100,7 @@
     pool : ConnectionPool
     dialect : ReplicaDialect
     suspicion : Suspicion
+    losses : SharedLosses
     clock : Clock
     metrics : Metrics
     log : structlog logger
@@ -109,6 +112,7 @@
         pool: ConnectionPool,
         dialect: ReplicaDialect,
         suspicion: Suspicion,
+        losses: SharedLosses,
         clock: Clock,
         metrics: Metrics,
         log,
@@ -117,6 +121,7 @@
         self.pool = pool
         self.dialect = dialect
         self.suspicion = suspicion
+        self.losses = losses
         self.clock = clock
         self.metrics = metrics
         self.log = log
@@ -163,6 +168,7 @@
         self._next_place = None
         self._placed_ms = 0
         self._first_ms = 0
+        self._digest = digest_of(route.host, call)
 
     async def serve(self):
         try:
@@ -173,6 +179,7 @@
 
     async def _serve(self):
         while True:
+            self._refuse_convicted()
             place, self._next_place = self._next_place, None
             if place is None:
                 place = await self._place()
@@ -183,6 +190,7 @@
                 place.release()
             if end is _End.SERVED:
                 self._shared.suspicion.served(place.replica.life)
+                self._shared.losses.served(self._digest)
                 self._note(
                     "served",
                     replica=place.replica.replica_id,
@@ -197,6 +205,18 @@
                 await self._give_up(end)
                 return
 
+    def _refuse_convicted(self):
+        """End a request that was lost with each replica so far."""
+        if not self._shared.losses.is_convicted(self._digest):
+            return
+        self._note("convicted", digest=self._digest)
+        kind = AnswerCut if self._started else RequestError
+        raise kind(
+            ErrorKind.OUTCOME_UNKNOWN,
+            "each replica that ran this request was lost",
+            ran=Ran.UNKNOWN,
+        )
+
     def _age_ms(self):
         return self._clock.now_ms() - self._call.arrived_ms
 
@@ -457,6 +477,9 @@
 
     def _judge(self, replica, end):
         self._tried.add(replica.life)
+        if end is _End.LOST:
+            request_id = self._call.request_id
+            self._shared.losses.lost(self._digest, request_id)
         if end is not _End.TIMED_OUT:
             now_ms = self._clock.now_ms()
             self._shared.suspicion.failed(replica.life, now_ms)
--- a/dahliashunt/platform/serve_entry.py
+++ b/dahliashunt/platform/serve_entry.py
@@ -11,6 +11,8 @@
 from dahliashunt.decisions.suspicion import Suspicion
 from dahliashunt.forwarding.follower import TableFollower
 from dahliashunt.forwarding.forwarder import Forwarder
+from dahliashunt.forwarding.losses import LOSSES_PREFIX
+from dahliashunt.forwarding.losses import SharedLosses
 from dahliashunt.forwarding.node import Node
 from dahliashunt.forwarding.placing import Places
 from dahliashunt.forwarding.replicas import ReplicaBook
@@ -124,11 +126,13 @@
             boot.data_centre,
             boot.first_port,
         )
+        self._losses = SharedLosses(self._store, self._clock, log)
         self.node.forwarder = Forwarder(
             self._places,
             self._pool,
             PlatformDialect(),
             suspicion,
+            self._losses,
             self._clock,
             metrics,
             log,
@@ -141,6 +145,7 @@
             ),
             self._follower((JOBS_PREFIX,), self.jobs.view),
             self._follower(PROGRESS_PREFIXES, self.jobs.view),
+            self._follower((LOSSES_PREFIX,), self._losses),
         ]
         config = self._followers[0]
         self.node.config_heard = lambda: config.heard_ms
@@ -156,7 +161,7 @@
         """Listen."""
         boot = self._boot
         await self._slots.start(boot.ip, boot.last_port)
-        jobs = JobCalls(self.node, self.jobs, self._followers[2:])
+        jobs = JobCalls(self.node, self.jobs, self._followers[2:4])
         bounds = HttpBounds()
         self._servers = [
             HttpServer(
@@ -183,6 +188,7 @@
             *(follower.run() for follower in self._followers),
             self._places.keep_states(RENEW_MS),
             *self.jobs.loops(),
+            self._losses.run(),
             self._sweep(),
         ]
 
--- a/dahliashunt/platform/tests/test_online.py
+++ b/dahliashunt/platform/tests/test_online.py
@@ -276,3 +276,46 @@
         assert events[-1] is End.WHOLE
 
     platform(scenario)
+
+
+def test_a_request_that_takes_its_replicas_down_is_not_sent_for_ever(
+    platform,
+):
+    # The same request comes again and again, at any entry, and each
+    # replica that begins to run it crashes. Others' requests go on.
+    async def scenario(p):
+        for replica in p.replicas:
+            replica.then(events=3, cut_after=0)
+        other = await p.add_entry()
+        entries = [p.entries[0], other]
+        for number in range(6):
+            answer = await p.call(
+                body=b"bad",
+                request_id=f"r{number}",
+                entry=entries[number % 2],
+            )
+            assert answer.status == 502
+            await p.until(lambda: p.store.calls.get("/api/rows-tx", 0) >= 1)
+        assert sum(len(r.arrivals) for r in p.replicas) <= 6
+        for replica in p.replicas:
+            replica.steps.clear()
+            replica.then(events=2)
+        assert (await p.call(body=b"good")).status == 200
+        assert (await p.call(body=b"bad")).status == 502
+
+    platform(scenario, replicas=2)
+
+
+def test_a_popular_request_is_cleared_by_each_answer(platform):
+    async def scenario(p):
+        p.replicas[0].then(status=200, events=1, cut_after=0)
+        p.replicas[0].then(events=1).then(events=1, cut_after=0)
+        p.replicas[0].then(events=1).then(events=1, cut_after=0)
+        p.replicas[0].then(events=1)
+        found = [
+            (await p.call(request_id=f"r{n}", body=b"same")).status
+            for n in range(8)
+        ]
+        assert found[-1] == 200
+
+    platform(scenario, route_fields(**{"max-attempts": 1}))
