--- a/dahliashunt/forwarding/replicas.py
+++ b/dahliashunt/forwarding/replicas.py
@@ -62,6 +62,8 @@
 
     def __init__(self):
         self._replica_by_id: dict[str, Replica] = {}
+        self._version_by_id: dict[str, int] = {}
+        self._current_by_address: dict[tuple[str, int], str] = {}
         self._lapsed_ms_by_id: dict[str, int] = {}
         self._outage_ended_ms: int | None = None
 
@@ -69,19 +71,29 @@
         """Note that the list answers again after it did not."""
         self._outage_ended_ms = now_ms
 
-    def put(self, replica: Replica) -> None:
-        """Take over one entry.
+    def put(self, replica: Replica, version: int) -> None:
+        """Take over one entry, which was written at `version`.
 
-        A replica that is new at an address ends the one that was listed
-        there: a machine that lost power comes back with another replica,
-        while the entry of the one before stands for some heartbeats more.
+        Of two entries with one address the later written one counts: a
+        machine that lost power comes back with another replica, while the
+        entry of the one before stands for some heartbeats more. The
+        earlier one is kept aside, not dropped, since a whole list comes
+        in no order of time.
         """
-        if replica.replica_id not in self._replica_by_id:
-            for other in self.all():
-                if other.address == replica.address:
-                    self._forget(other.replica_id)
         self._replica_by_id[replica.replica_id] = replica
+        self._version_by_id[replica.replica_id] = version
         self._lapsed_ms_by_id.pop(replica.replica_id, None)
+        self._choose(replica.address)
+
+    def _choose(self, address):
+        at_address = [r for r in self.all() if r.address == address]
+        if not at_address:
+            self._current_by_address.pop(address, None)
+            return
+        newest = max(
+            at_address, key=lambda one: self._version_by_id[one.replica_id]
+        )
+        self._current_by_address[address] = newest.replica_id
 
     def remove(self, replica_id: str, now_ms: int) -> None:
         """Drop one entry, or mark it as lapsed shortly after an outage."""
@@ -95,15 +107,13 @@
             self._forget(replica_id)
 
     def replace_all(self, replicas, now_ms: int) -> None:
-        """Take over a whole list."""
-        listed = {replica.replica_id: replica for replica in replicas}
+        """Take over a whole list of pairs of replica and version."""
+        listed = {replica.replica_id for replica, _ in replicas}
         for replica_id in list(self._replica_by_id):
             if replica_id not in listed:
                 self.remove(replica_id, now_ms)
-        known = [r for r in listed.values() if r.replica_id in self]
-        new = [r for r in listed.values() if r.replica_id not in self]
-        for replica in (*known, *new):
-            self.put(replica)
+        for replica, version in replicas:
+            self.put(replica, version)
 
     def expire(self, now_ms: int) -> None:
         """Drop lapsed entries that did not come back."""
@@ -112,11 +122,11 @@
                 self._forget(replica_id)
 
     def _forget(self, replica_id):
-        self._replica_by_id.pop(replica_id, None)
+        replica = self._replica_by_id.pop(replica_id, None)
+        self._version_by_id.pop(replica_id, None)
         self._lapsed_ms_by_id.pop(replica_id, None)
-
-    def __contains__(self, replica_id: str) -> bool:
-        return replica_id in self._replica_by_id
+        if replica is not None:
+            self._choose(replica.address)
 
     def get(self, replica_id: str) -> Replica | None:
         """Return the entry called `replica_id`, or None."""
@@ -127,7 +137,9 @@
         return [
             replica
             for replica in self._replica_by_id.values()
-            if replica.service == service and not replica.leaving
+            if replica.service == service
+            and not replica.leaving
+            and self._current_by_address[replica.address] == replica.replica_id
         ]
 
     def all(self) -> list[Replica]:
--- a/dahliashunt/forwarding/tests/test_replicas.py
+++ b/dahliashunt/forwarding/tests/test_replicas.py
@@ -25,7 +25,7 @@
 def book():
     book = ReplicaBook()
     for port, name in enumerate("ab"):
-        book.put(replica(name, port))
+        book.put(replica(name, port), 1)
     return book
 
 
@@ -34,7 +34,7 @@
 
 
 def test_a_leaving_replica_takes_no_new_requests(book):
-    book.put(replica("a", 0, leaving=True))
+    book.put(replica("a", 0, leaving=True), 2)
     assert names(book) == ["b"]
 
 
@@ -50,7 +50,7 @@
     book.outage_ended(1_000)
     book.replace_all([], 1_000)
     assert names(book) == ["a", "b"]
-    book.put(replica("a", 0))
+    book.put(replica("a", 0), 2)
     book.expire(1_000 + AFTER_OUTAGE_MS)
     assert names(book) == ["a"]
 
@@ -58,17 +58,31 @@
 def test_a_new_replica_ends_the_one_at_its_address(book):
     # A machine lost power and came back with a new replica; requests for
     # the one before were sent there and refused, again and again.
-    book.put(replica("c", 0))
+    book.put(replica("c", 0), 2)
     assert names(book) == ["b", "c"]
 
 
-def test_the_new_one_of_a_whole_list_wins(book):
-    listed = [replica("0-new", 0), replica("a", 0), replica("b", 1)]
-    book.replace_all(listed, 0)
-    assert names(book) == ["0-new", "b"]
+@pytest.mark.parametrize("new", ["0-new", "z-new"])
+def test_the_later_written_one_of_a_whole_list_counts(new):
+    # After a loss of power everywhere an entry reads a list with the dead
+    # replicas and the new ones, in order of their names. It took the last
+    # one for the new one, forgot the other, and half of all requests were
+    # refused for ten seconds: a live entry is not written again.
+    book = ReplicaBook()
+    listed = [(replica(new, 0), 9), (replica("m", 0), 3)]
+    book.replace_all(sorted(listed, key=lambda one: one[0].replica_id), 0)
+    assert names(book) == [new]
+    book.remove("m", 10)
+    assert names(book) == [new]
+
+
+def test_the_earlier_one_counts_again_if_the_later_one_goes(book):
+    book.put(replica("c", 0), 2)
+    book.remove("c", 0)
+    assert names(book) == ["a", "b"]
 
 
 def test_a_restart_under_the_same_name_is_another_life(book):
     before = book.get("a").life
-    book.put(replica("a", 0, born_ms=5))
+    book.put(replica("a", 0, born_ms=5), 2)
     assert book.get("a").life != before
--- a/dahliashunt/platform/listeners.py
+++ b/dahliashunt/platform/listeners.py
@@ -55,8 +55,8 @@
 
     def replaced(self, rows) -> None:
         """Take over the whole list."""
-        found = [self._decoded(row) for row in rows]
-        replicas = [replica for replica in found if replica is not None]
+        found = [(self._decoded(row), row.version) for row in rows]
+        replicas = [pair for pair in found if pair[0] is not None]
         self._book.replace_all(replicas, self._clock.now_ms())
         self._log.info("replicas_read", listed=len(rows), usable=len(replicas))
 
@@ -76,7 +76,7 @@
                 born_ms=replica.born_ms,
                 new=held is None,
             )
-        self._book.put(replica)
+        self._book.put(replica, row.version)
 
     def removed(self, key: str) -> None:
         """Drop one entry."""
