--- a/dahliashunt/jobs/ledger.py
+++ b/dahliashunt/jobs/ledger.py
@@ -101,9 +101,14 @@
 
     # Acceptance.
 
-    async def accept(self, job: Job, payload: bytes, most_tokens: int) -> None:
+    async def accept(self, job: Job, payload: bytes, most_tokens: int) -> bool:
         """Accept `job` for good, or raise; a repeat succeeds again.
 
+        Returns
+        -------
+        bool
+            False if it was accepted before.
+
         Raises
         ------
         RequestError
@@ -111,7 +116,7 @@
             is certain that the job was not accepted is it said so.
         """
         if await self.find(job.job_id) is not None:
-            return
+            return False
         try:
             await self._objects.put(job.payload, payload)
         except (PlatformUnavailable, WriteOutcomeUnknown) as error:
@@ -119,7 +124,7 @@
             raise _store_away(error, Ran.NO) from None
         for _ in range(CONFLICT_TRIES):
             if await self._try_accept(job, most_tokens):
-                return
+                return True
         raise RequestError(ErrorKind.OVERLOADED, "too many jobs come at once")
 
     async def _try_accept(self, job, most_tokens):
--- a/dahliashunt/platform/job_calls.py
+++ b/dahliashunt/platform/job_calls.py
@@ -151,10 +151,11 @@
             accepted_ms=self._store.now_ms(),
             accepted_by=self._ledger.owner,
         )
-        await self._ledger.accept(job, body, route.max_waiting_tokens)
-        node.metrics.count("jobs_accepted")
+        is_new = await self._ledger.accept(job, body, route.max_waiting_tokens)
+        event = "job_accepted" if is_new else "job_repeated"
+        node.metrics.count(event)
         node.log.info(
-            "job_accepted",
+            event,
             job_id=job_id,
             route=route.name,
             items=len(items),
