--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 
-.PHONY: env test lint format demo proofs measure capacity thrift
+.PHONY: env test lint format demo proofs measure capacity thrift platform
 
 # The environment is made once per requirements.txt.
 env: $(VENV)/ready
@@ -55,3 +55,10 @@
 
 capacity: env
 	$(BIN)/python -m benchmarks.capacity
+
+# What the platform's build does, and a check of the settings file that
+# SETTINGS names.
+platform:
+	sh -c "$$(sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/system.toml)"
+	PYTHONPATH=target/deps DAHLIASHUNT_CONFIG=$(SETTINGS) \
+	    $(PYTHON) -m dahliashunt.platform entry --check-settings
