Split the forwarder; a started answer is never begun again

The reading found two faults, each with a test: a whole answer of over a megabyte that broke off could be followed by another replica's bytes, and a resumed stream by the text of a refusal.

--- /dev/null
+++ b/dahliashunt/forwarding/attempt.py
@@ -0,0 +1,281 @@
+"""One attempt of a call at one replica, relayed towards the caller."""
+
+from dahliashunt.adapters.http1 import ConnectFailed
+from dahliashunt.adapters.http1 import End
+from dahliashunt.adapters.http1 import ResponseHead
+from dahliashunt.forwarding.call_state import AttemptEnd
+from dahliashunt.forwarding.call_state import CallState
+from dahliashunt.forwarding.call_state import HeldAnswer
+from dahliashunt.forwarding.catalog import RouteKind
+from dahliashunt.forwarding.events import EventCutter
+from dahliashunt.forwarding.events import EventOutOfOrder
+from dahliashunt.forwarding.ports import AnswerSink
+from dahliashunt.forwarding.replicas import Replica
+
+__all__ = ["Attempt"]
+
+SILENCE_SHARE = 0.6
+"""Share of the longest good pause after which a silent replica is left
+for another: the rest is enough to go on elsewhere within that pause."""
+
+LEAST_SILENCE_MS = 200
+"""No replica is left sooner: a slowed one makes an event of seven tokens
+in 100 ms."""
+
+WHOLE_BYTES = 1_048_576
+"""Longest answer that is collected before it is passed on: until then a
+broken one can be had anew elsewhere."""
+
+FRESH_IDLE_MS = 500
+"""Idle time of a connection that a request which must not run twice may
+take: replicas drop idle ones early, and a reset after sending leaves the
+outcome unknown."""
+
+USUAL_IDLE_MS = 4_000
+
+_ANSWERED = (AttemptEnd.SERVED, AttemptEnd.NOT_RUN, AttemptEnd.FAILED)
+"""Ends after which the replica works on the call no more."""
+
+
+class Attempt:
+    """Sends a call to `replica` and relays its answer.
+
+    Parameters
+    ----------
+    shared : Forwarder
+    state : CallState
+        Brought up to date as the attempt goes on.
+    sink : AnswerSink
+    replica : Replica
+    has_elsewhere : coroutine function
+        Tells whether a place at another replica is held now; only then a
+        silent replica is left.
+    """
+
+    def __init__(
+        self,
+        shared,
+        state: CallState,
+        sink: AnswerSink,
+        replica: Replica,
+        has_elsewhere,
+    ):
+        self._shared = shared
+        self._clock = shared.clock
+        self._state = state
+        self._route = state.route
+        self._sink = sink
+        self._replica = replica
+        self._has_elsewhere = has_elsewhere
+
+    async def run(self) -> AttemptEnd:
+        """Send the call and relay what comes back."""
+        shared = self._shared
+        replica = self._replica
+        idle_ms = USUAL_IDLE_MS if self._route.repeatable else FRESH_IDLE_MS
+        try:
+            connection = await shared.pool.take(replica.address, idle_ms)
+        except ConnectFailed:
+            return AttemptEnd.NOT_RUN
+        left_ms = self._state.until_ms - self._clock.now_ms()
+        if left_ms <= 0:
+            shared.pool.give_back(replica.address, connection)
+            return AttemptEnd.TIMED_OUT
+        request = shared.dialect.request(
+            self._state.call, replica, left_ms, self._state.last_event
+        )
+        box = connection.start(
+            request,
+            lambda head: shared.dialect.answers(self._state.call, head),
+        )
+        end = None
+        try:
+            end = await self._relay(connection, box)
+        finally:
+            # Cancelled, silent or out of time: closing is what makes the
+            # replica stop.
+            if end not in (
+                AttemptEnd.SERVED,
+                AttemptEnd.NOT_RUN,
+                AttemptEnd.FAILED,
+            ):
+                connection.abort()
+            shared.pool.give_back(replica.address, connection)
+        return end
+
+    async def _relay(self, connection, box):
+        head = await self._first(box)
+        if not isinstance(head, ResponseHead):
+            return head
+        if self._shared.dialect.proves_not_run(head):
+            await self._whole_body(connection, box)
+            return AttemptEnd.NOT_RUN
+        self._state.ran += 1
+        if head.status >= 500:
+            return await self._keep_failure(connection, box, head)
+        is_good = 200 <= head.status < 300
+        if self._state.started and not is_good:
+            # Nothing but the rest of the stream may follow its start.
+            return AttemptEnd.LOST
+        if is_good and self._route.kind is RouteKind.STREAM:
+            return await self._relay_stream(connection, box, head)
+        return await self._relay_whole(connection, box, head)
+
+    async def _first(self, box):
+        """Return the head, or how the attempt ended without one."""
+        silence_ms = self._first_silence_ms()
+        events = await self._take(box, silence_ms)
+        if not events:
+            self._state.ran += 1
+            return self._silent_or_late()
+        if isinstance(events[0], End):
+            self._state.ran += 1
+            return AttemptEnd.LOST
+        for event in reversed(events[1:]):
+            box.put_back(event)
+        return events[0]
+
+    def _first_silence_ms(self):
+        """Return how long to wait for the head; None to the end.
+
+        This run counts once it is left, so that one more must be allowed
+        besides it.
+        """
+        route = self._route
+        if not route.repeatable or self._state.ran + 1 >= route.max_attempts:
+            return None
+        return max(LEAST_SILENCE_MS, route.objective_ms)
+
+    async def _take(self, box, silence_ms):
+        left_ms = max(1, self._state.until_ms - self._clock.now_ms())
+        if silence_ms is None or silence_ms >= left_ms:
+            return await box.take(left_ms)
+        events = await box.take(silence_ms)
+        if not events:
+            # This process may itself have stood still while the bytes
+            # came: one more turn of the loop lets them in.
+            events = await box.take(1)
+        if not events and not await self._has_elsewhere():
+            # A silent replica may still answer; no other can.
+            return await box.take(max(1, left_ms - silence_ms))
+        return events
+
+    def _silent_or_late(self):
+        if self._clock.now_ms() >= self._state.until_ms:
+            return AttemptEnd.TIMED_OUT
+        return AttemptEnd.SILENT
+
+    async def _whole_body(self, connection, box):
+        """Return the rest of the body, or None if it did not come whole."""
+        parts = []
+        size = 0
+        while True:
+            events = await self._take(box, self._first_silence_ms())
+            if not events:
+                return None
+            for event in events:
+                if isinstance(event, End):
+                    return None if event is End.BROKEN else b"".join(parts)
+                connection.taken(len(event))
+                parts.append(event)
+                size += len(event)
+            if size > WHOLE_BYTES and self._state.started:
+                await self._sink.send(b"".join(parts))
+                parts.clear()
+
+    async def _keep_failure(self, connection, box, head):
+        body = await self._whole_body(connection, box)
+        if body is None:
+            return AttemptEnd.LOST
+        self._state.held = HeldAnswer(head, body)
+        return AttemptEnd.FAILED
+
+    async def _relay_whole(self, connection, box, head):
+        length = head.get("content-length")
+        if length is not None and int(length) > WHOLE_BYTES:
+            await self._start(head, int(length))
+        body = await self._whole_body(connection, box)
+        if body is None:
+            return self._silent_or_lost()
+        if not self._state.started:
+            await self._start(head, len(body))
+        await self._sink.send(body)
+        await self._sink.end()
+        return AttemptEnd.SERVED
+
+    def _silent_or_lost(self):
+        if self._clock.now_ms() >= self._state.until_ms:
+            return AttemptEnd.TIMED_OUT
+        return AttemptEnd.LOST
+
+    async def _start(self, head, length):
+        if self._state.started:
+            return
+        self._state.started = True
+        headers = self._shared.dialect.relayed(head)
+        await self._sink.start(head.status, headers, length)
+        waited_ms = self._clock.now_ms() - self._state.call.arrived_ms
+        self._state.first_ms = waited_ms
+        self._shared.metrics.observe_ms(
+            "first_byte", waited_ms, kind=self._route.kind.value
+        )
+
+    async def _relay_stream(self, connection, box, head):
+        cutter = EventCutter()
+        while True:
+            events = await self._take(box, self._pause_ms())
+            if not events:
+                return self._silent_or_late()
+            try:
+                end = await self._pass_on(connection, cutter, events, head)
+            except EventOutOfOrder as error:
+                shared = self._shared
+                shared.metrics.count("stream_out_of_order")
+                shared.log.info(
+                    "stream_out_of_order",
+                    request_id=self._state.call.request_id,
+                    replica=self._replica.replica_id,
+                    reason=str(error),
+                )
+                return AttemptEnd.LOST
+            if end is not None:
+                return end
+
+    def _pause_ms(self):
+        if not self._route.pause_ms or not self._state.may_run_again:
+            return None
+        return max(LEAST_SILENCE_MS, self._route.pause_ms * SILENCE_SHARE)
+
+    async def _pass_on(self, connection, cutter, events, head):
+        """Pass whole events on; return how the stream ended, if it did."""
+        whole = []
+        end = None
+        for event in events:
+            if isinstance(event, End):
+                end = event
+                break
+            connection.taken(len(event))
+            whole += self._in_order(cutter.feed(event))
+        if whole:
+            await self._start(head, None)
+            await self._sink.send(b"".join(whole))
+        if end is None:
+            return None
+        if end is End.BROKEN or cutter.rest:
+            return AttemptEnd.LOST
+        await self._start(head, None)
+        await self._sink.end()
+        return AttemptEnd.SERVED
+
+    def _in_order(self, events):
+        """Return the bytes of new events; they must follow one another."""
+        raw = []
+        for event in events:
+            if event.number is not None:
+                if event.number != self._state.last_event + 1:
+                    raise EventOutOfOrder(
+                        f"event {event.number} after {self._state.last_event}"
+                    )
+                self._state.last_event = event.number
+            raw.append(event.raw)
+        return raw
--- a/dahliashunt/platform/standins/replica.py
+++ b/dahliashunt/platform/standins/replica.py
@@ -32,6 +32,8 @@
     silent_after : int or None
         Send nothing more after so many events.
     body : bytes
+    cut_body_at : int or None
+        Close the connection after so many bytes of the body.
     extra : bytes
         Sent after the answer, belonging to nothing.
     gap_ms : int
@@ -44,6 +46,7 @@
     cut_after: int | None = None
     silent_after: int | None = None
     body: bytes = b"answer"
+    cut_body_at: int | None = None
     extra: bytes = b""
     gap_ms: int = 0
 
@@ -146,10 +149,15 @@
             answer.cancel()
             return False
         left.cancel()
+        await asyncio.wait({left})
         return answer.result()
 
     async def _answer(self, arrival, step, writer):
         writer.write(self._head(arrival, step))
+        if step.cut_body_at is not None:
+            writer.write(step.body[: step.cut_body_at])
+            await writer.drain()
+            return False
         if not step.events:
             writer.write(step.body + step.extra)
             await writer.drain()
--- a/dahliashunt/platform/tests/test_online.py
+++ b/dahliashunt/platform/tests/test_online.py
@@ -319,3 +319,34 @@
         assert found[-1] == 200
 
     platform(scenario, route_fields(**{"max-attempts": 1}))
+
+
+def test_a_long_answer_that_breaks_off_is_not_begun_again(platform):
+    # An answer of two megabytes is passed on while it comes, and breaks
+    # off. Another replica's bytes behind it would make a wrong answer
+    # that looks whole.
+    async def scenario(p):
+        long = b"x" * 2_000_000
+        for replica in p.replicas:
+            replica.then(body=long, cut_body_at=1_500_000)
+        answer = await p.call()
+        assert answer.status == 200
+        assert not answer.whole
+        assert sum(len(r.arrivals) for r in p.replicas) == 1
+
+    platform(scenario, IDEMPOTENT, replicas=2)
+
+
+def test_a_resumed_stream_that_is_refused_does_not_show_the_refusal(platform):
+    # The replica that should go on answers 404. Its text must not stand
+    # in the middle of the caller's stream.
+    async def scenario(p):
+        first, second = p.replicas
+        first.then(events=6, cut_after=3).then(status=404, body=b"gone")
+        second.steps = first.steps
+        answer = await p.call()
+        assert not answer.whole
+        assert texts(answer.body) == whole_stream(3)
+        assert b"gone" not in answer.body
+
+    platform(scenario, replicas=2)
