Services without agents are used whole; connections bounded as configured

Cause: read as a newcomer: a service whose replicas have no agent would have been sent a quarter of its slots by each entry, for ever; and the configured limits of headers and idle time were decoded and not used.

--- a/dahliashunt/forwarding/placing.py
+++ b/dahliashunt/forwarding/placing.py
@@ -40,6 +40,11 @@
 fifth of the arrivals were rejected, measured on a day that ends with a
 restart of everything."""
 
+NO_AGENTS_MS = 10_000
+"""After so long without a word from any agent of a service, it is taken to
+have none: its replicas are sent to directly, up to their slots. Agents are
+up some three seconds after the entries where all start at once."""
+
 
 @dataclass(frozen=True, slots=True)
 class Want:
@@ -121,6 +126,7 @@
         self._agent_port = agent_port
         self._own_by_life: dict[tuple, int] = {}
         self._numbers = itertools.count(1)
+        self._started_ms = clock.now_ms()
 
     async def find(self, want: Want, request_id: str, keeps: bool) -> Place:
         """Return a place for `want`.
@@ -152,6 +158,8 @@
         ordered = self._ordered(replicas, want.affinity)
         if not keeps:
             return self._direct(ordered[0])
+        if self._has_no_agents(replicas):
+            return self._direct_with_room(ordered, want)
         attempt = Attempt(
             attempt_id=f"{request_id}#{next(self._numbers)}",
             run_id=request_id,
@@ -161,6 +169,30 @@
         )
         return await self._ask_agents(ordered, want, attempt)
 
+    def _has_no_agents(self, replicas):
+        waited_ms = self._clock.now_ms() - self._started_ms
+        known = self._slots.known_by_address
+        return waited_ms > NO_AGENTS_MS and not any(
+            self._agent(replica) in known for replica in replicas
+        )
+
+    def _direct_with_room(self, ordered, want):
+        """Send to the first replica that this entry has not filled itself.
+
+        Batch leaves half of the slots: nobody can revoke it.
+        """
+        for replica in ordered:
+            most = replica.slots
+            if want.use is Use.BATCH:
+                most = max(1, most // 2)
+            if self._own_by_life.get(replica.life, 0) < most:
+                return self._direct(replica)
+        raise RequestError(
+            ErrorKind.OVERLOADED,
+            f"this entry fills every slot of {want.service}",
+            retry_after_ms=LEAST_RETRY_MS,
+        )
+
     def _ordered(self, replicas, affinity):
         by_id = {replica.replica_id: replica for replica in replicas}
         now_ms = self._clock.now_ms()
--- a/dahliashunt/platform/serve_entry.py
+++ b/dahliashunt/platform/serve_entry.py
@@ -98,6 +98,8 @@
     ----------
     node : Node
     jobs : JobParts
+    bounds : HttpBounds
+        Of callers' connections.
     ports : tuple of int
         Where callers and questions for readiness go, once started.
     """
@@ -150,6 +152,7 @@
         config = self._followers[0]
         self.node.config_heard = lambda: config.heard_ms
         self._servers = []
+        self.bounds = HttpBounds()
         self.ports: tuple[int, ...] = ()
 
     def _follower(self, prefixes, listener):
@@ -162,13 +165,12 @@
         boot = self._boot
         await self._slots.start(boot.ip, boot.last_port)
         jobs = JobCalls(self.node, self.jobs, self._followers[2:4])
-        bounds = HttpBounds()
         self._servers = [
             HttpServer(
                 Ingress(self.node, jobs),
                 *boot.callers,
                 lifespan=False,
-                bounds=bounds,
+                bounds=self.bounds,
             ),
             HttpServer(Health(self.node), *boot.readiness, lifespan=False),
         ]
@@ -197,6 +199,18 @@
             await self._clock.sleep_ms(SWEEP_MS)
             self._pool.sweep()
             self._book.expire(self._clock.now_ms())
+            self._take_limits()
+
+    def _take_limits(self):
+        """Bound callers' connections as the configuration says.
+
+        Idle ones are kept a second longer: callers count from their side.
+        """
+        if self.node.catalog is None:
+            return
+        limits = self.node.catalog.limits
+        self.bounds.header_bytes = limits.header_bytes
+        self.bounds.keep_alive_s = limits.idle_ms // 1000 + 1
 
     async def leave(self):
         """Turn away new connections, then let requests in progress end."""
--- a/dahliashunt/platform/tests/test_online.py
+++ b/dahliashunt/platform/tests/test_online.py
@@ -351,3 +351,18 @@
         assert b"gone" not in answer.body
 
     platform(scenario, replicas=2)
+
+
+def test_connections_are_bounded_as_the_configuration_says(platform):
+    async def scenario(p):
+        config = config_fields([IDEMPOTENT], 5, engine=False)
+        limits = {"idle-timeout-ms": 4000, "max-header-bytes": 600}
+        p.store.put("op", "config", {**config, "limits": limits})
+        bounds = p.entries[0].bounds
+        await p.until(lambda: bounds.keep_alive_s == 5)
+        assert bounds.header_bytes == 600
+        answer = await p.call(target="/a/" + "x" * 900)
+        assert answer.status is None
+        assert (await p.call()).status == 200
+
+    platform(scenario, IDEMPOTENT)
