A leaving agent sends ends again that no entry has settled

Cause: an entry says once that it has an end, and forgets the attempt. When that word is lost with its connection (replaced as silent), or the entry is started anew, the agent holds the end for a connected entry and waits until its drain limit of 120 s: leaving is logged, drained never.

Before: test_lost_settlement_does_not_keep_a_leaving_agent fails, no end is sent again. After: it passes; ends are sent again each second.

--- a/dahliashunt/agent/core.py
+++ b/dahliashunt/agent/core.py
@@ -38,11 +38,18 @@
 from dahliashunt.online.attempt_log import Seen
 from dahliashunt.ports.engine import EngineCall
 
-__all__ = ["AgentCore"]
+__all__ = ["ENDS_AGAIN_MS", "AgentCore"]
 
 IDLE_WAKE_MS = 100
 """Longest sleep of the core; heartbeats and orphans are looked at then."""
 
+ENDS_AGAIN_MS = 1_000
+"""How often a leaving agent sends ends that no entry has settled.
+
+Far above a round trip, so that what is on its way is not sent twice, and
+far below any drain limit.
+"""
+
 
 class AgentCore:
     """Owns attempts, entries' connections and the decisions.
@@ -84,6 +91,7 @@
         self._log = log
         self._attempt_log = AttemptLog(settings.keep_bytes)
         self._state = None
+        self._ends_sent_ms = 0
         self.links = EntryLinks(
             settings,
             records,
@@ -127,13 +135,16 @@
     @property
     def is_idle(self) -> bool:
         """Whether nothing runs and every entry has what it was owed."""
-        if self.attempts_by_id:
-            return False
-        return not any(
-            logged.outcome is not None
-            and self.peers.is_connected(logged.node_id)
+        return not self.attempts_by_id and not self.unsettled()
+
+    def unsettled(self) -> list:
+        """Return the logged ends that a connected entry has not settled."""
+        return [
+            logged
             for logged in self._attempt_log.by_id.values()
-        )
+            if logged.outcome is not None
+            and self.peers.is_connected(logged.node_id)
+        ]
 
     def _sleep_ms(self):
         wake_ms = self._decisions.wake_ms()
@@ -149,6 +160,21 @@
             self._cancel_orphans(peer.node_id)
         active = {attempt.node_id for attempt in self.attempts_by_id.values()}
         self.links.beat(now, active)
+        if self.leaving and now - self._ends_sent_ms >= ENDS_AGAIN_MS:
+            self._ends_sent_ms = now
+            self._send_ends_again()
+
+    def _send_ends_again(self):
+        """Send the ends that entries have not settled once more.
+
+        A settlement is lost with the connection it was sent on, and an
+        entry that has forgotten the attempt, or was started since, never
+        sends another by itself: without this the agent waited for it until
+        its drain limit. An entry answers an end it does not know with a
+        settlement, and one it knows as it does any end.
+        """
+        for logged in self.unsettled():
+            self._send_outcome(logged.node_id, logged.outcome)
 
     # The endpoint's load.
 
@@ -489,5 +515,6 @@
         if self.leaving:
             return
         self._log.info("leaving", reason=message.reason)
+        self._ends_sent_ms = self._clock.now_ms()
         self.links.leave(message.reason)
         self._apply(self._decisions.leaving(self._clock.now_ms()))
--- a/dahliashunt/agent/serve.py
+++ b/dahliashunt/agent/serve.py
@@ -173,4 +173,8 @@
         if core.leaving and core.is_idle:
             log.info("drained")
             return
-    log.warning("drain_timed_out", running=len(core.attempts_by_id))
+    log.warning(
+        "drain_timed_out",
+        running=len(core.attempts_by_id),
+        unsettled=len(core.unsettled()),
+    )
--- a/dahliashunt/agent/tests/test_core.py
+++ b/dahliashunt/agent/tests/test_core.py
@@ -1,5 +1,6 @@
 """What an agent's core says of attempts, driven by frames alone."""
 
+import asyncio
 import random
 
 import pytest
@@ -17,6 +18,8 @@
 from dahliashunt.adapters.wire.gen.link.ttypes import Resume
 from dahliashunt.adapters.wire.gen.link.ttypes import Settled
 from dahliashunt.agent.core import AgentCore
+from dahliashunt.agent.core import ENDS_AGAIN_MS
+from dahliashunt.agent.messages import LeaveNotice
 from dahliashunt.agent.records_keeper import RecordsKeeper
 from dahliashunt.agent.settings import AgentSettings
 from dahliashunt.agent.settings import BackEnd
@@ -163,3 +166,33 @@
     hello = Hello(node_id="x", incarnation=1, revision=0, token="wrong")
     core.links.on_received(Received(connection, [Frame(hello=hello)]))
     assert connection.frames == [None]
+
+
+def test_lost_settlement_does_not_keep_a_leaving_agent(core, clock):
+    # An operator replaces an agent, and it stays until its drain limit of
+    # two minutes although nothing runs there. An entry said that it had
+    # an end, on a connection that was replaced as silent before the word
+    # arrived; having forgotten the attempt, it never says so again.
+    entry = linked(core, "entry-1")
+    ended_attempt(core, entry, "a")
+    again = linked(core, "entry-1")
+    core._on_leave(LeaveNotice("replaced"))
+    assert not core.is_idle
+    for _ in range(3):
+        asyncio.run(clock.advance(ENDS_AGAIN_MS))
+        core._tick()
+    assert [end.attempt_id for end in again.outcomes()] == ["a", "a", "a"]
+    say(core, again, settled=Settled(attempt_ids=["a"]))
+    assert core.is_idle
+
+
+def test_ends_are_not_sent_again_before_an_entry_could_settle(core, clock):
+    # A leaving agent with a thousand ends on their way must not send each
+    # of them at every look.
+    entry = linked(core, "entry-1")
+    ended_attempt(core, entry, "a")
+    core._on_leave(LeaveNotice("replaced"))
+    core._tick()
+    asyncio.run(clock.advance(ENDS_AGAIN_MS - 1))
+    core._tick()
+    assert len(entry.outcomes()) == 1
