A run that is stopped before it began says that it ended

Cause: an agent starved of processor time reads an attempt's opening and its cancel at once; the run's task is cancelled before its first step, so none of its lines runs and no end is ever told. The attempt keeps its slot, and the agent that leaves waits for it. An error that an engine answers to a cancel had the same effect.

Ruled out: ends that an entry did not settle (none in the traces).

--- a/dahliashunt/agent/runner.py
+++ b/dahliashunt/agent/runner.py
@@ -8,6 +8,7 @@
 from dahliashunt.agent.messages import EngineData
 from dahliashunt.agent.messages import EngineEnd
 from dahliashunt.agent.messages import EngineEnded
+from dahliashunt.errors import EngineError
 from dahliashunt.errors import EngineLost
 from dahliashunt.errors import EngineUnreachable
 from dahliashunt.errors import StreamUnknown
@@ -83,6 +84,7 @@
         self._next_event = job.from_event or 0
         self._started = job.from_event is not None
         self._task = None
+        self._begun = False
         self._stop = None
 
     @property
@@ -107,17 +109,25 @@
         self._task.cancel()
 
     def _stop_as(self, end):
-        if self._stop is None and not self._task.done():
-            self._stop = end
+        if self._stop is not None or self._task.done():
+            return
+        self._stop = end
+        if self._begun:
+            # A task that is cancelled before its first step ends without
+            # running a line, and would never say that it ended.
             self._task.cancel()
 
     async def _run(self):
+        self._begun = True
+        if self._stop is not None:
+            self._owner.put(await self._stopped())
+            return
         try:
             async with asyncio.timeout(self._job.timeout_ms / 1000):
                 ended = await self._read_moving()
         except TimeoutError:
-            await self._cancel_engine()
-            ended = EngineEnded(self.attempt_id, EngineEnd.TIMED_OUT)
+            text = await self._cancel_engine()
+            ended = EngineEnded(self.attempt_id, EngineEnd.TIMED_OUT, text)
         except asyncio.CancelledError:
             if self._stop is None:
                 raise
@@ -177,20 +187,26 @@
         if self._stop is EngineEnd.EXPORTED:
             try:
                 handle = await self._engine.export_kv(self._job.stream_id)
-            except (EngineLost, EngineUnreachable):
+            except EngineError:
+                # Its cancel, which comes next, tells what is wrong.
                 handle = None
             if handle is not None:
                 return EngineEnded(
                     self.attempt_id, EngineEnd.EXPORTED, kv_handle=handle
                 )
-        await self._cancel_engine()
-        return EngineEnded(self.attempt_id, EngineEnd.CANCELLED)
+        text = await self._cancel_engine()
+        return EngineEnded(self.attempt_id, EngineEnd.CANCELLED, text)
 
     async def _cancel_engine(self):
-        """Stop the engine's stream, best effort within the silence limit."""
+        """Stop the engine's stream; return why that failed, or nothing.
+
+        Best effort within the silence limit: the engine stops orphaned
+        streams by itself, and when it is gone there is nothing to stop.
+        Whatever the engine answers, the run must end, else its slot is
+        taken for ever.
+        """
         try:
             await self._engine.cancel(self._job.stream_id)
-        except (EngineLost, EngineUnreachable):
-            # The engine stops orphaned streams by itself; and when it is
-            # gone there is nothing to stop.
-            return
+        except EngineError as error:
+            return f"not stopped at the engine: {error}"
+        return ""
