An entry keeps to 24 replicas of a service, and asks two others when they are full

Cause: each entry renewed at every agent once a second and heard of every load change, and each request ordered every replica: messages grew with entries times replicas. The list's book searched all entries at each put.

Ruled out: draws over the whole list without partners (no load is known, and a prompt's parts find no replica); a table of who asks whom (one more thing to keep).

Before (tests): at 173 entries and 127 replicas 21,971 links.

Conclusion: links grow with the entries alone; small services are asked whole as before.

--- /dev/null
+++ b/dahliashunt/decisions/tests/test_partners.py
@@ -0,0 +1,95 @@
+"""Partners at the size to design for, beside asking every replica."""
+
+import collections
+import random
+from types import SimpleNamespace
+
+from dahliashunt.decisions.link_choice import choose_links
+from dahliashunt.decisions.partners import draw_outsiders
+from dahliashunt.decisions.partners import MOST_PARTNERS
+from dahliashunt.decisions.partners import OUTSIDERS
+
+ENTRIES = [f"entry-{n}" for n in range(173)]
+REPLICAS = [f"replica-{n}" for n in range(127)]
+
+
+def choose_partners(entry, replicas):
+    return choose_links(entry, replicas, MOST_PARTNERS)
+
+
+def test_links_grow_with_the_entries_and_not_with_the_product():
+    links = sum(len(choose_partners(one, REPLICAS)) for one in ENTRIES)
+    assert links == len(ENTRIES) * MOST_PARTNERS
+    assert links * 5 < len(ENTRIES) * len(REPLICAS)
+
+
+def test_entries_spread_over_the_replicas():
+    askers = collections.Counter()
+    for one in ENTRIES:
+        askers.update(choose_partners(one, REPLICAS))
+    mean = len(ENTRIES) * MOST_PARTNERS / len(REPLICAS)
+    assert len(askers) == len(REPLICAS)
+    assert max(askers.values()) < 2 * mean
+
+
+def test_a_lost_replica_moves_only_its_own_place():
+    # If the whole draw moved, an entry would know no load at all just
+    # after replicas were killed, when it must place the most.
+    for one in ENTRIES:
+        before = set(choose_partners(one, REPLICAS))
+        after = set(choose_partners(one, REPLICAS[1:]))
+        assert len(before - after) == (REPLICAS[0] in before)
+
+
+def test_a_small_service_is_asked_whole():
+    few = REPLICAS[:MOST_PARTNERS]
+    assert set(choose_partners("entry-1", few)) == set(few)
+
+
+def test_outsiders_reach_replicas_that_are_nobodys_partner():
+    replicas = [SimpleNamespace(replica_id=name) for name in REPLICAS]
+    partners = choose_partners("entry-1", REPLICAS)
+    rng = random.Random(1)
+    reached = set()
+    for _ in range(400):
+        drawn = draw_outsiders(replicas, partners, rng)
+        assert len(drawn) <= OUTSIDERS
+        reached.update(one.replica_id for one in drawn)
+    assert reached == set(REPLICAS) - set(partners)
+
+
+def _served(ask, most_asked=6, holds=7):
+    """Return how many of a wave of requests find a slot at first go."""
+    free = dict.fromkeys(REPLICAS, holds)
+    rng = random.Random(3)
+    served = 0
+    wave = int(0.95 * holds * len(REPLICAS))
+    for number in range(wave):
+        entry = ENTRIES[number % len(ENTRIES)]
+        for replica in ask(entry, rng)[:most_asked]:
+            if free[replica]:
+                free[replica] -= 1
+                served += 1
+                break
+    return served / wave
+
+
+def test_a_wave_is_served_as_well_as_by_asking_at_random():
+    # 95 in 100 slots are taken within one wave, and entries know no
+    # loads: partners alone leave some replicas idle, and with outsiders
+    # as many requests are served as by draws over the whole list.
+    replicas = [SimpleNamespace(replica_id=name) for name in REPLICAS]
+    kept = {one: choose_partners(one, REPLICAS) for one in ENTRIES}
+
+    def alone(entry, rng):
+        return rng.sample(sorted(kept[entry]), 4)
+
+    def both(entry, rng):
+        others = draw_outsiders(replicas, kept[entry], rng)
+        return alone(entry, rng) + [one.replica_id for one in others]
+
+    def everywhere(entry, rng):
+        return rng.sample(REPLICAS, 6)
+
+    assert 1 - _served(both) < 0.6 * (1 - _served(alone))
+    assert _served(both) > _served(everywhere) - 0.01
--- /dev/null
+++ b/dahliashunt/forwarding/partners.py
@@ -0,0 +1,42 @@
+"""An entry's partners in each service, as the list stands."""
+
+from dahliashunt.decisions.link_choice import choose_links
+from dahliashunt.decisions.partners import MOST_PARTNERS
+from dahliashunt.forwarding.replicas import Replica
+from dahliashunt.forwarding.replicas import ReplicaBook
+from dahliashunt.ids import NodeId
+
+__all__ = ["Partners"]
+
+
+class Partners:
+    """Chooses anew whenever the list of a service has changed.
+
+    Parameters
+    ----------
+    book : ReplicaBook
+    node_id : NodeId
+        Of this entry.
+    """
+
+    def __init__(self, book: ReplicaBook, node_id: NodeId):
+        self._book = book
+        self._node_id = node_id
+        self._chosen_by_service: dict[str, tuple[tuple, tuple]] = {}
+
+    def of_service(self, service: str) -> tuple[Replica, ...]:
+        """Return the replicas of `service` that this entry asks first."""
+        listed = self._book.of_service(service)
+        held = self._chosen_by_service.get(service)
+        if held is not None and held[0] is listed:
+            return held[1]
+        chosen = self._choose(listed)
+        self._chosen_by_service[service] = (listed, chosen)
+        return chosen
+
+    def _choose(self, listed):
+        if len(listed) <= MOST_PARTNERS:
+            return listed
+        ids = (replica.replica_id for replica in listed)
+        chosen = choose_links(self._node_id, ids, MOST_PARTNERS)
+        return tuple(one for one in listed if one.replica_id in chosen)
--- a/dahliashunt/forwarding/placing.py
+++ b/dahliashunt/forwarding/placing.py
@@ -7,6 +7,7 @@
 
 from dahliashunt.adapters.slots import Attempt
 from dahliashunt.adapters.slots import SlotClient
+from dahliashunt.decisions.partners import draw_outsiders
 from dahliashunt.decisions.replica_choice import Candidate
 from dahliashunt.decisions.replica_choice import order_replicas
 from dahliashunt.decisions.slot_keeper import Use
@@ -14,6 +15,7 @@
 from dahliashunt.decisions.suspicion import Suspicion
 from dahliashunt.errors import ErrorKind
 from dahliashunt.errors import RequestError
+from dahliashunt.forwarding.partners import Partners
 from dahliashunt.forwarding.replicas import Replica
 from dahliashunt.forwarding.replicas import ReplicaBook
 from dahliashunt.ports import Clock
@@ -98,6 +100,8 @@
     Parameters
     ----------
     book : ReplicaBook
+    partners : Partners
+        Which replicas of a service are asked first.
     slots : SlotClient
     suspicion : Suspicion
     clock : Clock
@@ -110,6 +114,7 @@
     def __init__(
         self,
         book: ReplicaBook,
+        partners: Partners,
         slots: SlotClient,
         suspicion: Suspicion,
         clock: Clock,
@@ -118,6 +123,7 @@
         agent_port: int,
     ):
         self._book = book
+        self._partners = partners
         self._slots = slots
         self._suspicion = suspicion
         self._clock = clock
@@ -144,17 +150,7 @@
         RequestError
             There is none; nothing ran because of this call.
         """
-        replicas = [
-            replica
-            for replica in self._book.of_service(want.service)
-            if replica.life not in want.avoid
-        ]
-        if not replicas:
-            raise RequestError(
-                ErrorKind.NO_ENDPOINT,
-                f"no replica of {want.service} is listed",
-                retry_after_ms=NO_REPLICA_RETRY_MS,
-            )
+        replicas = self._untried(want)
         ordered = self._ordered(replicas, want.affinity)
         if not keeps:
             return self._direct(ordered[0])
@@ -167,7 +163,37 @@
             slack_ms=want.slack_ms,
             on_revoke=want.on_revoke,
         )
-        return await self._ask_agents(ordered, want, attempt)
+        chosen = self._with_outsiders(ordered, want)
+        return await self._ask_agents(chosen, want, attempt)
+
+    def _untried(self, want):
+        """Return the partners that were not tried, else any others."""
+        for listed in (
+            self._partners.of_service(want.service),
+            self._book.of_service(want.service),
+        ):
+            untried = [one for one in listed if one.life not in want.avoid]
+            if untried:
+                return untried
+        raise RequestError(
+            ErrorKind.NO_ENDPOINT,
+            f"no replica of {want.service} is listed",
+            retry_after_ms=NO_REPLICA_RETRY_MS,
+        )
+
+    def _with_outsiders(self, ordered, want):
+        """Return whom to ask: the best partners, then some others."""
+        listed = self._book.of_service(want.service)
+        partners = self._partners.of_service(want.service)
+        if len(listed) <= len(partners):
+            return ordered[:MOST_ASKED]
+        ids = {replica.replica_id for replica in partners}
+        outsiders = [
+            replica
+            for replica in draw_outsiders(listed, ids, self._rng)
+            if replica.life not in want.avoid
+        ]
+        return ordered[:MOST_ASKED] + outsiders
 
     def _has_no_agents(self, replicas):
         waited_ms = self._clock.now_ms() - self._started_ms
@@ -221,10 +247,10 @@
     def _agent(self, replica):
         return (replica.host, self._agent_port)
 
-    async def _ask_agents(self, ordered, want, attempt):
+    async def _ask_agents(self, chosen, want, attempt):
         direct = []
         full = []
-        for replica in ordered[:MOST_ASKED]:
+        for replica in chosen:
             if self._slots.is_silent(self._agent(replica)):
                 direct.append(replica)
                 continue
@@ -296,8 +322,8 @@
         while True:
             addresses = {
                 self._agent(replica)
-                for replica in self._book.all()
-                if not replica.leaving
+                for service in self._book.services()
+                for replica in self._partners.of_service(service)
             }
             self._slots.renew(addresses)
             self._slots.forget_but(addresses)
--- a/dahliashunt/forwarding/replicas.py
+++ b/dahliashunt/forwarding/replicas.py
@@ -63,7 +63,9 @@
     def __init__(self):
         self._replica_by_id: dict[str, Replica] = {}
         self._version_by_id: dict[str, int] = {}
+        self._ids_by_address: dict[tuple[str, int], set[str]] = {}
         self._current_by_address: dict[tuple[str, int], str] = {}
+        self._usable_by_service: dict[str, tuple[Replica, ...]] = {}
         self._lapsed_ms_by_id: dict[str, int] = {}
         self._outage_ended_ms: int | None = None
 
@@ -80,20 +82,38 @@
         earlier one is kept aside, not dropped, since a whole list comes
         in no order of time.
         """
-        self._replica_by_id[replica.replica_id] = replica
-        self._version_by_id[replica.replica_id] = version
-        self._lapsed_ms_by_id.pop(replica.replica_id, None)
+        replica_id = replica.replica_id
+        held = self._replica_by_id.get(replica_id)
+        self._version_by_id[replica_id] = version
+        self._lapsed_ms_by_id.pop(replica_id, None)
+        if held != replica:
+            if held is not None and held.address != replica.address:
+                self._leave_address(held)
+            self._replica_by_id[replica_id] = replica
+            at_address = self._ids_by_address.setdefault(
+                replica.address, set()
+            )
+            at_address.add(replica_id)
+            self._usable_by_service.clear()
         self._choose(replica.address)
 
-    def _choose(self, address):
-        at_address = [r for r in self.all() if r.address == address]
+    def _leave_address(self, replica):
+        at_address = self._ids_by_address[replica.address]
+        at_address.discard(replica.replica_id)
         if not at_address:
-            self._current_by_address.pop(address, None)
+            del self._ids_by_address[replica.address]
+        self._choose(replica.address)
+
+    def _choose(self, address):
+        at_address = self._ids_by_address.get(address, ())
+        newest = max(at_address, key=self._version_by_id.get, default=None)
+        if newest == self._current_by_address.get(address):
             return
-        newest = max(
-            at_address, key=lambda one: self._version_by_id[one.replica_id]
-        )
-        self._current_by_address[address] = newest.replica_id
+        self._usable_by_service.clear()
+        if newest is None:
+            del self._current_by_address[address]
+        else:
+            self._current_by_address[address] = newest
 
     def remove(self, replica_id: str, now_ms: int) -> None:
         """Drop one entry, or mark it as lapsed shortly after an outage."""
@@ -123,24 +143,39 @@
 
     def _forget(self, replica_id):
         replica = self._replica_by_id.pop(replica_id, None)
-        self._version_by_id.pop(replica_id, None)
         self._lapsed_ms_by_id.pop(replica_id, None)
         if replica is not None:
-            self._choose(replica.address)
+            self._usable_by_service.clear()
+            self._leave_address(replica)
+        self._version_by_id.pop(replica_id, None)
 
     def get(self, replica_id: str) -> Replica | None:
         """Return the entry called `replica_id`, or None."""
         return self._replica_by_id.get(replica_id)
 
-    def of_service(self, service: str) -> list[Replica]:
-        """Return the replicas of `service` that take new requests."""
-        return [
-            replica
-            for replica in self._replica_by_id.values()
-            if replica.service == service
-            and not replica.leaving
-            and self._current_by_address[replica.address] == replica.replica_id
-        ]
+    def of_service(self, service: str) -> tuple[Replica, ...]:
+        """Return the replicas of `service` that take new requests.
+
+        The same tuple until something of the list changes; requests ask
+        far more often than replicas come, go or change.
+        """
+        usable = self._usable_by_service.get(service)
+        if usable is None:
+            usable = tuple(
+                replica
+                for replica in self._replica_by_id.values()
+                if replica.service == service and self._is_usable(replica)
+            )
+            self._usable_by_service[service] = usable
+        return usable
+
+    def _is_usable(self, replica):
+        current = self._current_by_address[replica.address]
+        return not replica.leaving and current == replica.replica_id
+
+    def services(self) -> set[str]:
+        """Return the services that any entry names."""
+        return {replica.service for replica in self._replica_by_id.values()}
 
     def all(self) -> list[Replica]:
         """Return every entry."""
--- a/dahliashunt/forwarding/tests/test_placing.py
+++ b/dahliashunt/forwarding/tests/test_placing.py
@@ -6,12 +6,16 @@
 import pytest
 
 from dahliashunt.adapters.clock import VirtualClock
+from dahliashunt.decisions.partners import MOST_PARTNERS
+from dahliashunt.decisions.partners import OUTSIDERS
 from dahliashunt.decisions.slot_keeper import Use
 from dahliashunt.decisions.slot_keeper import Verdict
 from dahliashunt.decisions.suspicion import Suspicion
 from dahliashunt.errors import ErrorKind
 from dahliashunt.errors import RequestError
+from dahliashunt.forwarding.partners import Partners
 from dahliashunt.forwarding.placing import DIRECT_SHARE
+from dahliashunt.forwarding.placing import MOST_ASKED
 from dahliashunt.forwarding.placing import NO_AGENTS_MS
 from dahliashunt.forwarding.placing import Places
 from dahliashunt.forwarding.placing import Want
@@ -57,7 +61,13 @@
     for name in "ab":
         replica = Replica(name, 0, "s", name, 1, "d", SLOTS, False)
         book.put(replica, 1)
-    return Places(book, slots, Suspicion(), clock, random.Random(1), "d", 7000)
+    return make_places(book, slots, clock)
+
+
+def make_places(book, slots, clock):
+    partners = Partners(book, "entry-1")
+    suspicion, rng = Suspicion(), random.Random(1)
+    return Places(book, partners, slots, suspicion, clock, rng, "d", 7000)
 
 
 def find(places, use=Use.ONLINE, wait_ms=0, avoid=(), keeps=True):
@@ -120,3 +130,57 @@
     for _ in range(4 * SLOTS):
         find(places, keeps=False)
     assert slots.asked == []
+
+
+MANY = [f"r{n}" for n in range(5 * MOST_PARTNERS)]
+
+
+@pytest.fixture
+def large(slots, clock):
+    """Places of an entry before five times as many replicas."""
+    book = ReplicaBook()
+    for name in MANY:
+        book.put(Replica(name, 0, "s", name, 1, "d", SLOTS, False), 1)
+    return make_places(book, slots, clock)
+
+
+def test_a_full_large_service_is_asked_beyond_the_partners(large, slots):
+    # All partners of one entry are full while others idle: its callers
+    # would be refused beside free replicas.
+    slots.verdict_by_host = dict.fromkeys(MANY, Verdict.FULL)
+    for _ in range(60):
+        with pytest.raises(RequestError):
+            find(large)
+    assert len({host for host, _ in slots.asked}) > 3 * MOST_PARTNERS
+    assert len(slots.asked) <= 60 * (MOST_ASKED + OUTSIDERS)
+
+
+def test_only_partners_are_asked_while_they_have_room(large, slots):
+    slots.verdict_by_host = dict.fromkeys(MANY, Verdict.GRANTED)
+    for _ in range(200):
+        find(large).release()
+    assert len({host for host, _ in slots.asked}) <= MOST_PARTNERS
+
+
+def test_others_are_used_when_every_partner_was_tried(large, slots, clock):
+    slots.verdict_by_host = dict.fromkeys(MANY, Verdict.GRANTED)
+    book = ReplicaBook()
+    for name in MANY:
+        book.put(Replica(name, 0, "s", name, 1, "d", SLOTS, False), 1)
+    partners = Partners(book, "entry-1").of_service("s")
+    place = find(large, avoid=[replica.life for replica in partners])
+    assert place.replica not in partners
+
+
+def test_renewals_are_bounded_by_the_partners(large, slots):
+    renewed = []
+    slots.renew = renewed.append
+    slots.forget_but = lambda addresses: None
+
+    async def look():
+        loop = asyncio.create_task(large.keep_states(1))
+        await asyncio.sleep(0)
+        loop.cancel()
+
+    asyncio.run(look())
+    assert len(renewed[0]) == MOST_PARTNERS
--- a/dahliashunt/platform/serve_entry.py
+++ b/dahliashunt/platform/serve_entry.py
@@ -14,6 +14,7 @@
 from dahliashunt.forwarding.losses import LOSSES_PREFIX
 from dahliashunt.forwarding.losses import SharedLosses
 from dahliashunt.forwarding.node import Node
+from dahliashunt.forwarding.partners import Partners
 from dahliashunt.forwarding.placing import Places
 from dahliashunt.forwarding.replicas import ReplicaBook
 from dahliashunt.jobs.keys import JOBS_PREFIX
@@ -121,6 +122,7 @@
         suspicion = Suspicion()
         self._places = Places(
             self._book,
+            Partners(self._book, boot.node_id),
             self._slots,
             suspicion,
             self._clock,
