Example fleets take free ports and are ready when their records are in force

Cause: the demo waited for links only; beside load an entry without records refused its first request (no configuration yet). Its ports were fixed.

Ruled out: a retry in the demo, which would hide what a user sees.

--- a/Makefile
+++ b/Makefile
@@ -42,8 +42,7 @@
 	$(BIN)/python -m tests.combined
 	$(BIN)/python -m tests.ablations
 
-# Both example fleets as real processes; some 15 minutes. Their ports are
-# fixed: nothing else may run the fleets meanwhile.
+# Both example fleets as real processes; some 15 minutes.
 measure: env
 	$(BIN)/python -m benchmarks.fleet_load poppenhersteld \
 	    --out=poppenhersteld-measured.json
--- a/examples/fleet.py
+++ b/examples/fleet.py
@@ -6,13 +6,21 @@
 
 Run with ``python -m examples.fleet``. NAME is a folder here, such as
 poppenhersteld. The fleet runs until SIGINT or SIGTERM.
+
+The ports that the folder's files name only tell which belongs to which:
+each start takes free ones instead, so that two fleets, or a fleet and
+another program, do not collide.
 """
 
 import asyncio
+import contextlib
 import json
 import pathlib
+import re
 import signal
+import socket
 import sys
+import tempfile
 
 import aiohttp
 from docopt import docopt
@@ -21,6 +29,7 @@
 HERE = pathlib.Path(__file__).parent
 READY_WITHIN_S = 30
 OPERATOR_KEY = "example-operator"
+NAMED_PORT = re.compile(r"\b17\d{3}\b")
 
 
 class ExampleFleet:
@@ -33,7 +42,9 @@
     """
 
     def __init__(self, name):
-        self.folder = HERE / name
+        self._own_folder = tempfile.TemporaryDirectory(prefix=f"{name}-")
+        self.folder = pathlib.Path(self._own_folder.name)
+        copy_with_free_ports(HERE / name, self.folder)
         self.plan = yaml.safe_load((self.folder / "fleet.yaml").read_text())
         self.process_by_name = {}
         self.entries = [
@@ -61,6 +72,7 @@
 
     async def __aexit__(self, *exc):
         await self.stop()
+        self._own_folder.cleanup()
 
     async def start(self, each):
         """Start one process and wait until it says that it is ready."""
@@ -131,7 +143,11 @@
                 raise RuntimeError(await answer.text())
 
     async def _all_ready(self):
-        """Wait until each entry has the records and all its links."""
+        """Wait until each entry has the records and all its links.
+
+        Links come up before the records are in force there; an entry that
+        was asked in between refused the first request.
+        """
         wanted = len(self.plan["instances"])
         headers = {"Authorization": f"Bearer {OPERATOR_KEY}"}
         async with (
@@ -140,10 +156,44 @@
         ):
             for url in self.entries:
                 # Another process has no event to wait for.
-                while await _up(session, url) < wanted:  # noqa: ASYNC110
+                while not await is_ready(  # noqa: ASYNC110
+                    session, url, wanted
+                ):
                     await asyncio.sleep(0.1)
 
 
+def copy_with_free_ports(folder, into):
+    """Copy a fleet's files, each port that they name replaced by a free one.
+
+    Parameters
+    ----------
+    folder, into : pathlib.Path
+    """
+    text_by_name = {path.name: path.read_text() for path in folder.iterdir()}
+    named = set(NAMED_PORT.findall("".join(text_by_name.values())))
+    free = _free_ports(len(named))
+    port_by_named = dict(zip(sorted(named), free, strict=True))
+    for name, text in text_by_name.items():
+        changed = NAMED_PORT.sub(lambda m: port_by_named[m[0]], text)
+        (into / name).write_text(changed)
+
+
+def _free_ports(count):
+    with contextlib.ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for each in sockets:
+            each.bind(("127.0.0.1", 0))
+        return [str(each.getsockname()[1]) for each in sockets]
+
+
+async def is_ready(session, url, wanted):
+    """Tell whether an entry is ready and `wanted` endpoints are up there."""
+    async with session.get(f"{url}/readyz") as answer:
+        if answer.status != 200:
+            return False
+    return await _up(session, url) >= wanted
+
+
 async def _up(session, url):
     async with session.get(f"{url}/operator/endpoints") as answer:
         if answer.status != 200:
