--- a/dahliashunt/platform/standins/replica.py
+++ b/dahliashunt/platform/standins/replica.py
@@ -72,12 +72,17 @@
     steps : deque of Step
         The last one is used again.
     arrivals : list of Arrival
+    running : int
+        Requests that are being answered.
+    address : (str, int) or None
+        Once started.
     """
 
     replica_id: str = "i-1"
     steps: collections.deque = field(default_factory=collections.deque)
     arrivals: list = field(default_factory=list)
     running: int = 0
+    address: tuple[str, int] | None = None
     _server: object = None
     _tasks: set = field(default_factory=set)
 
@@ -86,7 +91,8 @@
         self._server = await asyncio.start_server(
             self._connected, "127.0.0.1", 0
         )
-        return self._server.sockets[0].getsockname()
+        self.address = self._server.sockets[0].getsockname()
+        return self.address
 
     async def stop(self) -> None:
         """Close the port and every connection."""
--- a/dahliashunt/platform/tests/conftest.py
+++ b/dahliashunt/platform/tests/conftest.py
@@ -74,19 +74,20 @@
         self._tasks = {}
         self._store_address = None
 
-    async def open(self, routes, replicas=1, engine=False):
+    async def open(self, routes, replicas=1, engine=False, config=None):
         self._store_address = await self.store.start()
         for _ in range(replicas):
             await self.add_replica()
-        config = config_fields(routes, engine=engine)
+        if config is None:
+            config = config_fields(routes, engine=engine)
         self.store.put("op", "config", config)
         return await self.add_entry()
 
     async def add_replica(self):
         replica = ReplicaStandin(f"i-{len(self.replicas)}")
-        address = await replica.start()
+        await replica.start()
         self.replicas.append(replica)
-        fields = replica_fields(address)
+        fields = replica_fields(replica.address)
         self.store.put("servers", replica.replica_id, fields)
         return replica
 
@@ -171,7 +172,7 @@
         "last_event": "Last-Event-Id",
     }
     headers = {"request_id": "r1", "budget_ms": "3000", **headers}
-    pairs = [("Host", "a.example")]
+    pairs = [("Host", headers.pop("host", "a.example"))]
     pairs += [(names[name], str(value)) for name, value in headers.items()]
     return encode_request(method, target, pairs, body)
 
