Soak: a process that SIGTERM meets before it listens may end by it

Trace: the last start of each has no line of its own; another fault had started it 0.3 s before. Ruled out: a request in progress (nothing was taken).

--- a/dahliashunt/platform/tests/test_shapes.py
+++ b/dahliashunt/platform/tests/test_shapes.py
@@ -144,9 +144,11 @@
     No agents run here, so that an entry sends little to each replica.
     """
     async with asyncio.timeout(20):
-        while (answer := await p.call(**call)).status == 503:
+        while True:
+            answer = await p.call(**call)
+            if answer.status != 503:
+                return answer
             await asyncio.sleep(float(answer.head.get("retry-after")))
-    return answer
 
 
 async def a_job_is_done(p, shape):
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -63,6 +63,7 @@
         self._log = folder / f"{name}.log"
         self._skew_ms = skew_ms
         self._starting = asyncio.Lock()
+        self._log_from = 0
 
     def write_settings(self, fields):
         """Write the settings that the next start reads."""
@@ -85,7 +86,12 @@
             return ""
         return self._log.read_text(errors="replace")
 
+    def has_started(self):
+        """Tell whether the process that was started last has listened."""
+        return '"event": "started"' in self.log_text()[self._log_from :]
+
     async def _start(self):
+        self._log_from = len(self.log_text())
         environment = {
             **os.environ,
             "DAHLIASHUNT_CONFIG": str(self._settings),
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -87,7 +87,10 @@
     if machine.process is not process:
         # Another fault has started it anew meanwhile.
         return
-    fleet.exits.append((machine.name, code))
+    if code != -signal.SIGTERM or machine.has_started():
+        # Python itself ends by the signal until the program listens to
+        # it; nothing was taken by then.
+        fleet.exits.append((machine.name, code))
     await machine.kill()
     await machine.start()
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -18,8 +18,12 @@
 CI_SEEDS = (1, 2)
 CI_S = 4
 
-FAILED_SEEDS = ()
-"""Seeds that once broke a promise, each with its seconds of faults."""
+FAILED_SEEDS = ((131, 10),)
+"""Seeds that once broke a promise, each with its seconds of faults.
+
+131: a second fault asked an entry to leave that another had started 0.3 s
+before; it ended by SIGTERM before it listened, which is allowed.
+"""
 
 WHOLE = "".join(f"id: {n}\ndata: text {n}\n\n" for n in range(1, EVENTS + 1))
 
