--- a/dahliashunt/platform/standins/__init__.py
+++ b/dahliashunt/platform/standins/__init__.py
@@ -8,5 +8,6 @@
 from dahliashunt.platform.standins.replica import Step
 from dahliashunt.platform.standins.settings import settings_fields
 from dahliashunt.platform.standins.store import StoreStandin
+from dahliashunt.platform.standins.store import Trouble
 
 __all__ = ["ReplicaStandin", "Step", "StoreStandin", "settings_fields"]
--- a/dahliashunt/platform/standins/store.py
+++ b/dahliashunt/platform/standins/store.py
@@ -29,6 +29,9 @@
         Never answer, and do nothing.
     lose_answers : int
         Apply so many writes more, and never answer them.
+    late_writes : int
+        Apply so many writes more only after `late_ms`, if their condition
+        holds then, and never answer them.
     delay_ms : int
         Before each answer.
     """
@@ -36,6 +39,8 @@
     status: int | None = None
     silent: bool = False
     lose_answers: int = 0
+    late_writes: int = 0
+    late_ms: int = 0
     delay_ms: int = 0
 
 
@@ -150,6 +155,12 @@
             scope["query_string"].decode(), keep_blank_values=True
         )
         fields = {name: values[0] for name, values in query.items()}
+        if path == "/api/rows-tx" and trouble.late_writes > 0:
+            trouble.late_writes -= 1
+            loop = asyncio.get_running_loop()
+            late_s = trouble.late_ms / 1000
+            loop.call_later(late_s, self._transact, json.loads(body))
+            return None
         if path == "/api/rows-tx":
             answer = self._transact(json.loads(body))
         elif path == "/api/rows-get":
