--- a/dahliashunt/platform/standins/__init__.py
+++ b/dahliashunt/platform/standins/__init__.py
@@ -10,4 +10,10 @@
 from dahliashunt.platform.standins.store import StoreStandin
 from dahliashunt.platform.standins.store import Trouble
 
-__all__ = ["ReplicaStandin", "Step", "StoreStandin", "settings_fields"]
+__all__ = [
+    "ReplicaStandin",
+    "Step",
+    "StoreStandin",
+    "Trouble",
+    "settings_fields",
+]
--- a/dahliashunt/platform/standins/replica.py
+++ b/dahliashunt/platform/standins/replica.py
@@ -38,6 +38,10 @@
         Sent after the answer, belonging to nothing.
     gap_ms : int
         Between events.
+    head_ms : int
+        Before the head.
+    reset_unanswered : bool
+        Reset the connection instead of the head.
     """
 
     status: int = 200
@@ -49,6 +53,8 @@
     cut_body_at: int | None = None
     extra: bytes = b""
     gap_ms: int = 0
+    head_ms: int = 0
+    reset_unanswered: bool = False
 
 
 @dataclass
@@ -161,6 +167,9 @@
         return answer.result()
 
     async def _answer(self, arrival, step, writer):
+        await asyncio.sleep(step.head_ms / 1000)
+        if step.reset_unanswered:
+            return False
         writer.write(self._head(arrival, step))
         if step.cut_body_at is not None:
             writer.write(step.body[: step.cut_body_at])
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -193,6 +193,7 @@
         (
             Step(events=EVENTS, cut_after=rng.randrange(EVENTS)),
             Step(events=EVENTS, silent_after=rng.randrange(EVENTS)),
+            Step(reset_unanswered=True, head_ms=rng.choice((0, 45))),
             Step(status=500, body=b"broken"),
             Step(status=503, not_run=True, body=b""),
             Step(body=b"short", cut_body_at=2),
--- a/tests/soak/replica.py
+++ b/tests/soak/replica.py
@@ -12,7 +12,8 @@
 __all__ = ["EVENTS", "SLOTS", "SoakReplica", "answer_text"]
 
 EVENTS = 12
-GAP_MS = 15
+GAP_MS = 12
+HEAD_MS = 45
 SLOTS = 4
 QUEUE = 8
 
@@ -83,7 +84,7 @@
         for chance, step in self.step_by_chance:
             if self.rng.random() < chance:
                 return step
-        return Step(events=EVENTS, gap_ms=GAP_MS)
+        return Step(events=EVENTS, gap_ms=GAP_MS, head_ms=HEAD_MS)
 
     async def _answer(self, arrival, step, writer):
         if not step.not_run:
