A replica just started is asked after warm ones with room

Cause: the list says how much longer a replica is slow, and nothing used it: new replicas look idle and draw everything.

Ruled out: leaving them out (their slots are wanted when others are full).

Before: the two new tests fail (the new replica first).

--- a/dahliashunt/decisions/replica_choice.py
+++ b/dahliashunt/decisions/replica_choice.py
@@ -14,8 +14,10 @@
 
 How
 ---
-Suspected and absent replicas go last. Among the rest the one that most
-probably keeps the request's shared prompt parts is first, chosen by
+Suspected and absent replicas go last, and before them those that were just
+started and are still slow: what they are given is late while a warm one has
+room, and their slots are wanted only when no other is left. Among the rest
+the one that most probably keeps the request's shared prompt parts is first, chosen by
 rendezvous over the deepest shared part, as long as it has some room; the
 others follow by free slots, with ties drawn at random.
 
@@ -53,6 +55,8 @@
         Suspected, or said to be absent by its agent.
     near : bool
         Stands in this entry's data centre.
+    cold : bool
+        Still slow after its start.
     """
 
     replica_id: str
@@ -61,6 +65,7 @@
     age_ms: int
     avoided: bool
     near: bool
+    cold: bool = False
 
 
 def order_replicas(
@@ -88,7 +93,7 @@
     if not affinity:
         return ordered
     keeper = max(
-        (one for one in ordered if not one.avoided),
+        (one for one in ordered if not one.avoided and not one.cold),
         key=lambda one: _weight(affinity, one.replica_id),
         default=None,
     )
@@ -98,7 +103,15 @@
 
 
 def _rank(one, rng):
-    return (one.avoided, -_free(one), not one.near, rng.random())
+    no_room = _free(one) == 0
+    return (
+        one.avoided,
+        no_room,
+        one.cold,
+        -_free(one),
+        not one.near,
+        rng.random(),
+    )
 
 
 def _free(one):
--- a/dahliashunt/decisions/tests/test_replica_choice.py
+++ b/dahliashunt/decisions/tests/test_replica_choice.py
@@ -31,6 +31,25 @@
     assert order([broken, candidate("b", 7)]) == ["b", "a"]
 
 
+def test_a_replica_that_was_just_started_waits_for_its_warmth():
+    # Replicas were replaced one after another; the new ones look idle and
+    # are slow for some seconds, so that all that comes goes there and is
+    # late beside warm replicas with room.
+    new = candidate("new", 0, cold=True)
+    assert order([new, candidate("b", 7)]) == ["b", "new"]
+    assert order([new, candidate("b", 8)]) == ["new", "b"]
+    assert order([new, candidate("b", 0, avoided=True)]) == ["new", "b"]
+
+
+def test_a_prompts_parts_do_not_draw_to_a_replica_just_started():
+    fleet = [candidate(name) for name in "abcde"]
+    (first, *_) = order(fleet, "part-7")
+    started = [
+        candidate(o.replica_id, cold=o.replica_id == first) for o in fleet
+    ]
+    assert order(started, "part-7")[0] != first
+
+
 def test_unknown_load_counts_as_half_full():
     unknown = candidate("a", 0, age_ms=FRESH_MS + 1)
     names = order([candidate("b", 7), unknown, candidate("c", 1)])
--- a/dahliashunt/forwarding/placing.py
+++ b/dahliashunt/forwarding/placing.py
@@ -242,6 +242,7 @@
             age_ms=age_ms,
             avoided=avoided,
             near=replica.data_centre == self._data_centre,
+            cold=self._book.is_cold(replica, now_ms),
         )
 
     def _agent(self, replica):
--- a/dahliashunt/forwarding/replicas.py
+++ b/dahliashunt/forwarding/replicas.py
@@ -67,13 +67,14 @@
         self._current_by_address: dict[tuple[str, int], str] = {}
         self._usable_by_service: dict[str, tuple[Replica, ...]] = {}
         self._lapsed_ms_by_id: dict[str, int] = {}
+        self._warm_at_ms_by_id: dict[str, int] = {}
         self._outage_ended_ms: int | None = None
 
     def outage_ended(self, now_ms: int) -> None:
         """Note that the list answers again after it did not."""
         self._outage_ended_ms = now_ms
 
-    def put(self, replica: Replica, version: int) -> None:
+    def put(self, replica: Replica, version: int, now_ms: int = 0) -> None:
         """Take over one entry, which was written at `version`.
 
         Of two entries with one address the later written one counts: a
@@ -85,6 +86,10 @@
         replica_id = replica.replica_id
         held = self._replica_by_id.get(replica_id)
         self._version_by_id[replica_id] = version
+        if replica.warm_in_ms > 0:
+            self._warm_at_ms_by_id[replica_id] = now_ms + replica.warm_in_ms
+        else:
+            self._warm_at_ms_by_id.pop(replica_id, None)
         self._lapsed_ms_by_id.pop(replica_id, None)
         if held != replica:
             if held is not None and held.address != replica.address:
@@ -133,7 +138,7 @@
             if replica_id not in listed:
                 self.remove(replica_id, now_ms)
         for replica, version in replicas:
-            self.put(replica, version)
+            self.put(replica, version, now_ms)
 
     def expire(self, now_ms: int) -> None:
         """Drop lapsed entries that did not come back."""
@@ -148,6 +153,16 @@
             self._usable_by_service.clear()
             self._leave_address(replica)
         self._version_by_id.pop(replica_id, None)
+        self._warm_at_ms_by_id.pop(replica_id, None)
+
+    def is_cold(self, replica: Replica, now_ms: int) -> bool:
+        """Tell whether `replica` is still slow after its start.
+
+        The list says how much longer; the time runs on here between two
+        writes of the list.
+        """
+        warm_at_ms = self._warm_at_ms_by_id.get(replica.replica_id)
+        return warm_at_ms is not None and now_ms < warm_at_ms
 
     def get(self, replica_id: str) -> Replica | None:
         """Return the entry called `replica_id`, or None."""
--- a/dahliashunt/forwarding/tests/test_replicas.py
+++ b/dahliashunt/forwarding/tests/test_replicas.py
@@ -86,3 +86,14 @@
     before = book.get("a").life
     book.put(replica("a", 0, born_ms=5), 2)
     assert book.get("a").life != before
+
+
+def test_a_replica_warms_up_between_two_writes_of_the_list(book):
+    # The list is written anew only when more than its counter changes, so
+    # that a replica looked slow for as long as its row stood.
+    book.put(replica("a", 0, warm_in_ms=3_000), 2, 1_000)
+    assert book.is_cold(book.get("a"), 3_999)
+    assert not book.is_cold(book.get("a"), 4_000)
+    assert not book.is_cold(book.get("b"), 1_000)
+    book.put(replica("a", 0), 3, 2_000)
+    assert not book.is_cold(book.get("a"), 2_000)
--- a/dahliashunt/platform/listeners.py
+++ b/dahliashunt/platform/listeners.py
@@ -76,7 +76,7 @@
                 born_ms=replica.born_ms,
                 new=held is None,
             )
-        self._book.put(replica, row.version)
+        self._book.put(replica, row.version, self._clock.now_ms())
 
     def removed(self, key: str) -> None:
         """Drop one entry."""
