--- a/dahliashunt/decisions/replica_choice.py
+++ b/dahliashunt/decisions/replica_choice.py
@@ -17,9 +17,9 @@
 Suspected and absent replicas go last, and before them those that were just
 started and are still slow: what they are given is late while a warm one has
 room, and their slots are wanted only when no other is left. Among the rest
-the one that most probably keeps the request's shared prompt parts is first, chosen by
-rendezvous over the deepest shared part, as long as it has some room; the
-others follow by free slots, with ties drawn at random.
+the one that most probably keeps the request's shared prompt parts is first,
+chosen by rendezvous over the deepest shared part, as long as it has some
+room; the others follow by free slots, with ties drawn at random.
 
 Complexity: one hash and one comparison key a replica.
 """
