What is kept of a job goes when its promised time is over

Ruled out: a lapse by the store (it knows none); removal of the job's row first (an interrupted removal would never be found again).

Before: the three new tests fail (no removal exists). After: they pass. Calls: per job one for the object, two per 90 results, four for its rows, of the last owner, or of any node a minute later.

--- /dev/null
+++ b/dahliashunt/jobs/expiry.py
@@ -0,0 +1,113 @@
+"""Remove what is kept of jobs once callers may no longer ask for it.
+
+The store keeps every row for ever, a restarted node reads all of them, and
+each node holds them in memory. At the size to design for that is 11,000
+jobs and 12 million results more each day.
+"""
+
+import random
+
+from dahliashunt.errors import PlatformUnavailable
+from dahliashunt.errors import RequestError
+from dahliashunt.errors import TransactionConflict
+from dahliashunt.errors import WriteOutcomeUnknown
+from dahliashunt.jobs.ledger import JobLedger
+from dahliashunt.jobs.model import Job
+from dahliashunt.jobs.model import JobState
+from dahliashunt.jobs.view import JobView
+from dahliashunt.ports import Clock
+
+__all__ = ["Expiry"]
+
+MARGIN_MS = 60_000
+"""Longer than promised: callers' clocks and the way of their calls, and
+reads that began in time."""
+
+ORPHANED_MS = 60_000
+"""So long after that any node removes a job whose last owner did not: it
+was replaced meanwhile."""
+
+LOOK_MS = (10_000, 20_000)
+"""Between looks, drawn anew each time so that nodes do not look together."""
+
+MOST_AT_ONCE = 8
+"""Jobs removed in one look, so that it never crowds out a job's listing:
+with one owner that is 23,000 jobs a day at the slowest pace."""
+
+
+class Expiry:
+    """Removes jobs that ended long ago.
+
+    Parameters
+    ----------
+    view : JobView
+    ledger : JobLedger
+    keep_ms : int
+        How long results stay readable after a job's acceptance.
+    store_now_ms : callable
+        The store's clock, as known here.
+    clock : Clock
+    rng : random.Random
+    log : structlog logger
+    """
+
+    def __init__(
+        self,
+        view: JobView,
+        ledger: JobLedger,
+        keep_ms: int,
+        store_now_ms,
+        clock: Clock,
+        rng: random.Random,
+        log,
+    ):
+        self._view = view
+        self._ledger = ledger
+        self._keep_ms = keep_ms
+        self._store_now_ms = store_now_ms
+        self._clock = clock
+        self._rng = rng
+        self._log = log
+
+    async def run(self) -> None:
+        """Look for expired jobs, for ever."""
+        while True:
+            await self._clock.sleep_ms(self._rng.randint(*LOOK_MS))
+            await self.look(self._store_now_ms())
+
+    async def look(self, store_now_ms: int) -> None:
+        """Remove some of the jobs that have expired by `store_now_ms`."""
+        expired = [
+            job
+            for job in self._view.jobs()
+            if self._is_expired(job, store_now_ms)
+        ]
+        self._rng.shuffle(expired)
+        for job in expired[:MOST_AT_ONCE]:
+            try:
+                await self._ledger.remove(job)
+            except (
+                PlatformUnavailable,
+                RequestError,
+                TransactionConflict,
+                WriteOutcomeUnknown,
+            ) as error:
+                # The job's own row goes last, so that it is found again.
+                self._log.warning(
+                    "job_not_removed", job_id=job.job_id, reason=str(error)
+                )
+                return
+            self._log.info("job_removed", job_id=job.job_id)
+
+    def _is_expired(self, job: Job, store_now_ms):
+        """Tell whether this node is to remove `job` now.
+
+        The last owner does so; two nodes that both do harm nothing, and
+        only cost the calls twice.
+        """
+        if job.state is JobState.OPEN:
+            return False
+        over_ms = store_now_ms - job.accepted_ms - self._keep_ms - MARGIN_MS
+        if self._view.progress(job).owner == self._ledger.owner:
+            return over_ms > 0
+        return over_ms > ORPHANED_MS
--- a/dahliashunt/jobs/ledger.py
+++ b/dahliashunt/jobs/ledger.py
@@ -45,6 +45,9 @@
 """Text of one read of results, and of one listing: with its escapes well
 under the 1 MB that an answer or a transaction takes."""
 
+MOST_REMOVED = 90
+"""Rows removed in one transaction; the store takes a hundred."""
+
 QUOTA_RETRY_MS = 1_000
 """Retry-After of a job that does not fit: items of some five seconds end
 all the time, and the oldest job's in about so long."""
@@ -226,6 +229,9 @@
             rows = await self._table.read_range(start, end, wanted)
         except PlatformUnavailable as error:
             raise _store_away(error, Ran.NO) from None
+        if len(rows) < wanted:
+            # The job is being removed, at this moment, by another node.
+            raise _store_away("results are missing", Ran.NO)
         texts = iter(json.loads(row.value) for row in rows)
         results = []
         for each in listed[first:last]:
@@ -292,6 +298,35 @@
         self._view.learn_job(changed, versions[0])
         return True
 
+    async def remove(self, job: Job) -> None:
+        """Remove all that is kept of a job that is not open.
+
+        Its own row goes last: what an interrupted removal leaves behind
+        is found again by it.
+
+        Raises
+        ------
+        PlatformUnavailable, WriteOutcomeUnknown, TransactionConflict
+            Something is left.
+        """
+        await self._objects.delete(job.payload)
+        start, end = results_range(job.job_id, 0, len(job.items))
+        while True:
+            rows = await self._table.read_range(start, end, MOST_REMOVED)
+            if not rows:
+                break
+            await self._table.transact(
+                tuple(Write(row.key, None) for row in rows)
+            )
+        await self._drop(progress_key(job.job_id))
+        await self._drop(job_key(job.job_id))
+
+    async def _drop(self, key):
+        row = await self._table.read(key)
+        if row is not None:
+            await self._table.transact((Write(key, None, row.version),))
+        self._view.removed(key)
+
     # Ownership and listing.
 
     async def take_over(self, job: Job) -> bool:
--- a/dahliashunt/jobs/view.py
+++ b/dahliashunt/jobs/view.py
@@ -102,6 +102,10 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def jobs(self) -> list[Job]:
+        """Return every job that is known here, open or not."""
+        return [known.value for known in self.job_by_id.values()]
+
     def job(self, job_id: JobId) -> Job | None:
         """Return the job, if it is known here."""
         known = self.job_by_id.get(job_id)
--- a/dahliashunt/platform/job_parts.py
+++ b/dahliashunt/platform/job_parts.py
@@ -8,6 +8,7 @@
 from dahliashunt.ids import NodeId
 from dahliashunt.jobs.beats import BeatReader
 from dahliashunt.jobs.beats import BeatWriter
+from dahliashunt.jobs.expiry import Expiry
 from dahliashunt.jobs.ledger import JobLedger
 from dahliashunt.jobs.model import Owner
 from dahliashunt.jobs.takeover import Takeover
@@ -23,10 +24,20 @@
 class JobParts:
     """The view, the ledger and the worker of one entry.
 
+    Parameters
+    ----------
+    node : Node
+    store : PlatformStore
+    places : Places
+    pool : ConnectionPool
+    keep_ms : int
+        How long results stay readable after a job's acceptance.
+
     Attributes
     ----------
     view : JobView
     ledger : JobLedger
+    expiry : Expiry
     """
 
     def __init__(
@@ -35,6 +46,7 @@
         store: PlatformStore,
         places: Places,
         pool: ConnectionPool,
+        keep_ms: int,
     ):
         node_id = NodeId(node.metrics.node_id)
         owner = Owner(node_id, secrets.token_hex(6))
@@ -51,6 +63,15 @@
             JobBodies(),
             store.now_ms,
         )
+        self.expiry = Expiry(
+            self.view,
+            self.ledger,
+            keep_ms,
+            store.now_ms,
+            node.clock,
+            node.rng,
+            node.log,
+        )
         self._takeover = Takeover(
             self.view,
             self.ledger,
@@ -68,4 +89,5 @@
             self._worker.run(),
             self._takeover.renew(),
             self._takeover.watch(),
+            self.expiry.run(),
         ]
--- a/dahliashunt/platform/serve_entry.py
+++ b/dahliashunt/platform/serve_entry.py
@@ -141,7 +141,13 @@
             metrics,
             log,
         )
-        self.jobs = JobParts(self.node, self._store, self._places, self._pool)
+        self.jobs = JobParts(
+            self.node,
+            self._store,
+            self._places,
+            self._pool,
+            boot.bounds.result_ms,
+        )
         self._followers = [
             self._follower((CONFIG_KEY,), ConfigRows(self.node, log)),
             self._follower(
--- a/dahliashunt/platform/standins/store.py
+++ b/dahliashunt/platform/standins/store.py
@@ -29,6 +29,8 @@
         Never answer, and do nothing.
     lose_answers : int
         Apply so many writes more, and never answer them.
+    refuse_writes_after : int or None
+        Take so many writes more, then refuse them with 503.
     late_writes : int
         Apply so many writes more only after `late_ms`, if their condition
         holds then, and never answer them.
@@ -39,6 +41,7 @@
     status: int | None = None
     silent: bool = False
     lose_answers: int = 0
+    refuse_writes_after: int | None = None
     late_writes: int = 0
     late_ms: int = 0
     delay_ms: int = 0
@@ -105,6 +108,10 @@
         found = self._rows.by_key.get((table, part, key))
         return base64.b64decode(found[0]).decode() if found else None
 
+    def names(self) -> list[tuple[str, str, str]]:
+        """Return table, part and key of every row."""
+        return list(self._rows.by_key)
+
     def forget_history(self) -> None:
         """Drop the history: feeds get 410 from before now."""
         self._rows.changes.clear()
@@ -151,6 +158,8 @@
             return None
         if trouble.status is not None:
             return trouble.status, b""
+        if scope["method"] != "GET" and self._refuses_write():
+            return 503, b""
         query = parse_qs(
             scope["query_string"].decode(), keep_blank_values=True
         )
@@ -175,6 +184,13 @@
             return None
         return answer
 
+    def _refuses_write(self):
+        left = self.trouble.refuse_writes_after
+        if left is None:
+            return False
+        self.trouble.refuse_writes_after = max(0, left - 1)
+        return left == 0
+
     def _transact(self, call):
         writes, removes = call.get("writes", ()), call.get("remove", ())
         conditions = call.get("if-rev", ())
--- a/dahliashunt/platform/tests/test_jobs.py
+++ b/dahliashunt/platform/tests/test_jobs.py
@@ -8,9 +8,14 @@
 
 from dahliashunt.errors import PlatformUnavailable
 from dahliashunt.jobs import JobState
+from dahliashunt.jobs.expiry import MARGIN_MS
+from dahliashunt.jobs.expiry import ORPHANED_MS
 from dahliashunt.jobs.item_run import REFUSED_WAIT_MS
 from dahliashunt.platform.standins.settings import route_fields
 
+KEEP_MS = 120_000
+"""As the stand-in's settings say."""
+
 ROUTE = route_fields(
     **{
         "kind": "batch",
@@ -334,3 +339,68 @@
         await read_all(p)
 
     platform(scenario, ROUTE)
+
+
+def job_rows(p):
+    """Return how much the store keeps of jobs."""
+    names = p.store.names()
+    tables = ("jobs", "progress", "results")
+    return sum(name[0] in tables for name in names) + len(
+        p.store.object_by_name
+    )
+
+
+def test_what_is_kept_of_a_job_goes_when_its_time_is_over(platform):
+    # A fleet runs for weeks: every result of every job stays in the store
+    # and in each node's memory, and a restarted node reads all of them.
+    async def scenario(p):
+        p.replicas[0].then(events=2)
+        other = await p.add_entry()
+        await submit(p, body=job_body(*(f"i{n}" for n in range(7))))
+        await read_all(p)
+        jobs = p.entries[0].jobs
+        kept_until_ms = jobs.view.jobs()[0].accepted_ms + KEEP_MS + MARGIN_MS
+        await p.until(lambda: jobs.view.jobs()[0].state is not JobState.OPEN)
+        await jobs.expiry.look(kept_until_ms)
+        assert job_rows(p) == 7 + 3
+        # Its owner removes it first, any node a while later.
+        await other.jobs.expiry.look(kept_until_ms + ORPHANED_MS + 1)
+        assert job_rows(p) == 0
+        await p.until(lambda: not jobs.view.jobs())
+        for entry in p.entries:
+            assert (await read(p, entry=entry)).status == 404
+
+    platform(scenario, ROUTE)
+
+
+def test_an_open_job_is_kept_however_old_it_is(platform):
+    async def scenario(p):
+        p.replicas[0].then(events=1, silent_after=0)
+        await submit(p)
+        before = job_rows(p)
+        year_ms = 365 * 24 * 3_600_000
+        await p.entries[0].jobs.expiry.look(year_ms)
+        assert job_rows(p) == before
+
+    platform(scenario, ROUTE)
+
+
+def test_a_removal_that_is_cut_short_is_taken_up_again(platform):
+    # The store goes away in the middle: what is left must not stay for
+    # ever, and a read meanwhile must not tell a wrong result.
+    async def scenario(p):
+        p.replicas[0].then(events=2)
+        await submit(p)
+        await read_all(p)
+        jobs = p.entries[0].jobs
+        await p.until(lambda: jobs.view.jobs()[0].state is not JobState.OPEN)
+        later_ms = jobs.view.jobs()[0].accepted_ms + KEEP_MS + MARGIN_MS + 1
+        p.store.trouble.refuse_writes_after = 2
+        await jobs.expiry.look(later_ms)
+        assert 0 < job_rows(p) < 6
+        assert (await read(p)).status == 503
+        p.store.trouble.refuse_writes_after = None
+        await jobs.expiry.look(later_ms)
+        assert job_rows(p) == 0
+
+    platform(scenario, ROUTE)
