--- a/dahliashunt/decisions/loss_counts.py
+++ b/dahliashunt/decisions/loss_counts.py
@@ -17,9 +17,9 @@
 All runs that are lost by one cause, such as a rack without power, had begun
 before the first of them was lost, so that a run does not count if it began
 before the last loss that was counted. A resend of a crashing request does.
-Where every replica is lost for longer, as
-with a cut network, popular requests are refused all the same; the first
-term is short, so that they come back soon after the replicas do.
+Where every replica is lost for longer, as with a cut network, popular
+requests are refused all the same; the first term is short, so that they
+come back soon after the replicas do.
 
 Grounds: three losses by chance, at 5 in 100 in the worst seconds seen,
 are 1 in 8,000 of the requests that are sent three times at all. Counts end
