Items that can still be in time go before late ones

Cause: waiting items went by their due time alone; after an outage each item that is late already makes another one late. A revoke took the slot of the item with the latest due time, never that of a late one.

Ruled out: giving late items up (each is still done and delivered).

--- a/dahliashunt/decisions/slot_keeper.py
+++ b/dahliashunt/decisions/slot_keeper.py
@@ -109,7 +109,7 @@
     wait_ms : int
         How long an online request would wait here.
     slack_ms : int
-        Of a batch item: time until it is due.
+        Of a batch item: how long it may wait and be in time; 0 if late.
     """
 
     attempt_id: AttemptId
@@ -320,7 +320,7 @@
         ]
         if not batch:
             return None
-        ask = max(batch, key=lambda held: held.due_ms).ask
+        ask = max(batch, key=_revocable).ask
         del self._hold_by_id[ask.attempt_id]
         self._revoked_ms_by_run[ask.run_id] = now_ms
         return Revoked(ask.attempt_id, ask.asker)
@@ -346,3 +346,11 @@
 
     def _say(self, ask, verdict):
         return Answered(ask.attempt_id, ask.asker, verdict)
+
+
+def _revocable(held):
+    """Order batch holds: late ones go first, then those with most time.
+
+    A late item loses nothing by a pause; one that is just in time does.
+    """
+    return (held.ask.slack_ms <= 0, held.due_ms)
--- a/dahliashunt/jobs/worker.py
+++ b/dahliashunt/jobs/worker.py
@@ -1,15 +1,17 @@
 """Run the items of the jobs that this node owns, and list their results.
 
-The most urgent waiting item asks for a slot; when none is to be had the
-worker pauses for a moment. A revoked item waits again with what it has.
+The waiting item that `ItemQueue` names asks for a slot; when none is to be
+had the worker pauses for a moment. A revoked item waits again with what it
+has.
 """
 
 import asyncio
-import heapq
-import itertools
 import random
 
 from dahliashunt.adapters.http1 import ConnectionPool
+from dahliashunt.decisions.item_queue import ItemQueue
+from dahliashunt.decisions.item_queue import spare_ms
+from dahliashunt.decisions.item_queue import WaitingItem
 from dahliashunt.decisions.slot_keeper import Use
 from dahliashunt.errors import PlatformUnavailable
 from dahliashunt.errors import RequestError
@@ -36,6 +38,16 @@
 """Between asks while every slot is taken: a slot of a busy fleet of five
 replicas frees every 20 ms, and each ask costs a datagram a replica."""
 
+LATE_PAUSE_MS = (200, 400)
+"""The same where the item is late already: those of other owners that can
+still be in time find the next slots first."""
+
+FIRST_USUAL_MS = 5_000
+"""How long items hold slots before any was done here, as the users' do."""
+
+USUAL_WEIGHT = 0.1
+"""Weight of a new item in the mean: the last ten or so count."""
+
 RETRY_MS = (150, 400)
 """Between tries of a listing while the store does not answer."""
 
@@ -93,8 +105,8 @@
         self.log = node.log
         self._rng: random.Random = node.rng
         self._run_by_id: dict[JobId, _JobRun] = {}
-        self._waiting: list = []
-        self._order = itertools.count()
+        self._waiting = ItemQueue()
+        self._usual_ms: float = FIRST_USUAL_MS
         self._woken = asyncio.Event()
         self._running = 0
         self.held_characters = 0
@@ -136,9 +148,9 @@
         self._run_by_id.pop(job_id, None)
 
     def wait_for_slot(self, job_run, item: ItemRun) -> None:
-        """Queue `item` for a slot, the one due first ahead."""
-        entry = (item.due_ms, next(self._order), job_run, item)
-        heapq.heappush(self._waiting, entry)
+        """Queue `item` for a slot."""
+        work = (job_run, item)
+        self._waiting.put(WaitingItem(item.due_ms, item.ran_ms, work))
         self._woken.set()
 
     async def _pump(self):
@@ -148,13 +160,13 @@
                 self._woken.clear()
                 await self._pause_or_wake()
                 continue
-            job_run, item = entry[2], entry[3]
-            place = await self._place(job_run, item)
+            job_run, item = entry.work
+            place = await self._place(entry)
             if place is _NOWHERE:
                 continue
             if place is None:
-                heapq.heappush(self._waiting, entry)
-                await self._pause()
+                self._waiting.put(entry)
+                await self._pause(entry)
                 continue
             if job_run.stopped:
                 place.release()
@@ -162,8 +174,12 @@
             self._running += 1
             job_run.spawn(self._attempt(job_run, item, place))
 
-    async def _pause(self):
-        await self.clock.sleep_ms(self._rng.randint(*PAUSE_MS))
+    async def _pause(self, entry):
+        pause_ms = PAUSE_MS if self._spare_ms(entry) >= 0 else LATE_PAUSE_MS
+        await self.clock.sleep_ms(self._rng.randint(*pause_ms))
+
+    def _spare_ms(self, entry):
+        return spare_ms(entry, self.clock.now_ms(), self._usual_ms)
 
     async def _pause_or_wake(self):
         try:
@@ -181,22 +197,22 @@
         now_ms = self.clock.now_ms()
         later = []
         found = None
-        while self._waiting and found is None:
-            entry = heapq.heappop(self._waiting)
-            if entry[2].stopped:
+        while len(self._waiting) and found is None:
+            entry = self._waiting.take(now_ms, self._usual_ms)
+            job_run, item = entry.work
+            if job_run.stopped:
                 continue
-            if entry[3].not_before_ms > now_ms and (
-                entry[3].abandon_ms > now_ms
-            ):
+            if now_ms < item.not_before_ms and now_ms < item.abandon_ms:
                 later.append(entry)
             else:
                 found = entry
         for entry in later:
-            heapq.heappush(self._waiting, entry)
+            self._waiting.put(entry)
         return found
 
-    async def _place(self, job_run, item):
-        """Return a place for `item`, or None if there is no slot now."""
+    async def _place(self, entry):
+        """Return a place for an item, or None if there is no slot now."""
+        job_run, item = entry.work
         now_ms = self.clock.now_ms()
         route = self.node.catalog.match(job_run.job.host, item.call.target)
         if route is None or route.kind is not RouteKind.BATCH:
@@ -212,7 +228,7 @@
             use=Use.BATCH,
             affinity=parts[-1] if parts else "",
             wait_ms=0,
-            slack_ms=max(0, item.due_ms - now_ms),
+            slack_ms=max(0, self._spare_ms(entry)),
             avoid=frozenset(),
             on_revoke=item.revoke,
         )
@@ -251,6 +267,7 @@
         life = place.replica.life
         if end is ItemEnd.DONE:
             suspicion.served(life)
+            self._usual_ms += USUAL_WEIGHT * (item.ran_ms - self._usual_ms)
             job_run.finish(item, Outcome.DONE, "")
             return
         if end in (ItemEnd.LOST, ItemEnd.FAILED, ItemEnd.NOT_RUN):
