--- a/dahliashunt/decisions/slot_keeper.py
+++ b/dahliashunt/decisions/slot_keeper.py
@@ -320,7 +320,7 @@
         ]
         if not batch:
             return None
-        ask = max(batch, key=_revocable).ask
+        ask = max(batch, key=lambda held: held.due_ms).ask
         del self._hold_by_id[ask.attempt_id]
         self._revoked_ms_by_run[ask.run_id] = now_ms
         return Revoked(ask.attempt_id, ask.asker)
@@ -346,11 +346,3 @@
 
     def _say(self, ask, verdict):
         return Answered(ask.attempt_id, ask.asker, verdict)
-
-
-def _revocable(held):
-    """Order batch holds: late ones go first, then those with most time.
-
-    A late item loses nothing by a pause; one that is just in time does.
-    """
-    return (held.ask.slack_ms <= 0, held.due_ms)
--- a/dahliashunt/jobs/worker.py
+++ b/dahliashunt/jobs/worker.py
@@ -38,10 +38,6 @@
 """Between asks while every slot is taken: a slot of a busy fleet of five
 replicas frees every 20 ms, and each ask costs a datagram a replica."""
 
-LATE_PAUSE_MS = (200, 400)
-"""The same where the item is late already: those of other owners that can
-still be in time find the next slots first."""
-
 FIRST_USUAL_MS = 5_000
 """How long items hold slots before any was done here, as the users' do."""
 
@@ -166,7 +162,7 @@
                 continue
             if place is None:
                 self._waiting.put(entry)
-                await self._pause(entry)
+                await self._pause()
                 continue
             if job_run.stopped:
                 place.release()
@@ -174,9 +170,8 @@
             self._running += 1
             job_run.spawn(self._attempt(job_run, item, place))
 
-    async def _pause(self, entry):
-        pause_ms = PAUSE_MS if self._spare_ms(entry) >= 0 else LATE_PAUSE_MS
-        await self.clock.sleep_ms(self._rng.randint(*pause_ms))
+    async def _pause(self):
+        await self.clock.sleep_ms(self._rng.randint(*PAUSE_MS))
 
     def _spare_ms(self, entry):
         return spare_ms(entry, self.clock.now_ms(), self._usual_ms)
