Take back the order of items by whether they can be in time

Cause of the failure: what an item still needs is not known well enough. Its run is stretched by revokes, so that items were called late that were not.

--- a/dahliashunt/adapters/slots/client.py
+++ b/dahliashunt/adapters/slots/client.py
@@ -56,7 +56,7 @@
         The request's id, under which the replica lists it.
     use : Use
     slack_ms : int
-        Of a batch item: how long it may wait and be in time; 0 if late.
+        Of a batch item: time until it is due.
     on_revoke : callable
         Called without arguments when a granted slot is taken back.
     """
--- a/dahliashunt/adapters/wire/link.thrift
+++ b/dahliashunt/adapters/wire/link.thrift
@@ -171,7 +171,7 @@
   1: string attempt_id;
   2: SlotUse use;
   3: i32 wait_ms;           // how long the asker would wait for a slot
-  4: i32 slack_ms;          // batch: how long it may wait, 0 if late
+  4: i32 slack_ms;          // batch: how long until the item is due
   5: string run_id;         // how the replica lists the request
 }
 
--- a/dahliashunt/decisions/slot_keeper.py
+++ b/dahliashunt/decisions/slot_keeper.py
@@ -109,7 +109,7 @@
     wait_ms : int
         How long an online request would wait here.
     slack_ms : int
-        Of a batch item: how long it may wait and be in time; 0 if late.
+        Of a batch item: time until it is due.
     """
 
     attempt_id: AttemptId
--- a/dahliashunt/forwarding/placing.py
+++ b/dahliashunt/forwarding/placing.py
@@ -61,7 +61,7 @@
     wait_ms : int
         How long the request may wait for a slot.
     slack_ms : int
-        Of a batch item: how long it may wait and be in time; 0 if late.
+        Of a batch item: time until it is due.
     avoid : frozenset
         Lives of replicas that were tried.
     on_revoke : callable
--- a/dahliashunt/jobs/item_run.py
+++ b/dahliashunt/jobs/item_run.py
@@ -62,15 +62,6 @@
     call : Call
     due_ms, abandon_ms : int
         Monotonic times of this node.
-
-    Attributes
-    ----------
-    failures : int
-        Failures that its replicas answered.
-    not_before_ms : int
-        It is not to be tried again sooner.
-    ran_ms : int
-        How long it has run; what it made is kept.
     """
 
     def __init__(self, index: int, call: Call, due_ms: int, abandon_ms: int):
@@ -80,7 +71,6 @@
         self.abandon_ms = abandon_ms
         self.failures = 0
         self.not_before_ms = 0
-        self.ran_ms = 0
         self._losses = 0
         self._last_event = 0
         self._texts: list[str] = []
@@ -123,13 +113,11 @@
             request, lambda head: dialect.answers(self.call, head)
         )
         self._connection = connection
-        began_ms = clock.now_ms()
         end = ItemEnd.LOST
         try:
             end = await self._relay(connection, box, dialect)
         finally:
             self._connection = None
-            self.ran_ms += clock.now_ms() - began_ms
             if end in (ItemEnd.LOST, ItemEnd.REVOKED):
                 connection.abort()
             pool.give_back(address, connection)
--- a/dahliashunt/jobs/worker.py
+++ b/dahliashunt/jobs/worker.py
@@ -1,17 +1,15 @@
 """Run the items of the jobs that this node owns, and list their results.
 
-The waiting item that `ItemQueue` names asks for a slot; when none is to be
-had the worker pauses for a moment. A revoked item waits again with what it
-has.
+The most urgent waiting item asks for a slot; when none is to be had the
+worker pauses for a moment. A revoked item waits again with what it has.
 """
 
 import asyncio
+import heapq
+import itertools
 import random
 
 from dahliashunt.adapters.http1 import ConnectionPool
-from dahliashunt.decisions.item_queue import ItemQueue
-from dahliashunt.decisions.item_queue import spare_ms
-from dahliashunt.decisions.item_queue import WaitingItem
 from dahliashunt.decisions.slot_keeper import Use
 from dahliashunt.errors import PlatformUnavailable
 from dahliashunt.errors import RequestError
@@ -38,12 +36,6 @@
 """Between asks while every slot is taken: a slot of a busy fleet of five
 replicas frees every 20 ms, and each ask costs a datagram a replica."""
 
-FIRST_USUAL_MS = 5_000
-"""How long items hold slots before any was done here, as the users' do."""
-
-USUAL_WEIGHT = 0.1
-"""Weight of a new item in the mean: the last ten or so count."""
-
 RETRY_MS = (150, 400)
 """Between tries of a listing while the store does not answer."""
 
@@ -101,8 +93,8 @@
         self.log = node.log
         self._rng: random.Random = node.rng
         self._run_by_id: dict[JobId, _JobRun] = {}
-        self._waiting = ItemQueue()
-        self._usual_ms: float = FIRST_USUAL_MS
+        self._waiting: list = []
+        self._order = itertools.count()
         self._woken = asyncio.Event()
         self._running = 0
         self.held_characters = 0
@@ -144,9 +136,9 @@
         self._run_by_id.pop(job_id, None)
 
     def wait_for_slot(self, job_run, item: ItemRun) -> None:
-        """Queue `item` for a slot."""
-        work = (job_run, item)
-        self._waiting.put(WaitingItem(item.due_ms, item.ran_ms, work))
+        """Queue `item` for a slot, the one due first ahead."""
+        entry = (item.due_ms, next(self._order), job_run, item)
+        heapq.heappush(self._waiting, entry)
         self._woken.set()
 
     async def _pump(self):
@@ -156,12 +148,12 @@
                 self._woken.clear()
                 await self._pause_or_wake()
                 continue
-            job_run, item = entry.work
-            place = await self._place(entry)
+            job_run, item = entry[2], entry[3]
+            place = await self._place(job_run, item)
             if place is _NOWHERE:
                 continue
             if place is None:
-                self._waiting.put(entry)
+                heapq.heappush(self._waiting, entry)
                 await self._pause()
                 continue
             if job_run.stopped:
@@ -173,9 +165,6 @@
     async def _pause(self):
         await self.clock.sleep_ms(self._rng.randint(*PAUSE_MS))
 
-    def _spare_ms(self, entry):
-        return spare_ms(entry, self.clock.now_ms(), self._usual_ms)
-
     async def _pause_or_wake(self):
         try:
             async with asyncio.timeout(LOOK_MS / 1000):
@@ -192,22 +181,22 @@
         now_ms = self.clock.now_ms()
         later = []
         found = None
-        while len(self._waiting) and found is None:
-            entry = self._waiting.take(now_ms, self._usual_ms)
-            job_run, item = entry.work
-            if job_run.stopped:
+        while self._waiting and found is None:
+            entry = heapq.heappop(self._waiting)
+            if entry[2].stopped:
                 continue
-            if now_ms < item.not_before_ms and now_ms < item.abandon_ms:
+            if entry[3].not_before_ms > now_ms and (
+                entry[3].abandon_ms > now_ms
+            ):
                 later.append(entry)
             else:
                 found = entry
         for entry in later:
-            self._waiting.put(entry)
+            heapq.heappush(self._waiting, entry)
         return found
 
-    async def _place(self, entry):
-        """Return a place for an item, or None if there is no slot now."""
-        job_run, item = entry.work
+    async def _place(self, job_run, item):
+        """Return a place for `item`, or None if there is no slot now."""
         now_ms = self.clock.now_ms()
         route = self.node.catalog.match(job_run.job.host, item.call.target)
         if route is None or route.kind is not RouteKind.BATCH:
@@ -223,7 +212,7 @@
             use=Use.BATCH,
             affinity=parts[-1] if parts else "",
             wait_ms=0,
-            slack_ms=max(0, self._spare_ms(entry)),
+            slack_ms=max(0, item.due_ms - now_ms),
             avoid=frozenset(),
             on_revoke=item.revoke,
         )
@@ -262,7 +251,6 @@
         life = place.replica.life
         if end is ItemEnd.DONE:
             suspicion.served(life)
-            self._usual_ms += USUAL_WEIGHT * (item.ran_ms - self._usual_ms)
             job_run.finish(item, Outcome.DONE, "")
             return
         if end in (ItemEnd.LOST, ItemEnd.FAILED, ItemEnd.NOT_RUN):
