Soak: a process that leaves is not asked a second time

Trace: two faults asked it to leave within a second, and a second signal means to stop at once (documented). Allowed; the soak no longer plays it.

--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -87,6 +87,8 @@
 
 async def _leaves(fleet, machine):
     process = machine.process
+    if not machine.is_up or machine.is_leaving:
+        return
     code = await machine.leave()
     if machine.process is not process:
         # Another fault has started it anew meanwhile.
