--- a/dahliashunt/agent/attempt.py
+++ b/dahliashunt/agent/attempt.py
@@ -7,6 +7,7 @@
 from dahliashunt.adapters.wire.gen.link.ttypes import Open
 from dahliashunt.adapters.wire.gen.link.ttypes import Outcome
 from dahliashunt.adapters.wire.gen.link.ttypes import Priority as WirePriority
+from dahliashunt.adapters.wire.gen.link.ttypes import Resume
 from dahliashunt.agent.messages import EngineEnd
 from dahliashunt.agent.messages import EngineEnded
 from dahliashunt.agent.runner import Runner
@@ -22,6 +23,7 @@
     "State",
     "not_run",
     "outcome_of",
+    "outcome_of_unseen",
     "priority_of",
     "work_of",
 ]
@@ -129,3 +131,34 @@
         headers=logged.headers,
         crashed=ended.end is EngineEnd.LOST and not attempt.adopted,
     )
+
+
+def outcome_of_unseen(
+    resume: Resume, never: bool, incarnation: int
+) -> Outcome:
+    """Return what can be said of an attempt that is not in the log.
+
+    Only if this agent has been here all along and never saw it did it
+    certainly not run. One whose end was settled ran, or may have; and
+    an agent that was started after the attempt was sent cannot know
+    whether its predecessor handed it to the engine.
+
+    Parameters
+    ----------
+    resume : Resume
+        An entry's question after the attempt.
+    never : bool
+        Whether this agent has never seen it.
+    incarnation : int
+        This agent's.
+    """
+    if never and resume.incarnation == incarnation:
+        return not_run(resume.attempt_id, ErrorKind.ENDPOINT_LOST)
+    return Outcome(
+        attempt_id=resume.attempt_id,
+        end=End.UNKNOWN,
+        total_events=0,
+        error_kind=ErrorKind.ENDPOINT_LOST.value,
+        message="the agent no longer knows the attempt",
+        retry_after_ms=0,
+    )
--- a/dahliashunt/agent/core.py
+++ b/dahliashunt/agent/core.py
@@ -9,13 +9,11 @@
 from dahliashunt.adapters.wire.connection import Closed
 from dahliashunt.adapters.wire.connection import Opened
 from dahliashunt.adapters.wire.connection import Received
-from dahliashunt.adapters.wire.gen.link.ttypes import Chunk
-from dahliashunt.adapters.wire.gen.link.ttypes import End
-from dahliashunt.adapters.wire.gen.link.ttypes import Frame
-from dahliashunt.adapters.wire.gen.link.ttypes import Outcome
+from dahliashunt.agent.answers import AnswerSender
 from dahliashunt.agent.attempt import Attempt
 from dahliashunt.agent.attempt import not_run
 from dahliashunt.agent.attempt import outcome_of
+from dahliashunt.agent.attempt import outcome_of_unseen
 from dahliashunt.agent.attempt import State
 from dahliashunt.agent.attempt import work_of
 from dahliashunt.agent.entry_links import EntryLinks
@@ -109,6 +107,7 @@
             },
         )
         self.peers = self.links.peers
+        self._sender = AnswerSender(self.peers, self._load, clock)
         self._handler_by_type = {
             Received: self.links.on_received,
             Closed: self.links.on_closed,
@@ -174,7 +173,7 @@
         settlement, and one it knows as it does any end.
         """
         for logged in self.unsettled():
-            self._send_outcome(logged.node_id, logged.outcome)
+            self._sender.outcome(logged.node_id, logged.outcome)
 
     # The endpoint's load.
 
@@ -202,7 +201,7 @@
     def _on_open(self, peer, opening):
         seen = self._attempt_log.open(opening.attempt_id, peer.node_id)
         if seen is Seen.REFUSED:
-            self._send_outcome(
+            self._sender.outcome(
                 peer.node_id, not_run(opening.attempt_id, ErrorKind.CANCELLED)
             )
         if seen is not Seen.NEW:
@@ -231,7 +230,9 @@
             return
         seen = self._attempt_log.ask(self._clock.now_ms(), attempt_id)
         if seen is not Seen.KNOWN:
-            self._send_outcome(peer.node_id, self._unseen(resume, seen))
+            never = seen is Seen.REFUSED
+            outcome = outcome_of_unseen(resume, never, self._incarnation)
+            self._sender.outcome(peer.node_id, outcome)
             return
         attempt = self.attempts_by_id.get(attempt_id)
         if attempt is not None:
@@ -240,29 +241,9 @@
         logged.node_id = peer.node_id
         if attempt is None or not attempt.is_batch:
             for offset, events, data in logged.since(resume.offset):
-                self._send_chunk(peer.node_id, logged, offset, events, data)
+                self._sender.chunk(peer.node_id, logged, offset, events, data)
         if logged.outcome is not None:
-            self._send_outcome(peer.node_id, logged.outcome)
-
-    def _unseen(self, resume, seen):
-        """Return what can be said of an attempt that is not in the log.
-
-        Only if this agent has been here all along and never saw it did it
-        certainly not run. One whose end was settled ran, or may have; and
-        an agent that was started after the attempt was sent cannot know
-        whether its predecessor handed it to the engine.
-        """
-        never = seen is Seen.REFUSED
-        if never and resume.incarnation == self._incarnation:
-            return not_run(resume.attempt_id, ErrorKind.ENDPOINT_LOST)
-        return Outcome(
-            attempt_id=resume.attempt_id,
-            end=End.UNKNOWN,
-            total_events=0,
-            error_kind=ErrorKind.ENDPOINT_LOST.value,
-            message="the agent no longer knows the attempt",
-            retry_after_ms=0,
-        )
+            self._sender.outcome(peer.node_id, logged.outcome)
 
     def _adopt(self, peer, resume):
         """Take over a stream of this agent's predecessor; say whether.
@@ -412,7 +393,7 @@
             logged.headers = events.headers
         offset = logged.append(events.events, events.data)
         if not attempt.is_batch:
-            self._send_chunk(
+            self._sender.chunk(
                 attempt.node_id, logged, offset, events.events, events.data
             )
         now = self._clock.now_ms()
@@ -438,7 +419,7 @@
         if outcome.crashed:
             outcome.alongside = self._alongside(message.attempt_id)
         if attempt.is_batch:
-            self._send_whole(attempt, logged)
+            self._sender.whole(attempt.node_id, logged)
         now = self._clock.now_ms()
         decisions = self._decisions.ended(now, message.attempt_id)
         self._finish(attempt, outcome)
@@ -481,23 +462,7 @@
         del self.attempts_by_id[attempt.open.attempt_id]
         now = self._clock.now_ms()
         self._attempt_log.end(now, attempt.open.attempt_id, outcome)
-        self._send_outcome(attempt.node_id, outcome)
-
-    def _send_whole(self, attempt, logged):
-        for offset, events, data in logged.chunks:
-            self._send_chunk(attempt.node_id, logged, offset, events, data)
-
-    def _send_chunk(self, node_id, logged, offset, events, data):
-        chunk = Chunk(logged.attempt_id, offset, events, data)
-        if offset == 0:
-            chunk.status = logged.status
-            chunk.headers = logged.headers
-        self.peers.send(node_id, Frame(chunk=chunk), self._clock.now_ms())
-
-    def _send_outcome(self, node_id, outcome):
-        outcome.load = self._load()
-        now = self._clock.now_ms()
-        self.peers.send(node_id, Frame(outcome=outcome), now)
+        self._sender.outcome(attempt.node_id, outcome)
 
     # The endpoint's state.
 
--- a/dahliashunt/platform/dialect.py
+++ b/dahliashunt/platform/dialect.py
@@ -75,7 +75,6 @@
         Request ids that it runs.
     running_count, waiting : int
         Requests that run, and those in its own queue.
-    slots : int or None
     """
 
     running: frozenset
--- a/dahliashunt/platform/ingress.py
+++ b/dahliashunt/platform/ingress.py
@@ -31,6 +31,10 @@
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 """Statuses that promise that the request did not run and never will."""
 
+DEFAULT_RETRY_MS = 250
+"""Retry-After where nothing better is known: a quarter of the shortest
+time in which a node regains its configuration or its store."""
+
 UNKNOWN_STATUS = 502
 """Instead of such a status where a request may have run."""
 
@@ -211,11 +215,6 @@
         await exchange.whole(status, headers, error.message.encode())
 
 
-DEFAULT_RETRY_MS = 250
-"""Retry-After where nothing better is known: a quarter of the shortest
-time in which a node regains its configuration or its store."""
-
-
 def _call(exchange, target, body, arrived_ms):
     headers = exchange.header_by_name
     budget = headers.get(BUDGET, "")
--- a/dahliashunt/platform/serve_entry.py
+++ b/dahliashunt/platform/serve_entry.py
@@ -119,49 +119,59 @@
             boot.store.address, self._store_pool, self._clock
         )
         self._slots = SlotClient(self._clock)
-        suspicion = Suspicion()
-        self._places = Places(
+        self._suspicion = Suspicion()
+        self._losses = SharedLosses(self._store, self._clock, log)
+        self._places = self._make_places()
+        self.node.forwarder = self._make_forwarder()
+        self.jobs = JobParts(
+            self.node,
+            self._store,
+            self._places,
+            self._pool,
+            boot.bounds.result_ms,
+        )
+        self._followers = self._make_followers()
+        config = self._followers[0]
+        self.node.config_heard = lambda: config.heard_ms
+        self._servers = []
+        self.bounds = HttpBounds()
+        self.ports: tuple[int, ...] = ()
+
+    def _make_places(self):
+        return Places(
             self._book,
-            Partners(self._book, boot.node_id),
+            Partners(self._book, self._boot.node_id),
             self._slots,
-            suspicion,
+            self._suspicion,
             self._clock,
             self._rng,
-            boot.data_centre,
-            boot.first_port,
+            self._boot.data_centre,
+            self._boot.first_port,
         )
-        self._losses = SharedLosses(self._store, self._clock, log)
-        self.node.forwarder = Forwarder(
+
+    def _make_forwarder(self):
+        return Forwarder(
             self._places,
             self._pool,
             PlatformDialect(),
-            suspicion,
+            self._suspicion,
             self._losses,
             self._clock,
-            metrics,
-            log,
+            self.node.metrics,
+            self._log,
         )
-        self.jobs = JobParts(
-            self.node,
-            self._store,
-            self._places,
-            self._pool,
-            boot.bounds.result_ms,
-        )
-        self._followers = [
-            self._follower((CONFIG_KEY,), ConfigRows(self.node, log)),
-            self._follower(
-                (REPLICAS_PREFIX,), ReplicaRows(self._book, self._clock, log)
-            ),
+
+    def _make_followers(self):
+        """Return the tables' followers; the configuration's is the first."""
+        configs = ConfigRows(self.node, self._log)
+        replicas = ReplicaRows(self._book, self._clock, self._log)
+        return [
+            self._follower((CONFIG_KEY,), configs),
+            self._follower((REPLICAS_PREFIX,), replicas),
             self._follower((JOBS_PREFIX,), self.jobs.view),
             self._follower(PROGRESS_PREFIXES, self.jobs.view),
             self._follower((LOSSES_PREFIX,), self._losses),
         ]
-        config = self._followers[0]
-        self.node.config_heard = lambda: config.heard_ms
-        self._servers = []
-        self.bounds = HttpBounds()
-        self.ports: tuple[int, ...] = ()
 
     def _follower(self, prefixes, listener):
         return TableFollower(
