--- a/dahliashunt/platform/serve_agent.py
+++ b/dahliashunt/platform/serve_agent.py
@@ -49,6 +49,8 @@
     done, _ = await asyncio.wait(
         {leave, *loops}, return_when=asyncio.FIRST_COMPLETED
     )
+    if leave.done():
+        log.info("leaving")
     for task in loops:
         task.cancel()
     agent.stop()
