--- a/dahliashunt/decisions/loss_counts.py
+++ b/dahliashunt/decisions/loss_counts.py
@@ -42,8 +42,9 @@
 """First term without being sent; replicas are back after some seconds."""
 
 FORGET_MS = 600_000
-"""Longest term, and how long a count below `MOST_LOSSES` stands: ten
-minutes, as for suspects of the product's own fleets."""
+"""Longest term: ten minutes, as for suspects of the product's own fleets.
+Counts stand twice as long, so that a crashing request which comes after its
+term is refused again for the first replica that it takes."""
 
 MOST_COUNTS = 10_000
 """Digests remembered; the oldest go first."""
--- a/dahliashunt/decisions/partners.py
+++ b/dahliashunt/decisions/partners.py
@@ -10,8 +10,9 @@
 An entry that renews and hears of every replica costs messages with the
 product of the two numbers, and each request orders every replica. With
 173 entries before 127 agents that is 22,000 renewals a second, and up to
-ten times as many load messages; an entry of a third of a core is busy with
-them alone.
+ten times as many load messages. Measured on a day of 300 machines: an agent
+wakes 130 times a second and moves 26 kB, and 56 times and 16 kB with the
+bound; it took 2.1% of a core, and 1.3% with it (docs/CAPACITY.md).
 
 How
 ---
