--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -1,6 +1,7 @@
 """Entries and agents as processes, each at a loopback address of its own."""
 
 import asyncio
+import contextlib
 import json
 import os
 import pathlib
@@ -171,7 +172,7 @@
         self._ports = _free_ports(self._net)
 
     async def start(self):
-        """Start everything and wait until every entry is ready."""
+        """Start everything; nothing is waited for."""
         self._store_address = await self.store.start()
         self.configure()
         entries, replicas = self._counts
@@ -265,14 +266,18 @@
 
 
 def _free_ports(net):
-    """Return ports that are free at the addresses of `net`."""
-    names = ("replica", "callers", "ready")
-    ports = {}
-    for name in names:
-        with socket.socket() as sock:
-            sock.bind((f"{net}.1", 0))
-            ports[name] = sock.getsockname()[1]
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
-        sock.bind((f"{net}.1", 0))
-        ports["first"] = min(sock.getsockname()[1], 65_000)
+    """Return ports, all different, that are free in `net`."""
+    with contextlib.ExitStack() as stack:
+        taken = [stack.enter_context(socket.socket()) for _ in range(3)]
+        taken.append(
+            stack.enter_context(
+                socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            )
+        )
+        for each in taken:
+            each.bind((f"{net}.1", 0))
+        numbers = [each.getsockname()[1] for each in taken]
+    ports = dict(zip(("replica", "callers", "ready"), numbers, strict=False))
+    # The range of four that starts here must end below the last port.
+    ports["first"] = min(numbers[3], 65_000)
     return ports
