The soak speaks to the platform through the stand-ins alone

Headers, paths, settings' keys and rows' fields that it wrote itself stand in platform/standins once, where the platform's own tests use them too; what both wrote twice (a request, an exchange, a job's body) is one piece of code. No check changed; the kept cases draw the same faults.

--- /dev/null
+++ b/dahliashunt/platform/standins/caller.py
@@ -0,0 +1,145 @@
+"""Callers of the platform: requests as they send them, answers as read."""
+
+import asyncio
+import base64
+from dataclasses import dataclass
+import json
+
+from dahliashunt.adapters.http1 import encode_request
+from dahliashunt.adapters.http1 import End
+from dahliashunt.platform.names import BUDGET
+from dahliashunt.platform.names import LAST_EVENT
+from dahliashunt.platform.names import POLL_WAIT
+from dahliashunt.platform.names import PROMPT_PARTS
+from dahliashunt.platform.names import REQUEST_ID
+
+__all__ = [
+    "JobItem",
+    "JobPage",
+    "JobResult",
+    "caller_request",
+    "decode_page",
+    "encode_job",
+    "exchange",
+    "results_target",
+]
+
+_NAME_BY_FIELD = {
+    "request_id": REQUEST_ID,
+    "budget_ms": BUDGET,
+    "wait_ms": POLL_WAIT,
+    "last_event": LAST_EVENT,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class JobItem:
+    """An item of a job as its caller submits it."""
+
+    item_id: str
+    path: str
+    tokens: int
+    body: bytes = b"{}"
+    prompt_parts: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class JobResult:
+    """A listed result as its caller reads it."""
+
+    item_id: str
+    done: bool
+    text: str
+
+
+@dataclass(frozen=True, slots=True)
+class JobPage:
+    """One read of results.
+
+    Attributes
+    ----------
+    total : int
+        Items of the job.
+    results : tuple of JobResult
+        From the position asked for on.
+    """
+
+    total: int
+    results: tuple[JobResult, ...]
+
+
+def caller_request(
+    method: str = "POST",
+    target: str = "/a/x",
+    body: bytes = b"",
+    host: str = "a.example",
+    **fields,
+) -> bytes:
+    """Return a request's bytes; `fields` become the platform's headers.
+
+    Parameters
+    ----------
+    **fields
+        ``request_id``, ``budget_ms``, ``wait_ms``, ``last_event``.
+    """
+    fields = {"request_id": "r1", "budget_ms": "3000", **fields}
+    headers = [("Host", host)]
+    headers += [
+        (_NAME_BY_FIELD[name], str(value)) for name, value in fields.items()
+    ]
+    return encode_request(method, target, headers, body)
+
+
+async def exchange(connection, request: bytes, limit_ms: int) -> list | None:
+    """Send `request`; return the answer's events, None if it never ended.
+
+    The connection is closed afterwards.
+    """
+    loop = asyncio.get_running_loop()
+    until_s = loop.time() + limit_ms / 1000
+    box = connection.start(request)
+    events = []
+    try:
+        while not (events and isinstance(events[-1], End)):
+            left_ms = int((until_s - loop.time()) * 1000)
+            taken = await box.take(left_ms) if left_ms > 0 else None
+            if not taken:
+                return None
+            for event in taken:
+                if isinstance(event, bytes):
+                    connection.taken(len(event))
+            events += taken
+        return events
+    finally:
+        connection.abort()
+
+
+def results_target(job_id: str, after: int) -> str:
+    """Return where results are read from position `after` on."""
+    return f"/api/lots/{job_id}?after={after}"
+
+
+def encode_job(items: list[JobItem]) -> bytes:
+    """Return the body with which a job is submitted."""
+    return json.dumps({"requests": [_item(item) for item in items]}).encode()
+
+
+def _item(item):
+    headers = {PROMPT_PARTS: item.prompt_parts} if item.prompt_parts else {}
+    return {
+        "id": item.item_id,
+        "path": item.path,
+        "headers": headers,
+        "body": base64.b64encode(item.body).decode(),
+        "tokens": item.tokens,
+    }
+
+
+def decode_page(body: bytes) -> JobPage:
+    """Return the results in an answer's body."""
+    fields = json.loads(body)
+    results = tuple(
+        JobResult(each["id"], each["state"] == "done", each["output"])
+        for each in fields["results"]
+    )
+    return JobPage(fields["total"], results)
--- a/dahliashunt/platform/standins/replica.py
+++ b/dahliashunt/platform/standins/replica.py
@@ -4,16 +4,18 @@
 import collections
 from dataclasses import dataclass
 from dataclasses import field
+import json
 
 import h11
 
+from dahliashunt.platform.dialect import REPORT_PATH
 from dahliashunt.platform.names import EXPECTED_REPLICA
 from dahliashunt.platform.names import LAST_EVENT
 from dahliashunt.platform.names import NOT_RUN
 from dahliashunt.platform.names import REQUEST_ID
 from dahliashunt.platform.names import SIGNATURE
 
-__all__ = ["Arrival", "ReplicaStandin", "Step"]
+__all__ = ["Arrival", "ReplicaStandin", "Step", "report_answer"]
 
 
 @dataclass(frozen=True)
@@ -67,6 +69,16 @@
     body: bytes
     ended: bool = False
 
+    @property
+    def request_id(self) -> str:
+        """The request's id, empty if it has none."""
+        return self.headers.get(REQUEST_ID, "")
+
+    @property
+    def asks_report(self) -> bool:
+        """Whether the agent beside the replica asks what runs there."""
+        return self.target == REPORT_PATH
+
 
 @dataclass
 class ReplicaStandin:
@@ -202,7 +214,7 @@
     def _head(self, arrival, step):
         lines = [
             f"HTTP/1.1 {step.status} X",
-            f"{REQUEST_ID}: {arrival.headers.get(REQUEST_ID, '')}",
+            f"{REQUEST_ID}: {arrival.request_id}",
         ]
         if step.not_run:
             lines.append(f"{NOT_RUN}: 1")
@@ -216,6 +228,19 @@
         return "\r\n".join(lines).encode() + b"\r\n\r\n"
 
 
+def report_answer(running: list[str], waiting: int) -> bytes:
+    """Return the whole answer with a replica's report of its load."""
+    runs = [[request_id, 0, 0, 0] for request_id in running]
+    fields = {
+        "runs": runs,
+        "num-running": len(runs),
+        "num-waiting": waiting,
+    }
+    body = json.dumps(fields).encode()
+    head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+    return head.encode() + body
+
+
 def _event(number):
     return b"id: %d\ndata: text %d\n\n" % (number, number)
 
--- a/dahliashunt/platform/standins/settings.py
+++ b/dahliashunt/platform/standins/settings.py
@@ -1,12 +1,21 @@
 """Settings and configuration as the platform writes them."""
 
 __all__ = [
+    "UNREADABLE_REPLICAS",
+    "agent_fields",
+    "at_most_once_route",
     "config_fields",
+    "entry_fields",
+    "job_route",
     "replica_fields",
     "route_fields",
     "settings_fields",
+    "stream_route",
 ]
 
+UNREADABLE_REPLICAS = (b"\xff{", "[]", {"address": 7}, {"state": "ready"})
+"""Entries of the list that name no replica."""
+
 
 def settings_fields(store: tuple[str, int], **changed) -> dict:
     """Return the fields of a settings file, with `changed` on top."""
@@ -50,11 +59,13 @@
     return {**fields, **changed}
 
 
-def config_fields(routes, version: int = 1, engine: bool = True) -> dict:
+def config_fields(
+    routes, version: int = 1, engine: bool = True, slots: int = 2
+) -> dict:
     """Return a configuration with one service called llm."""
     service = {"name": "llm", "health-path": "/health", "max-conns": 100}
     if engine:
-        service["engine"] = {"slots": 2, "kv-capacity": 100_000}
+        service["engine"] = {"slots": slots, "kv-capacity": 100_000}
     return {"version": version, "routes": list(routes), "services": [service]}
 
 
@@ -70,3 +81,63 @@
         "seq": 1,
     }
     return {**fields, **changed}
+
+
+def entry_fields(store, name, host, ports, callers, readiness) -> dict:
+    """Return an entry's settings.
+
+    Parameters
+    ----------
+    store : (str, int)
+    name, host : str
+    ports : (int, int)
+        First and last port between nodes.
+    callers, readiness : int
+        Where callers and questions of readiness go.
+    """
+    listen = {
+        "front": f"{host}:{callers}",
+        "ready": f"{host}:{readiness}",
+    }
+    return _node_fields(store, name, host, ports, listen=listen)
+
+
+def agent_fields(store, name, host, ports, replica) -> dict:
+    """Return the settings of an agent whose replica has port `replica`."""
+    app = f"{host}:{replica}"
+    return _node_fields(store, name, host, ports, listen={}, app=app)
+
+
+def _node_fields(store, name, host, ports, **changed):
+    fields = {"node-name": name, "ip": host, "port-range": list(ports)}
+    return settings_fields(store, **fields, **changed)
+
+
+def stream_route(prefix: str, budget_ms: int, most_runs: int) -> dict:
+    """Return a route of streams that may go on elsewhere."""
+    times = {"timeout-ms": budget_ms, "max-attempts": most_runs}
+    return route_fields(prefix=prefix, **times)
+
+
+def at_most_once_route(prefix: str, budget_ms: int) -> dict:
+    """Return a route whose requests run once or not at all."""
+    times = {"timeout-ms": budget_ms, "max-attempts": 1}
+    return route_fields(
+        name="once",
+        prefix=prefix,
+        kind="non_idempotent",
+        resumable=False,
+        **times,
+    )
+
+
+def job_route(prefix: str, due_ms: int, most_runs: int) -> dict:
+    """Return a route of batch jobs that are due after `due_ms`."""
+    times = {
+        "goal-ms": 400,
+        "completion-target-ms": due_ms,
+        "max-wait-s": 60,
+        "max-attempts": most_runs,
+        "cap": 100_000,
+    }
+    return route_fields(name="jobs", prefix=prefix, kind="batch", **times)
--- a/dahliashunt/platform/standins/store.py
+++ b/dahliashunt/platform/standins/store.py
@@ -103,6 +103,18 @@
         """Remove a row."""
         self._write((table, part, key), None)
 
+    def configure(self, configuration) -> None:
+        """Put a configuration into force, as the operator does."""
+        self.put("op", "config", configuration)
+
+    def list_replica(self, replica_id: str, entry) -> None:
+        """Write an entry of the list of replicas."""
+        self.put("servers", replica_id, entry)
+
+    def unlist_replica(self, replica_id: str) -> None:
+        """Take an entry out of the list of replicas."""
+        self.drop("servers", replica_id)
+
     def value(self, table: str, key: str, part: str = "") -> str | None:
         """Return a row's text."""
         found = self._rows.by_key.get((table, part, key))
--- a/dahliashunt/platform/tests/conftest.py
+++ b/dahliashunt/platform/tests/conftest.py
@@ -7,7 +7,6 @@
 import pytest
 import structlog
 
-from dahliashunt.adapters.http1 import encode_request
 from dahliashunt.adapters.http1 import End
 from dahliashunt.adapters.http1 import open_connection
 from dahliashunt.adapters.http1 import ResponseHead
@@ -16,6 +15,8 @@
 from dahliashunt.platform.standins import ReplicaStandin
 from dahliashunt.platform.standins import settings_fields
 from dahliashunt.platform.standins import StoreStandin
+from dahliashunt.platform.standins.caller import caller_request
+from dahliashunt.platform.standins.caller import exchange
 from dahliashunt.platform.standins.settings import config_fields
 from dahliashunt.platform.standins.settings import replica_fields
 from dahliashunt.platform.standins.settings import route_fields
@@ -83,7 +84,7 @@
             await self.add_replica()
         if config is None:
             config = config_fields(routes, engine=engine)
-        self.store.put("op", "config", config)
+        self.store.configure(config)
         return await self.add_entry()
 
     async def add_replica(self):
@@ -91,7 +92,7 @@
         await replica.start()
         self.replicas.append(replica)
         fields = replica_fields(replica.address, slots=self._slots)
-        self.store.put("servers", replica.replica_id, fields)
+        self.store.list_replica(replica.replica_id, fields)
         return replica
 
     async def add_entry(self):
@@ -153,33 +154,12 @@
         Port 0 is the callers', 1 the one for questions of readiness.
         """
         connection = await self.dial(entry, port)
-        box = connection.start(request(method, target, body, **headers))
-        events = []
-        while not (events and isinstance(events[-1], End)):
-            taken = await box.take(LIMIT_S * 1000)
-            assert taken, "no answer at all"
-            for event in taken:
-                if isinstance(event, bytes):
-                    connection.taken(len(event))
-            events += taken
-        connection.abort()
+        asked = caller_request(method, target, body, **headers)
+        events = await exchange(connection, asked, LIMIT_S * 1000)
+        assert events is not None, "the answer never ended"
         return Answer(events)
 
 
-def request(method="POST", target="/a/x", body=b"", **headers):
-    """Return a caller's request; ``request_id`` becomes a header."""
-    names = {
-        "request_id": "Dahliashunt-Request-Id",
-        "budget_ms": "Dahliashunt-Request-Timeout-Ms",
-        "wait_ms": "Dahliashunt-Poll-Wait-Ms",
-        "last_event": "Last-Event-Id",
-    }
-    headers = {"request_id": "r1", "budget_ms": "3000", **headers}
-    pairs = [("Host", headers.pop("host", "a.example"))]
-    pairs += [(names[name], str(value)) for name, value in headers.items()]
-    return encode_request(method, target, pairs, body)
-
-
 @pytest.fixture
 def platform(tmp_path):
     """Return ``play(scenario, **open)``, which runs one in a loop."""
--- a/dahliashunt/platform/tests/test_jobs.py
+++ b/dahliashunt/platform/tests/test_jobs.py
@@ -1,8 +1,6 @@
 """Batch jobs through entries between stand-ins of store and replicas."""
 
 import asyncio
-import base64
-import json
 
 import pytest
 
@@ -11,11 +9,16 @@
 from dahliashunt.jobs.expiry import MARGIN_MS
 from dahliashunt.jobs.expiry import ORPHANED_MS
 from dahliashunt.jobs.item_run import REFUSED_WAIT_MS
+from dahliashunt.platform.standins.caller import encode_job
+from dahliashunt.platform.standins.caller import JobItem
+from dahliashunt.platform.standins.caller import results_target
 from dahliashunt.platform.standins.settings import route_fields
 
 KEEP_MS = 120_000
 """As the stand-in's settings say."""
 
+PARTS = "aa:10,bb:5"
+
 ROUTE = route_fields(
     **{
         "kind": "batch",
@@ -31,16 +34,10 @@
 
 def job_body(*names, tokens=100):
     items = [
-        {
-            "id": name,
-            "path": f"/j/{name}",
-            "headers": {"Dahliashunt-Prompt-Prefix": "aa:10,bb:5"},
-            "body": base64.b64encode(f"body {name}".encode()).decode(),
-            "tokens": tokens,
-        }
+        JobItem(name, f"/j/{name}", tokens, f"body {name}".encode(), PARTS)
         for name in names
     ]
-    return json.dumps({"requests": items}).encode()
+    return encode_job(items)
 
 
 async def submit(p, job="j1", body=None, **how):
@@ -49,7 +46,7 @@
 
 
 async def read(p, job="j1", after=0, **how):
-    target = f"/api/lots/{job}?after={after}"
+    target = results_target(job, after)
     return await p.call("GET", target, wait_ms=1000, **how)
 
 
--- a/dahliashunt/platform/tests/test_online.py
+++ b/dahliashunt/platform/tests/test_online.py
@@ -6,10 +6,10 @@
 
 from dahliashunt.adapters.http1 import End
 from dahliashunt.platform import serve_entry
+from dahliashunt.platform.standins.caller import caller_request
 from dahliashunt.platform.standins.settings import config_fields
 from dahliashunt.platform.standins.settings import replica_fields
 from dahliashunt.platform.standins.settings import route_fields
-from dahliashunt.platform.tests.conftest import request
 
 IDEMPOTENT = route_fields(kind="idempotent", resumable=False)
 ONCE = route_fields(kind="non_idempotent", resumable=False)
@@ -153,7 +153,7 @@
     async def scenario(p):
         replica = p.replicas[0].then(events=1000, gap_ms=10)
         connection = await p.dial()
-        connection.start(request())
+        connection.start(caller_request())
         await p.until(lambda: replica.running == 1)
         connection.abort()
         await p.until(lambda: replica.running == 0)
@@ -184,12 +184,12 @@
     async def scenario(p):
         p.replicas[0].then()
         newer = [IDEMPOTENT, {**IDEMPOTENT, "name": "b", "prefix": "/b/"}]
-        p.store.put("op", "config", config_fields(newer, 7, engine=False))
+        p.store.configure(config_fields(newer, 7, engine=False))
         await p.until(lambda: p.entries[0].node.catalog.revision == 7)
         older = config_fields([IDEMPOTENT], 3, engine=False)
-        p.store.put("op", "config", older)
-        p.store.put("op", "config", "not JSON")
-        p.store.put("servers", "i-9", "neither")
+        p.store.configure(older)
+        p.store.configure("not JSON")
+        p.store.list_replica("i-9", "neither")
         await p.until(lambda: "/api/rows-feed" in p.store.calls)
         p.store.forget_history()
         assert (await p.call(target="/b/x")).status == 200
@@ -205,7 +205,7 @@
         leaving = p.replicas[0]
         address = leaving._server.sockets[0].getsockname()
         fields = replica_fields(address, state="draining")
-        p.store.put("servers", leaving.replica_id, fields)
+        p.store.list_replica(leaving.replica_id, fields)
         book = p.entries[0].node.book
         await p.until(lambda: book.get("i-0").leaving)
         for number in range(6):
@@ -268,7 +268,7 @@
         p.replicas[0].then(events=20, gap_ms=10)
         entry = p.entries[0]
         connection = await p.dial()
-        box = connection.start(request())
+        box = connection.start(caller_request())
         await p.until(lambda: p.replicas[0].running == 1)
         await entry.finish(entry.node.clock.now_ms() + 10_000)
         events = await box.take()
@@ -357,7 +357,7 @@
     async def scenario(p):
         config = config_fields([IDEMPOTENT], 5, engine=False)
         limits = {"idle-timeout-ms": 4000, "max-header-bytes": 600}
-        p.store.put("op", "config", {**config, "limits": limits})
+        p.store.configure({**config, "limits": limits})
         bounds = p.entries[0].bounds
         await p.until(lambda: bounds.keep_alive_s == 5)
         assert bounds.header_bytes == 600
--- a/dahliashunt/platform/tests/test_shapes.py
+++ b/dahliashunt/platform/tests/test_shapes.py
@@ -103,7 +103,7 @@
             fields = replica_fields(
                 replica.address, service=name, slots=shape.slots
             )
-            p.store.put("servers", replica.replica_id, fields)
+            p.store.list_replica(replica.replica_id, fields)
     for _ in range(shape.entries - 1):
         await p.add_entry()
 
@@ -194,7 +194,7 @@
         fields = replica_fields(replica.address, service="s")
         for name in ("zone", "slots", "cold-left-ms", "seq"):
             del fields[name]
-        p.store.put("servers", replica.replica_id, json.dumps(fields))
+        p.store.list_replica(replica.replica_id, json.dumps(fields))
         await p.until(lambda: p.entries[0].node.book.of_service("s"))
         assert (await p.call(target="/", host="x")).status == 200
 
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -1,17 +1,20 @@
 """Callers of the fleet, who note what they were told and check it."""
 
 import asyncio
-import base64
 import collections
 from dataclasses import dataclass
 import itertools
-import json
 
 from dahliashunt.adapters.http1 import ConnectFailed
-from dahliashunt.adapters.http1 import encode_request
 from dahliashunt.adapters.http1 import End
 from dahliashunt.adapters.http1 import open_connection
 from dahliashunt.adapters.http1 import ResponseHead
+from dahliashunt.platform.standins.caller import caller_request
+from dahliashunt.platform.standins.caller import decode_page
+from dahliashunt.platform.standins.caller import encode_job
+from dahliashunt.platform.standins.caller import exchange
+from dahliashunt.platform.standins.caller import JobItem
+from dahliashunt.platform.standins.caller import results_target
 from tests.soak.fleet import BUDGET_MS
 from tests.soak.replica import answer_text
 from tests.soak.replica import EVENTS
@@ -85,8 +88,7 @@
         answered = Answered(request_id, entry, path, loop.time())
         self.answers.append(answered)
         address = self._fleet.caller_links[entry].address
-        limit_ms = BUDGET_MS + SLACK_MS
-        events = await exchange(address, "POST", path, request_id, limit_ms)
+        events = await call(address, "POST", path, request_id)
         answered.ended_s = loop.time()
         _note(answered, events)
         return answered
@@ -106,38 +108,25 @@
             answered.whole = event is End.WHOLE
 
 
-async def exchange(address, method, path, request_id, limit_ms, body=b"{}"):
+async def call(address, method, path, request_id, body=b"{}"):
     """Send a request; return its events, None if it never ended.
 
     A connection that cannot be made gives a broken end.
     """
+    limit_ms = BUDGET_MS + SLACK_MS
     try:
         connection = await open_connection(*address, limit_ms)
     except ConnectFailed:
         return [End.BROKEN]
-    headers = [
-        ("Host", "a.example"),
-        ("Dahliashunt-Request-Id", request_id),
-        ("Dahliashunt-Request-Timeout-Ms", str(BUDGET_MS)),
-        ("Dahliashunt-Poll-Wait-Ms", "300"),
-    ]
-    box = connection.start(encode_request(method, path, headers, body))
-    loop = asyncio.get_running_loop()
-    until_s = loop.time() + limit_ms / 1_000
-    events = []
-    try:
-        while not (events and isinstance(events[-1], End)):
-            left_ms = int((until_s - loop.time()) * 1_000)
-            taken = await box.take(left_ms) if left_ms > 0 else None
-            if not taken:
-                return None
-            for event in taken:
-                if isinstance(event, bytes):
-                    connection.taken(len(event))
-            events += taken
-        return events
-    finally:
-        connection.abort()
+    asked = caller_request(
+        method,
+        path,
+        body,
+        request_id=request_id,
+        budget_ms=BUDGET_MS,
+        wait_ms=300,
+    )
+    return await exchange(connection, asked, limit_ms)
 
 
 def stream_text(body):
@@ -178,9 +167,11 @@
 
     async def submit(self, job, items):
         """Send a job again and again until an entry has accepted it."""
-        body = job_body(job, items)
+        body = encode_job(
+            [JobItem(f"{job}-{n}", f"/j/{job}", EVENTS) for n in range(items)]
+        )
         while job not in self.accepted:
-            events = await self._exchange("POST", f"/j/{job}", job, body)
+            events = await self._call("POST", f"/j/{job}", job, body)
             if _status(events) == 202:
                 self.accepted.add(job)
                 self.total_by_job[job] = items
@@ -190,14 +181,14 @@
     async def read(self, job):
         """Read one page of results, from a position read before or not."""
         after = self._rng.randint(0, len(self.pages[job]))
-        path = f"/api/lots/{job}?after={after}"
-        events = await self._exchange("GET", path, f"read-{job}")
+        target = results_target(job, after)
+        events = await self._call("GET", target, f"read-{job}")
         if _status(events) != 200 or events[-1] is not End.WHOLE:
             await asyncio.sleep(0.2)
             return
         parts = (event for event in events if isinstance(event, bytes))
-        page = json.loads(b"".join(parts))
-        for offset, result in enumerate(page["results"]):
+        page = decode_page(b"".join(parts))
+        for offset, result in enumerate(page.results):
             self._keep(job, after + offset, result)
 
     def _keep(self, job, position, result):
@@ -209,28 +200,11 @@
         """Tell whether as many results were read as the job has items."""
         return len(self.pages[job]) >= self.total_by_job[job]
 
-    async def _exchange(self, method, path, request_id, body=b""):
+    async def _call(self, method, path, request_id, body=b""):
         address = self._rng.choice(self._fleet.caller_links).address
-        return await exchange(
-            address, method, path, request_id, BUDGET_MS + SLACK_MS, body
-        )
+        return await call(address, method, path, request_id, body)
 
 
 def _status(events):
     heads = [e for e in events or () if isinstance(e, ResponseHead)]
     return heads[0].status if heads else None
-
-
-def job_body(job, items):
-    """Return a job of `items` items as callers send it."""
-    requests = [
-        {
-            "id": f"{job}-{number}",
-            "path": f"/j/{job}",
-            "headers": {},
-            "body": base64.b64encode(b"{}").decode(),
-            "tokens": EVENTS,
-        }
-        for number in range(items)
-    ]
-    return json.dumps({"requests": requests}).encode()
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -77,17 +77,17 @@
     names = {name for name, _, _ in play.played}
     for job, items in play.jobs.total_by_job.items():
         results = list(play.jobs.pages[job].values())
-        ids = collections.Counter(result["id"] for result in results)
+        ids = collections.Counter(result.item_id for result in results)
         doubled = [name for name, count in ids.items() if count > 1]
         missing = items - len(ids)
         if doubled or missing:
             found.append(f"{job}: missing {missing}, doubled {doubled}")
         for result in results:
-            if result["state"] != "done":
+            if not result.done:
                 if "replica_fails" not in names:
-                    found.append(f"{result['id']}: {result['state']}")
-            elif result["output"] != OUTPUT:
-                found.append(f"{result['id']}: a wrong result")
+                    found.append(f"{result.item_id}: not done")
+            elif result.text != OUTPUT:
+                found.append(f"{result.item_id}: a wrong result")
     return found
 
 
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -9,11 +9,14 @@
 import socket
 import sys
 
-from dahliashunt.platform.standins import settings_fields
 from dahliashunt.platform.standins import StoreStandin
+from dahliashunt.platform.standins.settings import agent_fields
+from dahliashunt.platform.standins.settings import at_most_once_route
 from dahliashunt.platform.standins.settings import config_fields
+from dahliashunt.platform.standins.settings import entry_fields
+from dahliashunt.platform.standins.settings import job_route
 from dahliashunt.platform.standins.settings import replica_fields
-from dahliashunt.platform.standins.settings import route_fields
+from dahliashunt.platform.standins.settings import stream_route
 from tests.soak.proxy import Proxy
 from tests.soak.replica import SLOTS
 from tests.soak.replica import SoakReplica
@@ -26,29 +29,9 @@
 JUMP_MS = 5_000
 
 ROUTES = (
-    route_fields(**{"timeout-ms": BUDGET_MS, "max-attempts": 3}),
-    route_fields(
-        **{
-            "name": "once",
-            "prefix": "/once/",
-            "kind": "non_idempotent",
-            "timeout-ms": BUDGET_MS,
-            "max-attempts": 1,
-            "resumable": False,
-        }
-    ),
-    route_fields(
-        **{
-            "name": "jobs",
-            "prefix": "/j/",
-            "kind": "batch",
-            "goal-ms": 400,
-            "completion-target-ms": 10_000,
-            "max-wait-s": 60,
-            "max-attempts": 4,
-            "cap": 100_000,
-        }
-    ),
+    stream_route("/a/", BUDGET_MS, most_runs=3),
+    at_most_once_route("/once/", BUDGET_MS),
+    job_route("/j/", due_ms=10_000, most_runs=4),
 )
 
 
@@ -170,6 +153,7 @@
         # A net of its own for each fleet: several play side by side.
         self._net = f"127.{rng.randint(1, 250)}.{os.getpid() % 250 + 1}"
         self._ports = _free_ports(self._net)
+        self._range = (self._ports["first"], self._ports["first"] + 3)
 
     async def start(self):
         """Start everything; nothing is waited for."""
@@ -186,15 +170,13 @@
     def configure(self):
         """Put a new revision of the configuration into force."""
         self.revision += 1
-        fields = config_fields(ROUTES, self.revision)
-        fields["services"][0]["engine"]["slots"] = SLOTS
-        self.store.put("op", "config", fields)
+        self.store.configure(config_fields(ROUTES, self.revision, slots=SLOTS))
 
     def list_replica(self, number):
         """Write a replica's row."""
         address = (self.agents[number].host, self._ports["replica"])
         fields = replica_fields(address, slots=SLOTS)
-        self.store.put("servers", f"i-{number}", fields)
+        self.store.list_replica(f"i-{number}", fields)
 
     async def _add_replica(self, number):
         host = f"{self._net}.{100 + number}"
@@ -205,43 +187,41 @@
         outer = (host, self._ports["replica"])
         await link.start(*outer)
         self.replica_links.append(link)
-        changed = {"app": f"{host}:{self._ports['replica']}", "listen": {}}
-        self.agents.append(
-            await self._machine("agent", f"agent-{number}", host, changed)
+        name = f"agent-{number}"
+        store = await self._link_to_store(name)
+        fields = agent_fields(
+            store, name, host, self._range, self._ports["replica"]
         )
+        self.agents.append(self._machine("agent", name, host, fields))
         self.list_replica(number)
 
     async def _add_entry(self, number):
         host = f"{self._net}.{10 + number}"
         callers = (host, self._ports["callers"])
-        listen = {
-            "front": f"{host}:{self._ports['callers']}",
-            "ready": f"{host}:{self._ports['ready']}",
-        }
         link = Proxy(lambda: callers)
         link.address = await link.start()
         self.caller_links.append(link)
-        changed = {"listen": listen}
-        self.entries.append(
-            await self._machine("entry", f"entry-{number}", host, changed)
+        name = f"entry-{number}"
+        store = await self._link_to_store(name)
+        fields = entry_fields(
+            store,
+            name,
+            host,
+            self._range,
+            self._ports["callers"],
+            self._ports["ready"],
         )
+        self.entries.append(self._machine("entry", name, host, fields))
 
-    async def _machine(self, role, name, host, changed):
+    async def _link_to_store(self, name):
+        """Return the address at which one machine finds the store."""
         link = Proxy(lambda: self._store_address)
         self.store_link_by_name[name] = link
-        store = await link.start()
+        return await link.start()
+
+    def _machine(self, role, name, host, fields):
         skew_ms = self._rng.randint(-3_000, 3_000)
         machine = Machine(role, name, host, self._folder, skew_ms)
-        first = self._ports["first"]
-        fields = settings_fields(
-            store,
-            **{
-                "node-name": name,
-                "ip": host,
-                "port-range": [first, first + 3],
-                **changed,
-            },
-        )
         machine.write_settings(fields)
         return machine
 
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -9,6 +9,7 @@
 
 from dahliashunt.decisions.registry import Registry
 from dahliashunt.platform.standins.replica import Step
+from dahliashunt.platform.standins.settings import UNREADABLE_REPLICAS
 from tests.soak.proxy import Link
 from tests.soak.replica import EVENTS
 
@@ -209,17 +210,16 @@
 @FAULTS.register("replica_unlisted")
 async def _replica_unlisted(fleet, rng):
     number = rng.randrange(len(fleet.replicas))
-    fleet.store.drop("servers", f"i-{number}")
+    fleet.store.unlist_replica(f"i-{number}")
     await _last(rng)
     fleet.list_replica(number)
 
 
 @FAULTS.register("list_unreadable")
 async def _list_unreadable(fleet, rng):
-    bad = rng.choice((b"\xff{", "[]", {"address": 7}, {"state": "ready"}))
-    fleet.store.put("servers", "i-broken", bad)
+    fleet.store.list_replica("i-broken", rng.choice(UNREADABLE_REPLICAS))
     await _last(rng)
-    fleet.store.drop("servers", "i-broken")
+    fleet.store.unlist_replica("i-broken")
 
 
 @FAULTS.register("configured")
--- a/tests/soak/replica.py
+++ b/tests/soak/replica.py
@@ -2,11 +2,9 @@
 
 import asyncio
 import collections
-import json
 
-from dahliashunt.platform.dialect import REPORT_PATH
-from dahliashunt.platform.names import REQUEST_ID
 from dahliashunt.platform.standins import ReplicaStandin
+from dahliashunt.platform.standins.replica import report_answer
 from dahliashunt.platform.standins.replica import Step
 
 __all__ = ["EVENTS", "SLOTS", "SoakReplica", "answer_text"]
@@ -50,13 +48,14 @@
         self._server = await asyncio.start_server(self._connected, host, port)
 
     async def _run(self, arrival, reader, writer):
-        if arrival.target == REPORT_PATH:
-            await self._send_report(writer)
+        if arrival.asks_report:
+            writer.write(report_answer(self._held, self._waiting))
+            await writer.drain()
             return True
         if self._waiting >= QUEUE:
             return await self._answer(arrival, REFUSED, writer)
         self._waiting += 1
-        request_id = arrival.headers[REQUEST_ID]
+        request_id = arrival.request_id
         try:
             await self._slots.acquire()
         finally:
@@ -68,18 +67,6 @@
             self._held.remove(request_id)
             self._slots.release()
 
-    async def _send_report(self, writer):
-        body = json.dumps(
-            {
-                "runs": [[each, 0, 0, 0] for each in self._held],
-                "num-running": len(self._held),
-                "num-waiting": self._waiting,
-            }
-        ).encode()
-        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
-        writer.write(head.encode() + body)
-        await writer.drain()
-
     def _step(self):
         for chance, step in self.step_by_chance:
             if self.rng.random() < chance:
@@ -88,5 +75,5 @@
 
     async def _answer(self, arrival, step, writer):
         if not step.not_run:
-            self.runs_by_request[arrival.headers[REQUEST_ID]] += 1
+            self.runs_by_request[arrival.request_id] += 1
         return await super()._answer(arrival, step, writer)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from dahliashunt.platform.standins.caller import JobResult
 from tests.soak.callers import Answered
 from tests.soak.checks import broken_promises
 from tests.soak.checks import OUTPUT
@@ -65,7 +66,7 @@
     """Return a play without faults, in which all was kept."""
     replica = SimpleNamespace(runs_by_request=collections.Counter())
     fleet = SimpleNamespace(replicas=[replica], exits=[("entry-0", 0)])
-    pages = {"job-0": {0: {"id": "a", "state": "done", "output": OUTPUT}}}
+    pages = {"job-0": {0: JobResult("a", True, OUTPUT)}}
     return SimpleNamespace(
         fleet=fleet,
         caller=SimpleNamespace(answers=[]),
@@ -121,11 +122,11 @@
     "results",
     [
         {},
-        {0: {"id": "b", "state": "done", "output": "text 1"}},
-        {0: {"id": "a", "state": "failed", "output": ""}},
+        {0: JobResult("b", True, "text 1")},
+        {0: JobResult("a", False, "")},
         {
-            0: {"id": "a", "state": "done", "output": OUTPUT},
-            1: {"id": "a", "state": "done", "output": OUTPUT},
+            0: JobResult("a", True, OUTPUT),
+            1: JobResult("a", True, OUTPUT),
         },
     ],
 )
