--- a/dahliashunt/forwarding/replicas.py
+++ b/dahliashunt/forwarding/replicas.py
@@ -74,7 +74,7 @@
         """Note that the list answers again after it did not."""
         self._outage_ended_ms = now_ms
 
-    def put(self, replica: Replica, version: int, now_ms: int = 0) -> None:
+    def put(self, replica: Replica, version: int, now_ms: int) -> None:
         """Take over one entry, which was written at `version`.
 
         Of two entries with one address the later written one counts: a
--- a/dahliashunt/jobs/expiry.py
+++ b/dahliashunt/jobs/expiry.py
@@ -7,6 +7,7 @@
 
 import random
 
+from dahliashunt.decisions.job_expiry import may_remove
 from dahliashunt.errors import PlatformUnavailable
 from dahliashunt.errors import RequestError
 from dahliashunt.errors import TransactionConflict
@@ -19,14 +20,6 @@
 
 __all__ = ["Expiry"]
 
-MARGIN_MS = 60_000
-"""Longer than promised: callers' clocks and the way of their calls, and
-reads that began in time."""
-
-ORPHANED_MS = 60_000
-"""So long after that any node removes a job whose last owner did not: it
-was replaced meanwhile."""
-
 LOOK_MS = (10_000, 20_000)
 """Between looks, drawn anew each time so that nodes do not look together."""
 
@@ -100,14 +93,10 @@
             self._log.info("job_removed", job_id=job.job_id)
 
     def _is_expired(self, job: Job, store_now_ms):
-        """Tell whether this node is to remove `job` now.
-
-        The last owner does so; two nodes that both do harm nothing, and
-        only cost the calls twice.
-        """
         if job.state is JobState.OPEN:
             return False
-        over_ms = store_now_ms - job.accepted_ms - self._keep_ms - MARGIN_MS
-        if self._view.progress(job).owner == self._ledger.owner:
-            return over_ms > 0
-        return over_ms > ORPHANED_MS
+        return may_remove(
+            store_now_ms - job.accepted_ms,
+            self._keep_ms,
+            self._view.progress(job).owner == self._ledger.owner,
+        )
--- a/dahliashunt/platform/job_parts.py
+++ b/dahliashunt/platform/job_parts.py
@@ -48,36 +48,47 @@
         pool: ConnectionPool,
         keep_ms: int,
     ):
-        node_id = NodeId(node.metrics.node_id)
-        owner = Owner(node_id, secrets.token_hex(6))
+        owner = Owner(NodeId(node.metrics.node_id), secrets.token_hex(6))
+        self._node = node
         self.store = store
         self.view = JobView(node.log)
         self.ledger = JobLedger(store, store, self.view, owner, node.log)
-        self._worker = JobWorker(
-            node,
+        self._worker = self._make_worker(places, pool)
+        self._takeover = self._make_takeover(owner)
+        self.expiry = self._make_expiry(keep_ms)
+
+    def _make_worker(self, places, pool):
+        return JobWorker(
+            self._node,
             self.view,
             self.ledger,
             places,
             pool,
             PlatformDialect(),
             JobBodies(),
-            store.now_ms,
+            self.store.now_ms,
         )
-        self.expiry = Expiry(
+
+    def _make_takeover(self, owner):
+        node, store = self._node, self.store
+        return Takeover(
             self.view,
             self.ledger,
-            keep_ms,
-            store.now_ms,
+            self._worker,
+            BeatWriter(store, owner, node.log),
+            BeatReader(store, owner, node.clock, node.log),
             node.clock,
             node.rng,
             node.log,
         )
-        self._takeover = Takeover(
+
+    def _make_expiry(self, keep_ms):
+        node = self._node
+        return Expiry(
             self.view,
             self.ledger,
-            self._worker,
-            BeatWriter(store, owner, node.log),
-            BeatReader(store, owner, node.clock, node.log),
+            keep_ms,
+            self.store.now_ms,
             node.clock,
             node.rng,
             node.log,
--- a/dahliashunt/platform/tests/test_jobs.py
+++ b/dahliashunt/platform/tests/test_jobs.py
@@ -4,10 +4,10 @@
 
 import pytest
 
+from dahliashunt.decisions.job_expiry import MARGIN_MS
+from dahliashunt.decisions.job_expiry import ORPHANED_MS
 from dahliashunt.errors import PlatformUnavailable
 from dahliashunt.jobs import JobState
-from dahliashunt.jobs.expiry import MARGIN_MS
-from dahliashunt.jobs.expiry import ORPHANED_MS
 from dahliashunt.jobs.item_run import REFUSED_WAIT_MS
 from dahliashunt.platform.standins.caller import encode_job
 from dahliashunt.platform.standins.caller import JobItem
