Items that can still be in time go before those that can't

Cause: waiting items went by their due time alone, and a revoke took the slot of the item due last. Once more items wait than can be in time, each that is late already makes the next one late.

Change: decisions/item_order.py ranks by whether an item can still be in time (learned run and stretch), then by due time; infeasible items yield first and still run to their end. One log line for each item done.

--- a/dahliashunt/jobs/item_run.py
+++ b/dahliashunt/jobs/item_run.py
@@ -62,6 +62,19 @@
     call : Call
     due_ms, abandon_ms : int
         Monotonic times of this node.
+
+    Attributes
+    ----------
+    failures : int
+        Failures that its replicas answered.
+    not_before_ms : int
+        It is not to be tried again sooner.
+    ran_ms : int
+        How long it has held slots here; what it made is kept.
+    started_ms : int or None
+        When it first held one here.
+    revokes : int
+        How often its slot was taken back.
     """
 
     def __init__(self, index: int, call: Call, due_ms: int, abandon_ms: int):
@@ -71,6 +84,9 @@
         self.abandon_ms = abandon_ms
         self.failures = 0
         self.not_before_ms = 0
+        self.ran_ms = 0
+        self.started_ms: int | None = None
+        self.revokes = 0
         self._losses = 0
         self._last_event = 0
         self._texts: list[str] = []
@@ -82,6 +98,10 @@
         """Data of all events so far, joined by line feeds."""
         return "\n".join(self._texts)
 
+    def is_ready(self, now_ms: int) -> bool:
+        """Tell whether it may be tried, or is to be given up, now."""
+        return now_ms >= min(self.not_before_ms, self.abandon_ms)
+
     def revoke(self) -> None:
         """Stop the attempt in progress: its slot is wanted elsewhere."""
         self._revoked = True
@@ -113,11 +133,15 @@
             request, lambda head: dialect.answers(self.call, head)
         )
         self._connection = connection
+        began_ms = clock.now_ms()
+        if self.started_ms is None:
+            self.started_ms = began_ms
         end = ItemEnd.LOST
         try:
             end = await self._relay(connection, box, dialect)
         finally:
             self._connection = None
+            self.ran_ms += clock.now_ms() - began_ms
             if end in (ItemEnd.LOST, ItemEnd.REVOKED):
                 connection.abort()
             pool.give_back(address, connection)
@@ -127,6 +151,7 @@
         if self._revoked:
             self._revoked = False
             if end is ItemEnd.LOST:
+                self.revokes += 1
                 return ItemEnd.REVOKED
         if end is ItemEnd.FAILED:
             self.failures += 1
--- a/dahliashunt/jobs/worker.py
+++ b/dahliashunt/jobs/worker.py
@@ -1,15 +1,16 @@
 """Run the items of the jobs that this node owns, and list their results.
 
-The most urgent waiting item asks for a slot; when none is to be had the
-worker pauses for a moment. A revoked item waits again with what it has.
+The waiting item that `ItemOrder` names asks for a slot; when none is to be
+had the worker pauses for a moment. A revoked item waits again with what it
+has.
 """
 
 import asyncio
-import heapq
-import itertools
 import random
 
 from dahliashunt.adapters.http1 import ConnectionPool
+from dahliashunt.decisions.item_order import ItemOrder
+from dahliashunt.decisions.item_order import WaitingItem
 from dahliashunt.decisions.slot_keeper import Use
 from dahliashunt.errors import PlatformUnavailable
 from dahliashunt.errors import RequestError
@@ -93,8 +94,7 @@
         self.log = node.log
         self._rng: random.Random = node.rng
         self._run_by_id: dict[JobId, _JobRun] = {}
-        self._waiting: list = []
-        self._order = itertools.count()
+        self._waiting = ItemOrder()
         self._woken = asyncio.Event()
         self._running = 0
         self.held_characters = 0
@@ -136,9 +136,9 @@
         self._run_by_id.pop(job_id, None)
 
     def wait_for_slot(self, job_run, item: ItemRun) -> None:
-        """Queue `item` for a slot, the one due first ahead."""
-        entry = (item.due_ms, next(self._order), job_run, item)
-        heapq.heappush(self._waiting, entry)
+        """Queue `item` for a slot."""
+        work = (job_run, item)
+        self._waiting.put(WaitingItem(item.due_ms, item.ran_ms, work))
         self._woken.set()
 
     async def _pump(self):
@@ -148,12 +148,12 @@
                 self._woken.clear()
                 await self._pause_or_wake()
                 continue
-            job_run, item = entry[2], entry[3]
-            place = await self._place(job_run, item)
+            job_run, item = entry.work
+            place = await self._place(entry)
             if place is _NOWHERE:
                 continue
             if place is None:
-                heapq.heappush(self._waiting, entry)
+                self._waiting.put(entry)
                 await self._pause()
                 continue
             if job_run.stopped:
@@ -173,7 +173,7 @@
             return
 
     def _next(self):
-        """Take the most urgent item that may run now out of the queue."""
+        """Take the item that goes next out of those that may run now."""
         if self._running >= MOST_RUNNING:
             return None
         if self.held_characters > HELD_CHARACTERS:
@@ -181,22 +181,22 @@
         now_ms = self.clock.now_ms()
         later = []
         found = None
-        while self._waiting and found is None:
-            entry = heapq.heappop(self._waiting)
-            if entry[2].stopped:
+        while len(self._waiting) and found is None:
+            entry = self._waiting.take(now_ms)
+            job_run, item = entry.work
+            if job_run.stopped:
                 continue
-            if entry[3].not_before_ms > now_ms and (
-                entry[3].abandon_ms > now_ms
-            ):
-                later.append(entry)
-            else:
+            if item.is_ready(now_ms):
                 found = entry
+            else:
+                later.append(entry)
         for entry in later:
-            heapq.heappush(self._waiting, entry)
+            self._waiting.put(entry)
         return found
 
-    async def _place(self, job_run, item):
-        """Return a place for `item`, or None if there is no slot now."""
+    async def _place(self, entry):
+        """Return a place for an item, or None if there is no slot now."""
+        job_run, item = entry.work
         now_ms = self.clock.now_ms()
         route = self.node.catalog.match(job_run.job.host, item.call.target)
         if route is None or route.kind is not RouteKind.BATCH:
@@ -212,7 +212,7 @@
             use=Use.BATCH,
             affinity=parts[-1] if parts else "",
             wait_ms=0,
-            slack_ms=max(0, item.due_ms - now_ms),
+            slack_ms=self._waiting.slack_ms(entry, now_ms),
             avoid=frozenset(),
             on_revoke=item.revoke,
         )
@@ -251,6 +251,7 @@
         life = place.replica.life
         if end is ItemEnd.DONE:
             suspicion.served(life)
+            self._learn(job_run, item)
             job_run.finish(item, Outcome.DONE, "")
             return
         if end in (ItemEnd.LOST, ItemEnd.FAILED, ItemEnd.NOT_RUN):
@@ -266,6 +267,20 @@
         else:
             self.wait_for_slot(job_run, item)
 
+    def _learn(self, job_run, item):
+        now_ms = self.clock.now_ms()
+        took_ms = now_ms - item.started_ms
+        self._waiting.done(item.ran_ms, took_ms)
+        self.log.info(
+            "item_done",
+            request_id=item.call.request_id,
+            job_id=job_run.job.job_id,
+            ran_ms=item.ran_ms,
+            took_ms=took_ms,
+            revokes=item.revokes,
+            left_ms=item.due_ms - now_ms,
+        )
+
 
 _NOWHERE = object()
 """Stands for the place of an item that no longer needs one."""
