Idle slots go before those that an item must give up

Cause: entries ordered replicas by online requests alone, so that a request went to a replica whose other slots ran items, and one was revoked there while a slot stood idle at the next replica. Items asked replicas full of items.

Change: a candidate's batch holds count; replicas with an idle slot go first, and a prompt's parts draw a request only if that revokes no item needlessly.

--- a/dahliashunt/decisions/replica_choice.py
+++ b/dahliashunt/decisions/replica_choice.py
@@ -11,6 +11,12 @@
 Ordering by the last known load alone sends a whole wave to the replica
 that last looked idle; ordering at random fills one replica while another
 idles; ignoring prompts makes each replica read every shared part again.
+Where online requests and batch items share a fleet, counting only online
+requests sends one to a replica whose other slots all run items: an item is
+revoked there while a slot stands idle next door, and batch items ask
+replicas that other items have filled. Played with
+`decisions/tests/test_shared_fleet.py`, waves at three quarters of the
+slots: 205 revokes of 177 items, and 145 with idle slots first.
 
 How
 ---
@@ -19,7 +25,9 @@
 room, and their slots are wanted only when no other is left. Among the rest
 the one that most probably keeps the request's shared prompt parts is first,
 chosen by rendezvous over the deepest shared part, as long as it has some
-room; the others follow by free slots, with ties drawn at random.
+room and no item must be revoked there that need not be elsewhere; the
+others follow, those with an idle slot ahead, by slots that online requests
+leave free, with ties drawn at random.
 
 Complexity: one hash and one comparison key a replica.
 """
@@ -57,6 +65,9 @@
         Stands in this entry's data centre.
     cold : bool
         Still slow after its start.
+    batch : int
+        Slots besides those taken that batch items hold: an online request
+        gets one by revoking its item, another item does not get it.
     """
 
     replica_id: str
@@ -66,6 +77,7 @@
     avoided: bool
     near: bool
     cold: bool = False
+    batch: int = 0
 
 
 def order_replicas(
@@ -99,6 +111,8 @@
     )
     if keeper is None or _free(keeper) < ROOM_FOR_AFFINITY:
         return ordered
+    if not _has_idle(keeper) and _has_idle(ordered[0]):
+        return ordered
     return [keeper, *(one for one in ordered if one is not keeper)]
 
 
@@ -108,6 +122,7 @@
         one.avoided,
         no_room,
         one.cold,
+        not _has_idle(one),
         -_free(one),
         not one.near,
         rng.random(),
@@ -122,6 +137,10 @@
     return max(0, one.slots - one.taken)
 
 
+def _has_idle(one):
+    return _free(one) > one.batch
+
+
 def _weight(affinity, replica_id):
     text = f"{affinity}|{replica_id}".encode()
     return hashlib.blake2b(text, digest_size=8).digest()
--- a/dahliashunt/decisions/tests/test_replica_choice.py
+++ b/dahliashunt/decisions/tests/test_replica_choice.py
@@ -50,6 +50,30 @@
     assert order(started, "part-7")[0] != first
 
 
+def test_an_idle_slot_goes_before_one_that_an_item_must_give_up():
+    # Replica a runs one online request and seven items, b six requests and
+    # nothing else. By online requests alone a looks emptier: an item is
+    # revoked there although b has two idle slots.
+    items = candidate("a", 1, batch=7)
+    idle = candidate("b", 6)
+    assert order([items, idle]) == ["b", "a"]
+    assert order([items, candidate("b", 6, batch=2)]) == ["a", "b"]
+
+
+def test_a_prompts_parts_revoke_no_item_while_a_slot_is_idle():
+    # Reading 200 shared tokens again costs 3 ms, a revoked item ten times
+    # as much.
+    fleet = [candidate(name) for name in "abcde"]
+    (keeper, *_) = order(fleet, "part-7")
+    busy = [
+        candidate(one.replica_id, batch=8 * (one.replica_id == keeper))
+        for one in fleet
+    ]
+    assert order(busy, "part-7")[0] != keeper
+    all_busy = [candidate(one.replica_id, batch=8) for one in fleet]
+    assert order(all_busy, "part-7")[0] == keeper
+
+
 def test_unknown_load_counts_as_half_full():
     unknown = candidate("a", 0, age_ms=FRESH_MS + 1)
     names = order([candidate("b", 7), unknown, candidate("c", 1)])
--- a/dahliashunt/forwarding/placing.py
+++ b/dahliashunt/forwarding/placing.py
@@ -230,9 +230,10 @@
         own = self._own_by_life.get(replica.life, 0)
         known = self._slots.known_by_address.get(self._agent(replica))
         avoided = self._suspicion.is_avoided(replica.life, now_ms)
-        taken, age_ms = own, 0
+        taken, batch, age_ms = own, 0, 0
         if known is not None:
             taken = max(own, known.state.online + known.state.waiting)
+            batch = known.state.batch
             age_ms = now_ms - known.at_ms
             avoided = avoided or known.state.away
         return Candidate(
@@ -243,6 +244,7 @@
             avoided=avoided,
             near=replica.data_centre == self._data_centre,
             cold=self._book.is_cold(replica, now_ms),
+            batch=batch,
         )
 
     def _agent(self, replica):
