A request that was never written is not an attempt

Cause: a replica that goes away between the opening of a connection and the request resets it; the exchange ended as broken, the call as one that may have run, and a call with one attempt got 502 although no replica had seen it.

Change: the exchange ends as unsent where the connection was closed or the write failed; a transport that holds nothing back writes at once, so that not a byte went. Such a call is not run: it goes to another replica, and if there is none gets 503 with Retry-After. Items wait as after a refusal.

Before and after: three tests failed before and pass now (a reset known to the system but not yet read; a closed connection; a call that may run once served by the other replica).

--- a/dahliashunt/adapters/http1/connection.py
+++ b/dahliashunt/adapters/http1/connection.py
@@ -57,6 +57,9 @@
     BROKEN = "broken"
     """Reset, cut short, or not HTTP."""
 
+    UNSENT = "unsent"
+    """Not a byte of the request was handed to the system."""
+
 
 @dataclass(frozen=True, slots=True)
 class ResponseHead:
@@ -229,12 +232,24 @@
         self._unread = 0
         self.used += 1
         box = self._box
-        if self.transport.is_closing():
-            self._finish(End.BROKEN)
-        else:
-            self.transport.write(request)
+        if not self._is_written(request):
+            self._finish(End.UNSENT)
         return box
 
+    def _is_written(self, request):
+        """Write `request`; tell whether the system took any of it.
+
+        The failure it guards against: a replica that has gone resets the
+        connection before the request is written, and the request ends as
+        "may have run", which for a call that may run once is a 502. The
+        transport writes at once while it holds nothing back, and closes
+        if that fails, so that a closed transport means that nothing went.
+        """
+        if self.transport.is_closing():
+            return False
+        self.transport.write(request)
+        return not self.transport.is_closing()
+
     def taken(self, size: int) -> None:
         """Say that `size` bytes of the body were used; reads go on."""
         self._unread -= size
--- a/dahliashunt/adapters/http1/tests/test_connection.py
+++ b/dahliashunt/adapters/http1/tests/test_connection.py
@@ -103,6 +103,34 @@
     assert events[-1] is End.BROKEN
 
 
+def test_a_request_that_meets_a_reset_was_never_sent():
+    # The peer resets the connection between its opening and the request, as
+    # one that has gone does. The reset is known to the system but not yet
+    # read here: writing fails, so that nothing was sent and "not run" is
+    # certain. Taken for lost, the request may not go elsewhere.
+    async def main():
+        with socket.create_server(("127.0.0.1", 0)) as listening:
+            address = listening.getsockname()
+            connection = await open_connection(*address, 1000)
+            peer, _ = listening.accept()
+            peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            peer.close()
+            box = connection.start(REQUEST)
+            return await box.take(5000), connection.usable
+
+    assert asyncio.run(main()) == ([End.UNSENT], False)
+
+
+def test_a_request_on_a_closed_connection_was_never_sent():
+    async def main():
+        async with server() as address:
+            connection = await open_connection(*address, 1000)
+            connection.abort()
+            return await connection.start(REQUEST).take(5000)
+
+    assert asyncio.run(main()) == [End.UNSENT]
+
+
 def test_bytes_that_are_no_answer_break_the_exchange():
     events, usable = play(b"garbage\r\n\r\n")
     assert (events[-1], usable) == (End.BROKEN, False)
--- a/dahliashunt/forwarding/attempt.py
+++ b/dahliashunt/forwarding/attempt.py
@@ -128,6 +128,8 @@
         if not events:
             self._state.ran += 1
             return self._silent_or_late()
+        if events[0] is End.UNSENT:
+            return AttemptEnd.NOT_RUN
         if isinstance(events[0], End):
             self._state.ran += 1
             return AttemptEnd.LOST
--- a/dahliashunt/jobs/item_run.py
+++ b/dahliashunt/jobs/item_run.py
@@ -198,6 +198,8 @@
         return True
 
     def _judge(self, end, head, cutter, dialect):
+        if end is End.UNSENT:
+            return ItemEnd.NOT_RUN
         if end is End.BROKEN or head is None:
             return ItemEnd.LOST
         if dialect.proves_not_run(head):
--- a/dahliashunt/platform/tests/test_online.py
+++ b/dahliashunt/platform/tests/test_online.py
@@ -4,7 +4,9 @@
 
 import pytest
 
+from dahliashunt.adapters.http1 import ConnectionPool
 from dahliashunt.adapters.http1 import End
+from dahliashunt.adapters.http1 import open_connection
 from dahliashunt.platform import serve_entry
 from dahliashunt.platform.standins.caller import caller_request
 from dahliashunt.platform.standins.settings import config_fields
@@ -128,6 +130,31 @@
     platform(scenario, ONCE, replicas=2)
 
 
+def test_a_call_that_was_never_sent_goes_to_another(platform, monkeypatch):
+    # A clerk gets 502 for a ticket that no replica has seen: its replica
+    # went away between the opening of the connection and the request, and
+    # the call, which may run once, was taken for one that may have run.
+    resets = []
+
+    async def take(pool, address, idle_ms=0):
+        connection = await open_connection(*address, 1000)
+        if not resets:
+            resets.append(address)
+            connection.abort()
+        return connection
+
+    async def scenario(p):
+        monkeypatch.setattr(ConnectionPool, "take", take)
+        for replica in p.replicas:
+            replica.then()
+        answer = await p.call()
+        assert (answer.status, answer.body) == (200, b"answer")
+        assert len(resets) == 1
+        assert sum(len(r.arrivals) for r in p.replicas) == 1
+
+    platform(scenario, ONCE, replicas=2)
+
+
 def test_an_idempotent_call_is_repeated_up_to_its_attempts(platform):
     async def scenario(p):
         for replica in p.replicas:
