--- /dev/null
+++ b/dahliashunt/jobs/job_run.py
@@ -0,0 +1,167 @@
+"""One owned job: its items' tasks, and the listing of their results."""
+
+import asyncio
+
+from dahliashunt.errors import PlatformUnavailable
+from dahliashunt.errors import RequestError
+from dahliashunt.jobs.item_run import ItemRun
+from dahliashunt.jobs.ledger import Finished
+from dahliashunt.jobs.ledger import OwnershipLost
+from dahliashunt.jobs.model import Job
+from dahliashunt.jobs.model import JobState
+from dahliashunt.jobs.model import Outcome
+
+__all__ = ["JobRun"]
+
+RETRY_MS = (150, 400)
+"""Between tries of a listing while the store does not answer."""
+
+
+class JobRun:
+    """Runs one job until all of its items are listed, or it is stopped.
+
+    Parameters
+    ----------
+    worker : JobWorker
+        Gives its items slots.
+    job : Job
+
+    Attributes
+    ----------
+    stopped : bool
+        Another node owns the job, it has ended, or a task of it failed.
+    """
+
+    def __init__(self, worker, job: Job):
+        self.job = job
+        self.stopped = False
+        self._worker = worker
+        self._tasks = set()
+        self._finished: list[Finished] = []
+        self._more = asyncio.Event()
+        self.spawn(self._run())
+
+    def spawn(self, work) -> None:
+        """Run `work` as a task of this job."""
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._ended)
+
+    def _ended(self, task):
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self._worker.log.error(
+                "job_task_failed",
+                job_id=self.job.job_id,
+                reason=repr(task.exception()),
+            )
+            # The view brings the job back with what is listed.
+            self.stop()
+            self._worker.forget(self.job.job_id)
+
+    def stop(self) -> None:
+        """Cancel everything: closing connections stops the replicas."""
+        self.stopped = True
+        for task in list(self._tasks):
+            task.cancel()
+        for finished in self._finished:
+            self._worker.held_characters -= len(finished.text)
+        self._finished.clear()
+
+    def finish(self, item: ItemRun, outcome: Outcome, reason: str) -> None:
+        """Take an item's outcome; it is listed as soon as possible."""
+        text = item.text if outcome is Outcome.DONE else ""
+        if outcome is Outcome.DEAD:
+            self._worker.log.warning(
+                "item_dead",
+                request_id=item.call.request_id,
+                job_id=self.job.job_id,
+                reason=reason,
+            )
+        self._worker.held_characters += len(text)
+        self._finished.append(Finished(item.index, outcome, text))
+        self._more.set()
+
+    async def _run(self):
+        worker = self._worker
+        calls = await self._calls()
+        route = worker.node.catalog.batch_route(self.job.route)
+        age_ms = worker.store_now_ms() - self.job.accepted_ms
+        start_ms = worker.clock.now_ms() - max(0, age_ms)
+        due_ms = start_ms + (route.completion_ms if route else 0)
+        abandon_ms = start_ms + (route.abandon_ms if route else 0)
+        listed = worker.view.progress(self.job).indices
+        worker.log.info(
+            "job_started",
+            job_id=self.job.job_id,
+            items=len(calls),
+            listed=len(listed),
+            age_ms=age_ms,
+        )
+        for index, call in enumerate(calls):
+            if index not in listed:
+                item = ItemRun(index, call, due_ms, abandon_ms)
+                worker.wait_for_slot(self, item)
+        await self._list_all()
+
+    async def _calls(self):
+        while True:
+            try:
+                payload = await self._worker.ledger.payload(self.job)
+            except RequestError as error:
+                self._worker.log.warning(
+                    "payload_unread",
+                    job_id=self.job.job_id,
+                    reason=error.message,
+                )
+                await self._retry_pause()
+                continue
+            return self._worker.payloads.calls(self.job.host, payload)
+
+    async def _retry_pause(self):
+        worker = self._worker
+        await worker.clock.sleep_ms(worker.node.rng.randint(*RETRY_MS))
+
+    async def _list_all(self):
+        worker = self._worker
+        total = len(self.job.items)
+        while len(worker.view.progress(self.job).listed) < total:
+            await self._more.wait()
+            self._more.clear()
+            while self._finished:
+                await self._list_some()
+        worker.log.info("job_listed", job_id=self.job.job_id, items=total)
+        await self._close()
+
+    async def _list_some(self):
+        worker = self._worker
+        batch = list(self._finished)
+        try:
+            await worker.ledger.list_results(self.job, batch)
+        except OwnershipLost:
+            worker.log.warning("job_lost", job_id=self.job.job_id)
+            self.stop()
+            return
+        except PlatformUnavailable as error:
+            worker.log.warning(
+                "listing_failed",
+                job_id=self.job.job_id,
+                held=len(batch),
+                reason=str(error),
+            )
+            await self._retry_pause()
+            return
+        listed = worker.view.progress(self.job).indices
+        for finished in [f for f in batch if f.index in listed]:
+            self._finished.remove(finished)
+            worker.held_characters -= len(finished.text)
+
+    async def _close(self):
+        while True:
+            try:
+                await self._worker.ledger.set_state(
+                    self.job.job_id, JobState.CLOSED
+                )
+                return
+            except RequestError:
+                await self._retry_pause()
--- a/dahliashunt/jobs/worker.py
+++ b/dahliashunt/jobs/worker.py
@@ -12,7 +12,6 @@
 from dahliashunt.decisions.item_order import ItemOrder
 from dahliashunt.decisions.item_order import WaitingItem
 from dahliashunt.decisions.slot_keeper import Use
-from dahliashunt.errors import PlatformUnavailable
 from dahliashunt.errors import RequestError
 from dahliashunt.forwarding.catalog import RouteKind
 from dahliashunt.forwarding.node import Node
@@ -22,11 +21,8 @@
 from dahliashunt.ids import JobId
 from dahliashunt.jobs.item_run import ItemEnd
 from dahliashunt.jobs.item_run import ItemRun
-from dahliashunt.jobs.ledger import Finished
+from dahliashunt.jobs.job_run import JobRun
 from dahliashunt.jobs.ledger import JobLedger
-from dahliashunt.jobs.ledger import OwnershipLost
-from dahliashunt.jobs.model import Job
-from dahliashunt.jobs.model import JobState
 from dahliashunt.jobs.model import Outcome
 from dahliashunt.jobs.payload import PayloadReader
 from dahliashunt.jobs.view import JobView
@@ -37,9 +33,6 @@
 """Between asks while every slot is taken: a slot of a busy fleet of five
 replicas frees every 20 ms, and each ask costs a datagram a replica."""
 
-RETRY_MS = (150, 400)
-"""Between tries of a listing while the store does not answer."""
-
 LOOK_MS = 250
 """Between looks for jobs that were taken over or ended, at the latest."""
 
@@ -93,7 +86,7 @@
         self.clock = node.clock
         self.log = node.log
         self._rng: random.Random = node.rng
-        self._run_by_id: dict[JobId, _JobRun] = {}
+        self._run_by_id: dict[JobId, JobRun] = {}
         self._waiting = ItemOrder()
         self._woken = asyncio.Event()
         self._running = 0
@@ -129,7 +122,7 @@
                 self._run_by_id.pop(job_id).stop()
         for job_id, job in mine.items():
             if job_id not in self._run_by_id:
-                self._run_by_id[job_id] = _JobRun(self, job)
+                self._run_by_id[job_id] = JobRun(self, job)
 
     def forget(self, job_id: JobId) -> None:
         """Drop a job that failed; it starts anew at the next look."""
@@ -284,141 +277,3 @@
 
 _NOWHERE = object()
 """Stands for the place of an item that no longer needs one."""
-
-
-class _JobRun:
-    """One owned job: its items' tasks, and the listing of results."""
-
-    def __init__(self, worker, job: Job):
-        self.job = job
-        self.stopped = False
-        self._worker = worker
-        self._tasks = set()
-        self._finished: list[Finished] = []
-        self._more = asyncio.Event()
-        self.spawn(self._run())
-
-    def spawn(self, work) -> None:
-        """Run `work` as a task of this job."""
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._ended)
-
-    def _ended(self, task):
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            self._worker.log.error(
-                "job_task_failed",
-                job_id=self.job.job_id,
-                reason=repr(task.exception()),
-            )
-            # The view brings the job back with what is listed.
-            self.stop()
-            self._worker.forget(self.job.job_id)
-
-    def stop(self) -> None:
-        """Cancel everything: closing connections stops the replicas."""
-        self.stopped = True
-        for task in list(self._tasks):
-            task.cancel()
-        for finished in self._finished:
-            self._worker.held_characters -= len(finished.text)
-        self._finished.clear()
-
-    def finish(self, item: ItemRun, outcome: Outcome, reason: str) -> None:
-        """Take an item's outcome; it is listed as soon as possible."""
-        text = item.text if outcome is Outcome.DONE else ""
-        if outcome is Outcome.DEAD:
-            self._worker.log.warning(
-                "item_dead",
-                request_id=item.call.request_id,
-                job_id=self.job.job_id,
-                reason=reason,
-            )
-        self._worker.held_characters += len(text)
-        self._finished.append(Finished(item.index, outcome, text))
-        self._more.set()
-
-    async def _run(self):
-        worker = self._worker
-        calls = await self._calls()
-        route = worker.node.catalog.batch_route(self.job.route)
-        age_ms = worker.store_now_ms() - self.job.accepted_ms
-        start_ms = worker.clock.now_ms() - max(0, age_ms)
-        due_ms = start_ms + (route.completion_ms if route else 0)
-        abandon_ms = start_ms + (route.abandon_ms if route else 0)
-        listed = worker.view.progress(self.job).indices
-        worker.log.info(
-            "job_started",
-            job_id=self.job.job_id,
-            items=len(calls),
-            listed=len(listed),
-            age_ms=age_ms,
-        )
-        for index, call in enumerate(calls):
-            if index not in listed:
-                item = ItemRun(index, call, due_ms, abandon_ms)
-                worker.wait_for_slot(self, item)
-        await self._list_all()
-
-    async def _calls(self):
-        while True:
-            try:
-                payload = await self._worker.ledger.payload(self.job)
-            except RequestError as error:
-                self._worker.log.warning(
-                    "payload_unread",
-                    job_id=self.job.job_id,
-                    reason=error.message,
-                )
-                await self._retry_pause()
-                continue
-            return self._worker.payloads.calls(self.job.host, payload)
-
-    async def _retry_pause(self):
-        worker = self._worker
-        await worker.clock.sleep_ms(worker.node.rng.randint(*RETRY_MS))
-
-    async def _list_all(self):
-        worker = self._worker
-        total = len(self.job.items)
-        while len(worker.view.progress(self.job).listed) < total:
-            await self._more.wait()
-            self._more.clear()
-            while self._finished:
-                await self._list_some()
-        worker.log.info("job_listed", job_id=self.job.job_id, items=total)
-        await self._close()
-
-    async def _list_some(self):
-        worker = self._worker
-        batch = list(self._finished)
-        try:
-            await worker.ledger.list_results(self.job, batch)
-        except OwnershipLost:
-            worker.log.warning("job_lost", job_id=self.job.job_id)
-            self.stop()
-            return
-        except PlatformUnavailable as error:
-            worker.log.warning(
-                "listing_failed",
-                job_id=self.job.job_id,
-                held=len(batch),
-                reason=str(error),
-            )
-            await self._retry_pause()
-            return
-        listed = worker.view.progress(self.job).indices
-        for finished in [f for f in batch if f.index in listed]:
-            self._finished.remove(finished)
-            worker.held_characters -= len(finished.text)
-
-    async def _close(self):
-        while True:
-            try:
-                await self._worker.ledger.set_state(
-                    self.job.job_id, JobState.CLOSED
-                )
-                return
-            except RequestError:
-                await self._retry_pause()
