--- a/dahliashunt/decisions/tests/shared_fleet.py
+++ b/dahliashunt/decisions/tests/shared_fleet.py
@@ -23,7 +23,7 @@
 from dahliashunt.decisions.slot_keeper import Use
 from dahliashunt.decisions.slot_keeper import Verdict
 
-__all__ = ["EarliestDue", "Fleet", "Load", "Outcome"]
+__all__ = ["EarliestDue", "Fleet", "Load", "Outcome", "Switches"]
 
 WAVE_MS = 5_200
 CALM_MS = 3_000
@@ -35,6 +35,9 @@
 RESTART_MS = 30
 """An item's time from its grant to its first new event."""
 
+WAIT_MS = 260
+"""What an online request may wait: its objective less a start."""
+
 ROUND_TRIP_MS = 2
 ASKED = 6
 PAUSE_MS = (40, 90)
@@ -57,6 +60,33 @@
     """From, until, and how many replicas are away."""
 
 
+class EarliestDue(ItemOrder):
+    """The baseline: by due time alone, in the queue and at the keeper."""
+
+    def spare_ms(self, item, now_ms):
+        return 0
+
+
+class NeverRevokes(SlotKeeper):
+    """The baseline: online requests wait for an item's end."""
+
+    __slots__ = ()
+
+    def _revoke(self, now_ms):
+        return None
+
+
+@dataclass(frozen=True, slots=True)
+class Switches:
+    """Mechanisms that a trial may switch off, one by one."""
+
+    order: type = ItemOrder
+    keeper: type = SlotKeeper
+    idle_first: bool = True
+    queues: bool = True
+    """Whether an online request may wait at a full replica."""
+
+
 @dataclass(frozen=True, slots=True)
 class Outcome:
     """What became of the items and of the online requests."""
@@ -68,13 +98,6 @@
     refused: int
 
 
-class EarliestDue(ItemOrder):
-    """The baseline: by due time alone, in the queue and at the keeper."""
-
-    def spare_ms(self, item, now_ms):
-        return 0
-
-
 @dataclass(slots=True, eq=False)
 class _Item:
     due_ms: int
@@ -86,18 +109,22 @@
     ended_ms: float | None = None
 
 
+SWITCHES = Switches()
+"""Everything on."""
+
+
 class Fleet:
     """Plays one load once."""
 
-    def __init__(self, load, seed, order=ItemOrder, counts_batch=True):
+    def __init__(self, load, seed, switches=SWITCHES):
         self.load = load
-        self.counts_batch = counts_batch
+        self.switches = switches
         self._online_rng = random.Random(f"online{seed}")
         self._jobs_rng = random.Random(f"jobs{seed}")
         self._rng = random.Random(f"rest{seed}")
-        self._keepers = [SlotKeeper(load.slots) for _ in range(load.replicas)]
+        self._keepers = [self._keeper() for _ in range(load.replicas)]
         self._away = set()
-        self._queues = [order() for _ in range(load.owners)]
+        self._queues = [switches.order() for _ in range(load.owners)]
         self._pumping = set()
         self._item_by_attempt = {}
         self._items = []
@@ -106,6 +133,9 @@
         self._revokes = self._refused = 0
         self._now_ms = 0
 
+    def _keeper(self):
+        return self.switches.keeper(self.load.slots)
+
     def play(self) -> Outcome:
         """Play to the end; items run on for 18 s after the traffic."""
         self._at(0, self._online_comes)
@@ -155,7 +185,10 @@
     def _place_online(self, run_ms):
         name = f"online{next(self._numbers)}"
         asked = self._ordered()[:ASKED]
-        for wait_ms, numbers in ((0, asked), (260, asked[:1])):
+        rounds = [(0, asked)]
+        if self.switches.queues:
+            rounds.append((WAIT_MS, asked[:1]))
+        for wait_ms, numbers in rounds:
             for number in numbers:
                 asker = ("online", number, run_ms)
                 ask = Ask(name, name, asker, Use.ONLINE, wait_ms)
@@ -203,7 +236,7 @@
             age_ms=0,
             avoided=False,
             near=True,
-            batch=state.batch if self.counts_batch else 0,
+            batch=state.batch if self.switches.idle_first else 0,
         )
 
     # Batch items.
@@ -287,4 +320,4 @@
             self._away.add(number)
             for name in list(self._keepers[number]._hold_by_id):
                 self._revoked(name)
-            self._keepers[number] = SlotKeeper(self.load.slots)
+            self._keepers[number] = self._keeper()
--- a/dahliashunt/decisions/tests/test_shared_fleet.py
+++ b/dahliashunt/decisions/tests/test_shared_fleet.py
@@ -10,6 +10,8 @@
 from dahliashunt.decisions.tests.shared_fleet import EarliestDue
 from dahliashunt.decisions.tests.shared_fleet import Fleet
 from dahliashunt.decisions.tests.shared_fleet import Load
+from dahliashunt.decisions.tests.shared_fleet import NeverRevokes
+from dahliashunt.decisions.tests.shared_fleet import Switches
 
 SEEDS = (1, 2)
 
@@ -39,10 +41,11 @@
 
 
 @functools.cache
-def played(load, recent_ms=RECENT_MS, **how):
+def played(load, recent_ms=RECENT_MS, **off):
+    switches = Switches(**off)
     with pytest.MonkeyPatch.context() as patch:
         patch.setattr(slot_keeper, "RECENT_MS", recent_ms)
-        return [Fleet(load, seed, **how).play() for seed in SEEDS]
+        return [Fleet(load, seed, switches).play() for seed in SEEDS]
 
 
 def mean(outcomes, name):
@@ -53,7 +56,7 @@
     # Crews ask in waves while reports run in the idle slots. Requests go to
     # the replica with the fewest online requests, where an item is revoked,
     # although a slot stands idle at the next: items are stopped for nothing.
-    former = played(WAVES, counts_batch=False)
+    former = played(WAVES, idle_first=False)
     now = played(WAVES)
     assert mean(now, "revokes") < 0.8 * mean(former, "revokes")
     assert mean(now, "refused") <= mean(former, "refused") + MORE_REFUSED
@@ -79,5 +82,11 @@
     assert mean(now, "unfinished") <= mean(former, "unfinished")
 
 
+def test_without_revokes_a_wave_finds_the_fleet_full():
+    # A wave of clerks meets replicas that reports fill for five seconds.
+    off = played(WAVES, keeper=NeverRevokes)
+    assert mean(off, "refused") > mean(played(WAVES), "refused") + MORE_REFUSED
+
+
 def test_items_that_cannot_be_in_time_are_done_in_the_end():
     assert mean(played(BURST), "unfinished") == 0
