A former owner hands in what it had done

Change: a job that another node owns is retired: its runs are stopped as before, and the results that are done are listed, under the same condition on the progress' version, so that an item still stands at one position only. The owner stops its runs of items that it finds listed.

Ruled out: a longer term before a takeover (a dead owner's items wait longer); running on after the job is lost (two runs of everything).

Before and after: the new test of two entries ends in time (its items never end at the new owner) and failed before.

--- a/dahliashunt/jobs/job_run.py
+++ b/dahliashunt/jobs/job_run.py
@@ -11,7 +11,7 @@
 from dahliashunt.jobs.model import JobState
 from dahliashunt.jobs.model import Outcome
 
-__all__ = ["JobRun"]
+__all__ = ["RETRY_MS", "JobRun"]
 
 RETRY_MS = (150, 400)
 """Between tries of a listing while the store does not answer."""
@@ -30,11 +30,15 @@
     ----------
     stopped : bool
         Another node owns the job, it has ended, or a task of it failed.
+    item_by_index : dict
+        The items that hold a slot now.
     """
 
     def __init__(self, worker, job: Job):
         self.job = job
         self.stopped = False
+        self.item_by_index: dict[int, ItemRun] = {}
+        self._listed: frozenset[int] = frozenset()
         self._worker = worker
         self._tasks = set()
         self._finished: list[Finished] = []
@@ -68,6 +72,26 @@
             self._worker.held_characters -= len(finished.text)
         self._finished.clear()
 
+    def take_finished(self) -> list[Finished]:
+        """Return the items that are done and not listed yet; forget them."""
+        finished, self._finished = self._finished, []
+        return [each for each in finished if each.outcome is Outcome.DONE]
+
+    def is_listed(self, item: ItemRun) -> bool:
+        """Tell whether `item` needs no run any more."""
+        return item.index in self._listed
+
+    def look(self) -> None:
+        """Stop the runs of items that a former owner has listed."""
+        listed = self._worker.view.progress(self.job).indices
+        if listed == self._listed:
+            return
+        self._listed = listed
+        for index, item in self.item_by_index.items():
+            if index in listed:
+                item.revoke()
+        self._more.set()
+
     def finish(self, item: ItemRun, outcome: Outcome, reason: str) -> None:
         """Take an item's outcome; it is listed as soon as possible."""
         text = item.text if outcome is Outcome.DONE else ""
@@ -140,7 +164,7 @@
             await worker.ledger.list_results(self.job, batch)
         except OwnershipLost:
             worker.log.warning("job_lost", job_id=self.job.job_id)
-            self.stop()
+            worker.retire(self.job.job_id)
             return
         except PlatformUnavailable as error:
             worker.log.warning(
--- a/dahliashunt/jobs/ledger.py
+++ b/dahliashunt/jobs/ledger.py
@@ -347,10 +347,27 @@
         PlatformUnavailable
             Nothing was listed, or it is not known: try again.
         """
+        if self._view.progress(job).owner != self.owner:
+            raise OwnershipLost
+        return await self._list(job, finished)
+
+    async def hand_in(self, job: Job, finished: list[Finished]) -> int:
+        """List what this node finished before another took the job over.
+
+        An item is listed once whoever lists it: the condition is the
+        version of the progress in which it is missing. The new owner finds
+        it there and stops its own run.
+
+        Raises
+        ------
+        PlatformUnavailable
+            Nothing was listed, or it is not known: try again.
+        """
+        return await self._list(job, finished)
+
+    async def _list(self, job, finished):
         known = self._view.progress_by_id.get(job.job_id)
         progress = self._view.progress(job)
-        if progress.owner != self.owner:
-            raise OwnershipLost
         todo = [f for f in finished if f.index not in progress.indices]
         todo = _page(todo)
         if not todo:
--- a/dahliashunt/jobs/tests/test_ledger.py
+++ b/dahliashunt/jobs/tests/test_ledger.py
@@ -62,6 +62,28 @@
     return [(r.item_id, r.text) for r in await ledger.results(job, 0)]
 
 
+def test_a_former_owner_hands_in_what_it_had_done(node):
+    # The store turns an entry away for seconds, its job is taken over, and
+    # its two items are done on both nodes. Each must be read once, from
+    # whichever node comes first.
+    async def main():
+        old, new = node(FIRST), node(SECOND)
+        await old.accept(JOB, b"payload", 0)
+        await new.find(JOB.job_id)
+        assert await new.take_over(JOB)
+        await new.list_results(JOB, [done(0, "new")])
+        both = [done(0, "old"), done(1, "old")]
+        with pytest.raises(PlatformUnavailable):
+            await old.hand_in(JOB, both)
+        await old.hand_in(JOB, both)
+        with pytest.raises(PlatformUnavailable):
+            await new.list_results(JOB, [done(1, "new")])
+        await new.list_results(JOB, [done(1, "new")])
+        assert await results(new) == [("x", "new"), ("y", "old")]
+
+    asyncio.run(main())
+
+
 def test_a_replaced_owner_lists_nothing(node):
     # An entry stands still for seconds; its job is taken over. When it
     # wakes it lists what it holds: a caller would read an item twice.
--- a/dahliashunt/jobs/view.py
+++ b/dahliashunt/jobs/view.py
@@ -120,6 +120,10 @@
         """Return the jobs that are open."""
         return [self.job_by_id[job_id].value for job_id in self._open]
 
+    def is_open(self, job_id: JobId) -> bool:
+        """Tell whether the job is open, as far as is known here."""
+        return job_id in self._open
+
     def finished_tokens(self, route: str) -> int:
         """Return tokens of listed items of the route's open jobs."""
         total = 0
--- a/dahliashunt/jobs/worker.py
+++ b/dahliashunt/jobs/worker.py
@@ -12,6 +12,7 @@
 from dahliashunt.decisions.item_order import ItemOrder
 from dahliashunt.decisions.item_order import WaitingItem
 from dahliashunt.decisions.slot_keeper import Use
+from dahliashunt.errors import PlatformUnavailable
 from dahliashunt.errors import RequestError
 from dahliashunt.forwarding.catalog import RouteKind
 from dahliashunt.forwarding.node import Node
@@ -22,6 +23,7 @@
 from dahliashunt.jobs.item_run import ItemEnd
 from dahliashunt.jobs.item_run import ItemRun
 from dahliashunt.jobs.job_run import JobRun
+from dahliashunt.jobs.job_run import RETRY_MS
 from dahliashunt.jobs.ledger import JobLedger
 from dahliashunt.jobs.model import Outcome
 from dahliashunt.jobs.payload import PayloadReader
@@ -90,6 +92,7 @@
         self._waiting = ItemOrder()
         self._woken = asyncio.Event()
         self._running = 0
+        self._hand_ins = set()
         self.held_characters = 0
 
     @property
@@ -108,6 +111,8 @@
                     pump.result()
         finally:
             pump.cancel()
+            for task in self._hand_ins:
+                task.cancel()
             for run in self._run_by_id.values():
                 run.stop()
 
@@ -119,10 +124,63 @@
         }
         for job_id in list(self._run_by_id):
             if job_id not in mine:
-                self._run_by_id.pop(job_id).stop()
+                self.retire(job_id)
         for job_id, job in mine.items():
             if job_id not in self._run_by_id:
                 self._run_by_id[job_id] = JobRun(self, job)
+            self._run_by_id[job_id].look()
+
+    def retire(self, job_id: JobId) -> None:
+        """Stop a job that is not ours; hand in what was done of it.
+
+        The failure it is for: an owner that the store turns away runs its
+        items to their ends, while another node takes its jobs over and
+        begins each item anew. When the store is back, what is done here
+        comes seconds before the new owner has it, often just in time.
+        """
+        run = self._run_by_id.pop(job_id, None)
+        if run is None:
+            return
+        finished = run.take_finished()
+        run.stop()
+        if finished:
+            task = asyncio.create_task(self._hand_in(run.job, finished))
+            self._hand_ins.add(task)
+            task.add_done_callback(self._handed_in)
+
+    def _handed_in(self, task):
+        self._hand_ins.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self.log.error("hand_in_failed", reason=repr(task.exception()))
+
+    async def _hand_in(self, job, finished):
+        held = sum(len(each.text) for each in finished)
+        count = len(finished)
+        try:
+            while finished and self.view.is_open(job.job_id):
+                finished = await self._hand_in_some(job, finished)
+        finally:
+            self.held_characters -= held
+        self.log.info(
+            "results_handed_in",
+            job_id=job.job_id,
+            held=count,
+            left=len(finished),
+        )
+
+    async def _hand_in_some(self, job, finished):
+        try:
+            await self.ledger.hand_in(job, finished)
+        except PlatformUnavailable as error:
+            self.log.warning(
+                "listing_failed",
+                job_id=job.job_id,
+                held=len(finished),
+                reason=str(error),
+            )
+            await self.clock.sleep_ms(self._rng.randint(*RETRY_MS))
+        listed = self.view.progress(job).indices
+        return [each for each in finished if each.index not in listed]
 
     def forget(self, job_id: JobId) -> None:
         """Drop a job that failed; it starts anew at the next look."""
@@ -177,7 +235,7 @@
         while len(self._waiting) and found is None:
             entry = self._waiting.take(now_ms)
             job_run, item = entry.work
-            if job_run.stopped:
+            if job_run.stopped or job_run.is_listed(item):
                 continue
             if item.is_ready(now_ms):
                 found = entry
@@ -220,11 +278,13 @@
 
     async def _attempt(self, job_run, item, place):
         end = ItemEnd.LOST
+        job_run.item_by_index[item.index] = item
         try:
             end = await item.attempt(
                 place, self.pool, self.dialect, self.clock
             )
         finally:
+            del job_run.item_by_index[item.index]
             place.release()
             self._running -= 1
         self.node.metrics.count("item_attempts", end=end.value)
--- a/dahliashunt/platform/tests/test_jobs.py
+++ b/dahliashunt/platform/tests/test_jobs.py
@@ -13,6 +13,7 @@
 from dahliashunt.platform.standins.caller import JobItem
 from dahliashunt.platform.standins.caller import results_target
 from dahliashunt.platform.standins.settings import route_fields
+from dahliashunt.platform.tests.conftest import free_port
 
 KEEP_MS = 120_000
 """As the stand-in's settings say."""
@@ -184,6 +185,33 @@
     platform(scenario, ROUTE)
 
 
+def test_an_owner_that_the_store_turned_away_hands_in_its_results(platform):
+    # A grower's reports are late although they were done in time: the store
+    # turned the entry that owned them away, it ran them to the end and could
+    # not list them, another entry began them anew, and what the first one
+    # had was thrown away when the store answered it again.
+    async def scenario(p):
+        replica = p.replicas[0].then(events=3, gap_ms=20)
+        owner, other = p.entries[0], await p.add_entry()
+        store = owner.jobs.store
+        address = store.address
+        assert (await submit(p, entry=owner)).status == 202
+        await p.until(lambda: len(replica.arrivals) == 2)
+        store.address = ("127.0.0.1", free_port())
+        await p.until(lambda: not replica.running)
+        replica.steps.clear()
+        replica.then(head_ms=60_000)
+        await p.until(lambda: len(replica.arrivals) > 2)
+        store.address = address
+        results = await read_all(p, entry=other)
+        assert {r["output"] for r in results} == {output(3)}
+        assert sorted(r["id"] for r in results) == ["a", "b"]
+        await p.until(lambda: not other.jobs.view.open_jobs())
+        await p.until(lambda: not replica.running)
+
+    platform(scenario, ROUTE)
+
+
 def test_everything_is_lost_right_after_the_acceptance(platform):
     async def scenario(p):
         p.replicas[0].then(events=2)
