A feed gathers changes instead of being answered by each

Cause: every entry follows tables that all entries write.

Change: decisions/feed_pace.py gives each table a pause after an answer with changes, by what its news is needed for. A change after a quiet time is heard at once; the configuration is never gathered. Store calls are counted by verb and table (store_calls on the metrics page).

Ruled out: reading progress only when a caller asks. Takeover and a former owner's listing need it at nodes that nobody asks.

test_what_is_kept_of_a_job_goes_when_its_time_is_over now waits until both nodes have heard that the job is closed: its look took for granted that the news is there within the call. What it checks is unchanged.

--- a/dahliashunt/forwarding/follower.py
+++ b/dahliashunt/forwarding/follower.py
@@ -2,6 +2,8 @@
 
 import random
 
+from dahliashunt.decisions.feed_pace import FeedUse
+from dahliashunt.decisions.feed_pace import pause_ms
 from dahliashunt.errors import HistoryLost
 from dahliashunt.errors import PlatformUnavailable
 from dahliashunt.ports import Clock
@@ -30,6 +32,8 @@
     prefixes : tuple of str
         Each with table, part and perhaps the start of keys; all of one
         table.
+    use : FeedUse
+        What the table is followed for; decides how changes are gathered.
     listener : object
         Has ``replaced(rows)``, ``changed(row)``, ``removed(key)`` and
         ``outage_ended()``.
@@ -47,6 +51,7 @@
         self,
         feed: TableFeed,
         prefixes: tuple[str, ...],
+        use: FeedUse,
         listener,
         clock: Clock,
         rng: random.Random,
@@ -55,6 +60,7 @@
         self._feed = feed
         self._prefixes = prefixes
         self._table = prefixes[0].split("/", 1)[0]
+        self._use = use
         self._listener = listener
         self._clock = clock
         self._rng = rng
@@ -84,6 +90,9 @@
         self._heard()
         self._apply(found)
         self._after = found.version
+        gather_ms = pause_ms(self._use, bool(found.rows or found.removed))
+        if gather_ms:
+            await self._clock.sleep_ms(gather_ms)
 
     async def _read_whole(self):
         rows = []
--- /dev/null
+++ b/dahliashunt/forwarding/tests/test_follower.py
@@ -0,0 +1,154 @@
+"""A table that all nodes write, followed by one of them."""
+
+import asyncio
+import random
+
+import pytest
+import structlog
+
+from dahliashunt.adapters.clock import VirtualClock
+from dahliashunt.decisions.feed_pace import FeedUse
+from dahliashunt.decisions.feed_pace import pause_ms
+from dahliashunt.forwarding.follower import TableFollower
+from dahliashunt.ports.table import Changes
+from dahliashunt.ports.table import Row
+
+CALL_MS = 4
+"""What the store takes for an answer."""
+
+
+class Feed:
+    """A table whose calls wait for a change, on a virtual clock.
+
+    Attributes
+    ----------
+    calls : int
+    """
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._rows = []
+        self._changed = asyncio.Event()
+        self.calls = 0
+
+    def write(self, key):
+        self._rows.append(Row(key, "", len(self._rows) + 1))
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def snapshot(self, prefix):
+        return Changes(tuple(self._rows), (), len(self._rows))
+
+    async def changes(self, table, after, wait_ms):
+        self.calls += 1
+        if len(self._rows) == after:
+            changed = asyncio.ensure_future(self._changed.wait())
+            limit = asyncio.ensure_future(self._clock.sleep_ms(wait_ms))
+            await asyncio.wait(
+                {changed, limit}, return_when=asyncio.FIRST_COMPLETED
+            )
+            changed.cancel()
+            limit.cancel()
+        await self._clock.sleep_ms(CALL_MS)
+        rows = tuple(self._rows[after:])
+        return Changes(rows, (), after + len(rows))
+
+
+class Listener:
+    """Notes when each row was heard of."""
+
+    def __init__(self, clock):
+        self._clock = clock
+        self.heard_ms_by_key = {}
+
+    def replaced(self, rows):
+        for row in rows:
+            self.changed(row)
+
+    def changed(self, row):
+        self.heard_ms_by_key[row.key] = self._clock.now_ms()
+
+    def removed(self, key):
+        pass
+
+    def outage_ended(self):
+        pass
+
+
+@pytest.fixture
+def followed():
+    """Return ``play(use, scenario)``, with a follower that runs."""
+
+    def play(use, scenario):
+        async def main():
+            clock = VirtualClock()
+            feed, listener = Feed(clock), Listener(clock)
+            follower = TableFollower(
+                feed,
+                ("progress/0/",),
+                use,
+                listener,
+                clock,
+                random.Random(1),
+                structlog.get_logger(),
+            )
+            task = asyncio.create_task(follower.run())
+            await clock.advance(10)
+            try:
+                await scenario(clock, feed, listener)
+            finally:
+                task.cancel()
+
+        asyncio.run(main())
+
+    return play
+
+
+def test_calls_of_a_busy_table_do_not_grow_with_its_changes(followed):
+    # With ninety entries the results of all batch jobs are listed 25 times
+    # a second. Each listing answered the call of every entry, which called
+    # again at once: two thousand calls a second for news that only a job's
+    # owner needs, and more with every machine.
+    async def scenario(clock, feed, listener):
+        written_ms_by_key = {}
+        for number in range(500):
+            key = f"progress/0/{number}"
+            written_ms_by_key[key] = clock.now_ms()
+            feed.write(key)
+            await clock.advance(20)
+        await clock.advance(2_000)
+        gather_ms = pause_ms(FeedUse.PROGRESS, has_changes=True)
+        assert feed.calls <= 12_000 / gather_ms + 2
+        assert listener.heard_ms_by_key.keys() == written_ms_by_key.keys()
+        lag_ms = max(
+            listener.heard_ms_by_key[key] - written_ms
+            for key, written_ms in written_ms_by_key.items()
+        )
+        assert lag_ms <= gather_ms + 2 * CALL_MS
+
+    followed(FeedUse.PROGRESS, scenario)
+
+
+def test_a_change_after_a_quiet_time_is_heard_at_once(followed):
+    # A replica reports that it leaves while nothing else happens: the
+    # pause must not delay the one change that counts.
+    async def scenario(clock, feed, listener):
+        await clock.advance(5_000)
+        feed.write("progress/0/a")
+        await clock.advance(2 * CALL_MS)
+        assert "progress/0/a" in listener.heard_ms_by_key
+
+    followed(FeedUse.REPLICAS, scenario)
+
+
+def test_configurations_in_quick_succession_are_not_gathered(followed):
+    # An operator's change has a bound of its own, from the store's answer
+    # to the last node: it must not wait behind the change before it.
+    async def scenario(clock, feed, listener):
+        for number in range(10):
+            key = f"progress/0/{number}"
+            feed.write(key)
+            await clock.advance(3 * CALL_MS)
+            assert key in listener.heard_ms_by_key
+
+    followed(FeedUse.CONFIGURATION, scenario)
--- a/dahliashunt/platform/serve_agent.py
+++ b/dahliashunt/platform/serve_agent.py
@@ -69,7 +69,7 @@
         self.metrics = Metrics(boot.node_id)
         self._pool = ConnectionPool(self._clock)
         self._store = PlatformStore(
-            boot.store.address, self._pool, self._clock
+            boot.store.address, self._pool, self._clock, self.metrics
         )
         self._server = None
         self._missing = 0
--- a/dahliashunt/platform/serve_entry.py
+++ b/dahliashunt/platform/serve_entry.py
@@ -8,6 +8,7 @@
 from dahliashunt.adapters.http_server import HttpBounds
 from dahliashunt.adapters.http_server import HttpServer
 from dahliashunt.adapters.slots import SlotClient
+from dahliashunt.decisions.feed_pace import FeedUse
 from dahliashunt.decisions.suspicion import Suspicion
 from dahliashunt.forwarding.follower import TableFollower
 from dahliashunt.forwarding.forwarder import Forwarder
@@ -116,7 +117,7 @@
         self._pool = ConnectionPool(self._clock)
         self._store_pool = ConnectionPool(self._clock)
         self._store = PlatformStore(
-            boot.store.address, self._store_pool, self._clock
+            boot.store.address, self._store_pool, self._clock, metrics
         )
         self._slots = SlotClient(self._clock)
         self._suspicion = Suspicion()
@@ -165,17 +166,24 @@
         """Return the tables' followers; the configuration's is the first."""
         configs = ConfigRows(self.node, self._log)
         replicas = ReplicaRows(self._book, self._clock, self._log)
+        view = self.jobs.view
         return [
-            self._follower((CONFIG_KEY,), configs),
-            self._follower((REPLICAS_PREFIX,), replicas),
-            self._follower((JOBS_PREFIX,), self.jobs.view),
-            self._follower(PROGRESS_PREFIXES, self.jobs.view),
-            self._follower((LOSSES_PREFIX,), self._losses),
+            self._follower((CONFIG_KEY,), FeedUse.CONFIGURATION, configs),
+            self._follower((REPLICAS_PREFIX,), FeedUse.REPLICAS, replicas),
+            self._follower((JOBS_PREFIX,), FeedUse.JOBS, view),
+            self._follower(PROGRESS_PREFIXES, FeedUse.PROGRESS, view),
+            self._follower((LOSSES_PREFIX,), FeedUse.LOSSES, self._losses),
         ]
 
-    def _follower(self, prefixes, listener):
+    def _follower(self, prefixes, use, listener):
         return TableFollower(
-            self._store, prefixes, listener, self._clock, self._rng, self._log
+            self._store,
+            prefixes,
+            use,
+            listener,
+            self._clock,
+            self._rng,
+            self._log,
         )
 
     async def start(self):
--- a/dahliashunt/platform/store.py
+++ b/dahliashunt/platform/store.py
@@ -19,6 +19,7 @@
 from dahliashunt.errors import PlatformUnavailable
 from dahliashunt.errors import TransactionConflict
 from dahliashunt.errors import WriteOutcomeUnknown
+from dahliashunt.metrics import Metrics
 from dahliashunt.ports import Clock
 from dahliashunt.ports.table import Changes
 from dahliashunt.ports.table import MustBe
@@ -47,6 +48,9 @@
 
 _REFUSED = (429, 503)
 
+OBJECTS = "objects"
+"""Stands for the table in the count of calls about objects."""
+
 
 @dataclass(frozen=True, slots=True)
 class _Reply:
@@ -66,12 +70,17 @@
         May be set anew; calls in progress end at the old one.
     pool : ConnectionPool
     clock : Clock
+    metrics : Metrics
+        Counts calls by verb and table as ``store_calls``.
     """
 
-    def __init__(self, address, pool: ConnectionPool, clock: Clock):
+    def __init__(
+        self, address, pool: ConnectionPool, clock: Clock, metrics: Metrics
+    ):
         self.address = address
         self._pool = pool
         self._clock = clock
+        self._metrics = metrics
         self._clock_offset_ms = 0
         self._usual_ms = USUAL_MS
 
@@ -109,6 +118,7 @@
     async def _page(self, table, part, first, last, limit):
         query = {"table": table, "part": part}
         query["limit"] = min(limit, PAGE_ROWS)
+        self._count("get", table)
         if first:
             query["from"] = first
         if last:
@@ -117,6 +127,7 @@
 
     async def transact(self, writes: tuple[Write, ...]) -> tuple[int, ...]:
         """Apply all `writes`, which name rows of one part, or none."""
+        self._count("transact", _split(writes[0].key)[0])
         body = json.dumps(_transaction(writes)).encode()
         reply = await self._write("POST", "/api/rows-tx", body)
         if reply.status == 412:
@@ -148,6 +159,7 @@
     async def changes(self, table: str, after: int, wait_ms: int) -> Changes:
         """Return what changed in `table` after version `after`."""
         query = {"table": table, "after": after, "wait-ms": wait_ms}
+        self._count("feed", table)
         found = await self._read_json("/api/rows-feed", query, wait_ms)
         rows, removed = [], []
         for each in found["rows"]:
@@ -161,11 +173,13 @@
 
     async def put(self, name: str, data: bytes) -> None:
         """Store `data` under `name`; a repeat of the same is harmless."""
+        self._count("put", OBJECTS)
         path = f"/api/blob-put/{quote(name, safe='')}"
         self._decoded(await self._write("PUT", path, data))
 
     async def get(self, name: str) -> bytes | None:
         """Return the object named `name`, or None."""
+        self._count("get", OBJECTS)
         path = f"/api/blob-get/{quote(name, safe='')}"
         reply = await self._call("GET", path, b"", 0)
         if reply is None:
@@ -178,6 +192,7 @@
 
     async def delete(self, name: str) -> None:
         """Delete the object named `name`, if there is one."""
+        self._count("drop", OBJECTS)
         path = f"/api/blob-drop/{quote(name, safe='')}"
         reply = await self._write("DELETE", path, b"")
         if reply.status != 404:
@@ -185,6 +200,9 @@
 
     # Calls.
 
+    def _count(self, verb, table):
+        self._metrics.count("store_calls", verb=verb, table=table)
+
     async def _read_json(self, path, query, wait_ms=0):
         target = f"{path}?{urlencode(query)}"
         reply = await self._call("GET", target, b"", wait_ms)
--- a/dahliashunt/platform/tests/test_jobs.py
+++ b/dahliashunt/platform/tests/test_jobs.py
@@ -385,7 +385,10 @@
         await read_all(p)
         jobs = p.entries[0].jobs
         kept_until_ms = jobs.view.jobs()[0].accepted_ms + KEEP_MS + MARGIN_MS
-        await p.until(lambda: jobs.view.jobs()[0].state is not JobState.OPEN)
+        # Both have heard that it is closed: news of jobs is gathered.
+        for entry in p.entries:
+            view = entry.jobs.view
+            await p.until(lambda v=view: not v.open_jobs())
         await jobs.expiry.look(kept_until_ms)
         assert job_rows(p) == 7 + 3
         # Its owner removes it first, any node a while later.
