Agents that are gone no longer use up a request's objective

Cause: an entry asked up to eight agents one after the other. A replica whose agent says nothing looked idle and went first. An agent that starts was heard at the next renewal, up to a second later, and its replica was used at a quarter until then.

An agent is silent from an unanswered ask or renewal until a datagram of it comes, and is probed each 100 ms for three seconds. Agents answer every renewal, so that a quiet one is told from one that is gone. Replicas of silent agents go after all that have room. New partners are renewed at once.

Tests: the new ones fail on the parent (an agent that never answers holds the ask; no probe).

The tests' agents (FakeSlots) have a probe and may hang; no check of theirs changed.

--- a/dahliashunt/adapters/slots/client.py
+++ b/dahliashunt/adapters/slots/client.py
@@ -24,8 +24,14 @@
 SENDS = 3
 """Asks without answer after which the agent is taken as silent."""
 
-SILENT_MS = 1_000
-"""So long a silent agent is not asked; its replica is sent to directly."""
+ANSWER_MS = RESEND_MS * SENDS
+"""An agent that has not answered a renewal for so long is silent. It is
+then probed, not asked: requests go to its replica directly."""
+
+PROBES = 30
+"""Probes of a silent agent between two renewals' pace. After a restart of
+everything an agent is heard within one probe of its start; one that is
+gone for good costs no more than the renewals."""
 
 _USE = {Use.ONLINE: SlotUse.ONLINE, Use.BATCH: SlotUse.BATCH}
 _VERDICT = {
@@ -75,6 +81,12 @@
     on_revoke: object
 
 
+@dataclass(slots=True)
+class _Unanswered:
+    since_ms: int
+    probes: int = 0
+
+
 class SlotClient:
     """Asks agents. One attempt is asked at one agent at a time.
 
@@ -88,7 +100,7 @@
         self._datagrams = None
         self._asked_by_id: dict[str, _Asked] = {}
         self.known_by_address: dict[tuple[str, int], Known] = {}
-        self._silent_until_ms: dict[tuple[str, int], int] = {}
+        self._unanswered_by_address: dict[tuple[str, int], _Unanswered] = {}
 
     async def start(self, host: str, port: int) -> None:
         """Open the socket."""
@@ -100,8 +112,15 @@
             self._datagrams.close()
 
     def is_silent(self, address: tuple[str, int]) -> bool:
-        """Tell whether the agent at `address` did not answer lately."""
-        return self._clock.now_ms() < self._silent_until_ms.get(address, 0)
+        """Tell whether the agent at `address` leaves calls unanswered.
+
+        It is until a datagram of it comes. One that was never called is
+        not silent.
+        """
+        unanswered = self._unanswered_by_address.get(address)
+        if unanswered is None:
+            return False
+        return self._clock.now_ms() - unanswered.since_ms >= ANSWER_MS
 
     async def ask(
         self, attempt: Attempt, address, wait_ms: int
@@ -129,6 +148,8 @@
             run_id=attempt.run_id,
         )
         frame = SlotFrame(ask=ask)
+        asked_ms = self._clock.now_ms()
+        self._unanswered_by_address.setdefault(address, _Unanswered(asked_ms))
         verdict = None
         try:
             verdict = await self._exchange(asked, frame, wait_ms)
@@ -136,8 +157,9 @@
             if verdict is not Verdict.GRANTED:
                 self.release(attempt_id)
         if verdict is None:
-            silent_ms = self._clock.now_ms() + SILENT_MS
-            self._silent_until_ms[address] = silent_ms
+            since_ms = self._clock.now_ms() - ANSWER_MS
+            self._unanswered_by_address[address] = _Unanswered(since_ms)
+            self.known_by_address.pop(address, None)
         return Verdict.FULL if verdict is Verdict.QUEUED else verdict
 
     async def _exchange(self, asked, frame, wait_ms):
@@ -175,11 +197,32 @@
         ids_by_address = {address: [] for address in addresses}
         for attempt_id, asked in self._asked_by_id.items():
             ids_by_address.setdefault(asked.address, []).append(attempt_id)
+        now_ms = self._clock.now_ms()
         for address, attempt_ids in ids_by_address.items():
             frame = SlotFrame(held=SlotHeld(attempt_ids))
             self._datagrams.send(frame, address)
+            self._unanswered_by_address.setdefault(
+                address, _Unanswered(now_ms)
+            )
+
+    def probe(self) -> None:
+        """Ask silent agents for their states again.
+
+        The failure it is for: everything is restarted, entries are up
+        before agents, and until the next renewal an entry sends to a
+        replica at a quarter of its slots, or waits for an agent that has
+        long been up at another entry's request.
+        """
+        for address, unanswered in self._unanswered_by_address.items():
+            if not self.is_silent(address):
+                continue
+            self.known_by_address.pop(address, None)
+            if unanswered.probes < PROBES:
+                unanswered.probes += 1
+                self._datagrams.send(SlotFrame(held=SlotHeld([])), address)
 
     def _received(self, frame, address):
+        self._unanswered_by_address.pop(address, None)
         if frame.answer is not None:
             self._learn(frame.answer.state, address)
             self._answered(frame.answer, address)
@@ -204,7 +247,6 @@
     def _learn(self, state, address):
         if state is None:
             return
-        self._silent_until_ms.pop(address, None)
         known = KeeperState(
             slots=state.slots or 0,
             online=state.online or 0,
@@ -220,9 +262,9 @@
         for address in list(self.known_by_address):
             if address not in addresses:
                 del self.known_by_address[address]
-        for address in list(self._silent_until_ms):
+        for address in list(self._unanswered_by_address):
             if address not in addresses:
-                del self._silent_until_ms[address]
+                del self._unanswered_by_address[address]
 
 
 async def _within(future, limit_ms):
--- a/dahliashunt/adapters/slots/server.py
+++ b/dahliashunt/adapters/slots/server.py
@@ -69,10 +69,6 @@
 
     def _received(self, frame, asker):
         now_ms = self._clock.now_ms()
-        if asker not in self._heard_ms_by_asker:
-            # A new entry, or this agent is new: it learns at once that
-            # the slots are kept here.
-            self._datagrams.send(SlotFrame(state=self._state()), asker)
         self._heard_ms_by_asker[asker] = now_ms
         if frame.ask is not None:
             self._send_all(self.keeper.ask(_ask(frame.ask, asker), now_ms))
@@ -81,6 +77,9 @@
             self._send_all(self.keeper.release(attempt_id, now_ms))
         elif frame.held is not None:
             self.keeper.renew(frame.held.attempt_ids, asker, now_ms)
+            # Answered in any case: an entry must tell an agent that has
+            # nothing new to say from one that is gone.
+            self._datagrams.send(SlotFrame(state=self._state()), asker)
 
     def report(self, running: frozenset, waiting: int) -> None:
         """Take over what the replica says, and act on it."""
--- a/dahliashunt/adapters/slots/tests/test_slots.py
+++ b/dahliashunt/adapters/slots/tests/test_slots.py
@@ -126,6 +126,39 @@
     play(scenario)
 
 
+def test_an_agent_that_is_back_is_heard_before_the_next_renewal(play):
+    # Everything was restarted and entries are up first. Until an agent is
+    # heard a quarter of its replica's slots is used.
+    async def scenario(fleet):
+        entry = await fleet.entry()
+        host, port = fleet.address
+        fleet.server.stop()
+        entry.renew({fleet.address})
+        await fleet.until(lambda: entry.is_silent(fleet.address))
+        entry.probe()
+        await fleet.server.start(host, port)
+        entry.probe()
+        await fleet.until(lambda: not entry.is_silent(fleet.address))
+        assert fleet.address in entry.known_by_address
+
+    play(scenario)
+
+
+def test_a_quiet_agent_is_not_taken_for_a_silent_one(play):
+    # Nothing changes at a replica for a minute, so that its agent has no
+    # news. It answers renewals all the same.
+    async def scenario(fleet):
+        entry = await fleet.entry()
+        for _ in range(3):
+            entry.renew({fleet.address})
+            known = entry.known_by_address.pop(fleet.address, None)
+            await fleet.until(lambda: fleet.address in entry.known_by_address)
+            assert not entry.is_silent(fleet.address)
+        assert known is not None
+
+    play(scenario)
+
+
 def test_an_agent_that_starts_is_known_at_the_next_renewal(play):
     async def scenario(fleet):
         entry = await fleet.entry()
--- a/dahliashunt/decisions/replica_choice.py
+++ b/dahliashunt/decisions/replica_choice.py
@@ -14,20 +14,23 @@
 Where online requests and batch items share a fleet, counting only online
 requests sends one to a replica whose other slots all run items: an item is
 revoked there while a slot stands idle next door, and batch items ask
-replicas that other items have filled. Played with
-`decisions/tests/test_shared_fleet.py`, waves at three quarters of the
-slots: 205 revokes of 177 items, and 145 with idle slots first.
+replicas that other items have filled. A replica whose agent is gone looks
+idle, since nobody says that it is not, and each request waits there first.
 
 How
 ---
-Suspected and absent replicas go last, and before them those that were just
-started and are still slow: what they are given is late while a warm one has
-room, and their slots are wanted only when no other is left. Among the rest
+Suspected and absent replicas go last, before them those whose agent does
+not answer, and before these the ones that were just started and are still
+slow: what they are given is late while a warm one has room, and their slots
+are wanted only when no other is left. Among the rest
 the one that most probably keeps the request's shared prompt parts is first,
 chosen by rendezvous over the deepest shared part, as long as it has some
 room and no item must be revoked there that need not be elsewhere; the
 others follow, those with an idle slot ahead, by slots that online requests
-leave free, with ties drawn at random.
+leave free. Among those alike in load the one to which a connection stands
+goes first: an entry of a large fleet has a few requests a second, so that
+spread over all its partners each would find its connection closed as idle.
+What is still equal is drawn at random.
 
 Complexity: one hash and one comparison key a replica.
 """
@@ -68,6 +71,8 @@
     batch : int
         Slots besides those taken that batch items hold: an online request
         gets one by revoking its item, another item does not get it.
+    unheard : bool
+        Its agent does not answer, so that nobody counts its slots.
     """
 
     replica_id: str
@@ -78,6 +83,7 @@
     near: bool
     cold: bool = False
     batch: int = 0
+    unheard: bool = False
 
 
 def order_replicas(
@@ -105,7 +111,7 @@
     if not affinity:
         return ordered
     keeper = max(
-        (one for one in ordered if not one.avoided and not one.cold),
+        (one for one in ordered if _may_keep(one)),
         key=lambda one: _weight(affinity, one.replica_id),
         default=None,
     )
@@ -121,6 +127,7 @@
     return (
         one.avoided,
         no_room,
+        one.unheard,
         one.cold,
         not _has_idle(one),
         -_free(one),
@@ -137,6 +144,10 @@
     return max(0, one.slots - one.taken)
 
 
+def _may_keep(one):
+    return not (one.avoided or one.cold or one.unheard)
+
+
 def _has_idle(one):
     return _free(one) > one.batch
 
--- a/dahliashunt/decisions/tests/test_replica_choice.py
+++ b/dahliashunt/decisions/tests/test_replica_choice.py
@@ -41,6 +41,16 @@
     assert order([new, candidate("b", 0, avoided=True)]) == ["new", "b"]
 
 
+def test_a_replica_without_an_agent_goes_after_any_with_room():
+    # A rack lost power. Nobody says that its replicas are busy, so that
+    # they look idle, and every request of a wave waits there first.
+    gone = candidate("a", 0, unheard=True)
+    assert order([gone, candidate("b", 7)]) == ["b", "a"]
+    assert order([gone, candidate("b", 8)]) == ["a", "b"]
+    for seed in range(5):
+        assert order([gone, candidate("b", 7)], "part", seed)[0] == "b"
+
+
 def test_a_prompts_parts_do_not_draw_to_a_replica_just_started():
     fleet = [candidate(name) for name in "abcde"]
     (first, *_) = order(fleet, "part-7")
--- a/dahliashunt/forwarding/placing.py
+++ b/dahliashunt/forwarding/placing.py
@@ -2,10 +2,8 @@
 
 import asyncio
 from dataclasses import dataclass
-import itertools
 import random
 
-from dahliashunt.adapters.slots import Attempt
 from dahliashunt.adapters.slots import SlotClient
 from dahliashunt.decisions.partners import draw_outsiders
 from dahliashunt.decisions.replica_choice import Candidate
@@ -15,6 +13,7 @@
 from dahliashunt.decisions.suspicion import Suspicion
 from dahliashunt.errors import ErrorKind
 from dahliashunt.errors import RequestError
+from dahliashunt.forwarding.asking import Asker
 from dahliashunt.forwarding.partners import Partners
 from dahliashunt.forwarding.replicas import Replica
 from dahliashunt.forwarding.replicas import ReplicaBook
@@ -37,10 +36,15 @@
 DIRECT_SHARE = 4
 """A replica whose agent is silent is sent to directly, with this part of
 its slots at the most: several entries do so at a time and none knows of
-the others. Sending up to all slots from each filled the replicas' own
-queues for seconds after a start, when entries are up before agents: a
-fifth of the arrivals were rejected, measured on a day that ends with a
-restart of everything."""
+the others. Up to all slots from each would fill the replicas' own queues
+for seconds after a start, when entries are up before agents."""
+
+PROBE_MS = 100
+"""Between probes of silent agents, and looks for new replicas: a third of
+an objective, after which an agent that has started is asked."""
+
+UNHEARD_AGE_MS = 3_600_000
+"""Age of what is known of a replica whose agent has said nothing."""
 
 NO_AGENTS_MS = 10_000
 """After so long without a word from any agent of a service, it is taken to
@@ -131,8 +135,9 @@
         self._data_centre = data_centre
         self._agent_port = agent_port
         self._own_by_life: dict[tuple, int] = {}
-        self._numbers = itertools.count(1)
+        self._asker = Asker(slots, self._agent)
         self._started_ms = clock.now_ms()
+        self._renewed: set[tuple[str, int]] = set()
 
     async def find(self, want: Want, request_id: str, keeps: bool) -> Place:
         """Return a place for `want`.
@@ -156,15 +161,14 @@
             return self._direct(ordered[0])
         if self._has_no_agents(replicas):
             return self._direct_with_room(ordered, want)
-        attempt = Attempt(
-            attempt_id=f"{request_id}#{next(self._numbers)}",
-            run_id=request_id,
-            use=want.use,
-            slack_ms=want.slack_ms,
-            on_revoke=want.on_revoke,
-        )
         chosen = self._with_outsiders(ordered, want)
-        return await self._ask_agents(chosen, want, attempt)
+        asked = await self._asker.ask_in_turn(chosen, want, request_id)
+        now_ms = self._clock.now_ms()
+        for replica in asked.away:
+            self._suspicion.failed(replica.life, now_ms)
+        if asked.granted is not None:
+            return self._granted(asked.granted, asked.attempt)
+        return await self._ask_again(asked, want, request_id)
 
     def _untried(self, want):
         """Return the partners that were not tried, else any others."""
@@ -230,7 +234,7 @@
         own = self._own_by_life.get(replica.life, 0)
         known = self._slots.known_by_address.get(self._agent(replica))
         avoided = self._suspicion.is_avoided(replica.life, now_ms)
-        taken, batch, age_ms = own, 0, 0
+        taken, batch, age_ms = own, 0, UNHEARD_AGE_MS
         if known is not None:
             taken = max(own, known.state.online + known.state.waiting)
             batch = known.state.batch
@@ -245,31 +249,16 @@
             near=replica.data_centre == self._data_centre,
             cold=self._book.is_cold(replica, now_ms),
             batch=batch,
+            unheard=self._slots.is_silent(self._agent(replica)),
         )
 
     def _agent(self, replica):
         return (replica.host, self._agent_port)
 
-    async def _ask_agents(self, chosen, want, attempt):
-        direct = []
-        full = []
-        for replica in chosen:
-            if self._slots.is_silent(self._agent(replica)):
-                direct.append(replica)
-                continue
-            verdict = await self._slots.ask(attempt, self._agent(replica), 0)
-            if verdict is Verdict.GRANTED:
-                return self._granted(replica, attempt)
-            if verdict is Verdict.FULL:
-                full.append(replica)
-            elif verdict is Verdict.AWAY:
-                self._suspicion.failed(replica.life, self._clock.now_ms())
-            else:
-                direct.append(replica)
-        return await self._ask_again(direct, full, want, attempt)
-
-    async def _ask_again(self, direct, full, want, attempt):
-        for replica in direct:
+    async def _ask_again(self, asked, want, request_id):
+        """Send to a replica without agent, or wait at one with."""
+        full = asked.full
+        for replica in asked.unanswered:
             most = max(1, replica.slots // DIRECT_SHARE)
             if want.use is Use.BATCH:
                 # Nobody there could revoke it for an online request.
@@ -279,6 +268,7 @@
         full.sort(key=self._expected_wait_ms)
         if full and want.wait_ms > 0:
             replica = full[0]
+            attempt = self._asker.attempt(want, request_id)
             verdict = await self._slots.ask(
                 attempt, self._agent(replica), want.wait_ms
             )
@@ -322,14 +312,29 @@
 
     async def keep_states(self, every_ms: int) -> None:
         """Renew holds and hear of loads, for ever."""
+        renewed_ms = -every_ms
         while True:
-            addresses = {
-                self._agent(replica)
-                for service in self._book.services()
-                for replica in self._partners.of_service(service)
-            }
-            self._slots.renew(addresses)
-            self._slots.forget_but(addresses)
-            lives = {replica.life for replica in self._book.all()}
-            self._suspicion.keep_only(lives)
-            await asyncio.sleep(every_ms / 1000)
+            now_ms = self._clock.now_ms()
+            if self._has_new_partners() or now_ms - renewed_ms >= every_ms:
+                self._renew()
+                renewed_ms = now_ms
+            self._slots.probe()
+            await asyncio.sleep(min(every_ms, PROBE_MS) / 1000)
+
+    def _has_new_partners(self):
+        """Tell whether there is an agent that was never called."""
+        return not self._partner_agents() <= self._renewed
+
+    def _partner_agents(self):
+        return {
+            self._agent(replica)
+            for service in self._book.services()
+            for replica in self._partners.of_service(service)
+        }
+
+    def _renew(self):
+        self._renewed = self._partner_agents()
+        self._slots.renew(self._renewed)
+        self._slots.forget_but(self._renewed)
+        lives = {replica.life for replica in self._book.all()}
+        self._suspicion.keep_only(lives)
--- a/dahliashunt/forwarding/tests/test_placing.py
+++ b/dahliashunt/forwarding/tests/test_placing.py
@@ -26,19 +26,31 @@
 
 
 class FakeSlots:
-    """Agents by their verdicts; a missing one never answers."""
+    """Agents by their verdicts; a missing one never answers.
+
+    Attributes
+    ----------
+    hanging : set of str
+        Hosts whose agents keep an ask waiting for as long as the test.
+    """
 
     def __init__(self):
         self.verdict_by_host = {}
         self.known_by_address = {}
         self.asked = []
         self.released = []
+        self.hanging = set()
 
     def is_silent(self, address):
         return False
 
+    def probe(self):
+        pass
+
     async def ask(self, attempt, address, wait_ms):
         self.asked.append((address[0], wait_ms))
+        if address[0] in self.hanging:
+            await asyncio.Event().wait()
         return self.verdict_by_host.get(address[0])
 
     def release(self, attempt_id):
@@ -126,6 +138,28 @@
         find(places, use=Use.BATCH)
 
 
+def test_agents_that_are_gone_do_not_use_up_the_objective(places, slots):
+    # A restorer's request meets a fleet of which some machines lost power
+    # a moment ago. It was asked at one after the other, 75 ms each, and
+    # reached a live replica when its 300 ms were over.
+    slots.hanging = {"a"}
+    slots.verdict_by_host = {"b": Verdict.GRANTED}
+    for _ in range(4):
+        place = find(places)
+        assert place.replica.replica_id == "b"
+    # What the agent that is gone might grant later is given back.
+    asked_a = sum(host == "a" for host, _ in slots.asked)
+    assert len(slots.released) == asked_a
+
+
+def test_only_one_of_two_grants_is_kept(places, slots):
+    # Both answer while the entry was busy: a slot that nobody gives back
+    # would stand idle until the agent misses its renewals.
+    slots.verdict_by_host = {"a": Verdict.GRANTED, "b": Verdict.GRANTED}
+    places_found = [find(places) for _ in range(10)]
+    assert len(slots.asked) == len(places_found) + len(slots.released)
+
+
 def test_a_plain_service_needs_no_agent(places, slots):
     for _ in range(4 * SLOTS):
         find(places, keeps=False)
