The slot keeper and the places by job; no stories of tuning beside them

Entries no longer import the keeper. No change of behaviour.

Figures of plays leave slot_keeper, partners, item_order, placing and the settings' page; they stand in docs/design/decisions-under-load.md and docs/CAPACITY.md.

The play without a network asks the keeper who holds a slot (held) instead of reading its private table; what it plays is the same.

--- a/dahliashunt/adapters/slots/client.py
+++ b/dahliashunt/adapters/slots/client.py
@@ -10,9 +10,9 @@
 from dahliashunt.adapters.wire.gen.link.ttypes import SlotRelease
 from dahliashunt.adapters.wire.gen.link.ttypes import SlotUse
 from dahliashunt.adapters.wire.gen.link.ttypes import SlotVerdict
-from dahliashunt.decisions.slot_keeper import KeeperState
-from dahliashunt.decisions.slot_keeper import Use
-from dahliashunt.decisions.slot_keeper import Verdict
+from dahliashunt.decisions.slot_messages import KeeperState
+from dahliashunt.decisions.slot_messages import Use
+from dahliashunt.decisions.slot_messages import Verdict
 from dahliashunt.ports import Clock
 
 __all__ = ["Attempt", "Known", "SlotClient"]
--- a/dahliashunt/adapters/slots/server.py
+++ b/dahliashunt/adapters/slots/server.py
@@ -7,11 +7,11 @@
 from dahliashunt.adapters.wire.gen.link.ttypes import SlotState
 from dahliashunt.adapters.wire.gen.link.ttypes import SlotUse
 from dahliashunt.adapters.wire.gen.link.ttypes import SlotVerdict
-from dahliashunt.decisions.slot_keeper import Answered
-from dahliashunt.decisions.slot_keeper import Ask
 from dahliashunt.decisions.slot_keeper import SlotKeeper
-from dahliashunt.decisions.slot_keeper import Use
-from dahliashunt.decisions.slot_keeper import Verdict
+from dahliashunt.decisions.slot_messages import Answered
+from dahliashunt.decisions.slot_messages import Ask
+from dahliashunt.decisions.slot_messages import Use
+from dahliashunt.decisions.slot_messages import Verdict
 from dahliashunt.metrics import Metrics
 from dahliashunt.ports import Clock
 
--- a/dahliashunt/adapters/slots/tests/test_slots.py
+++ b/dahliashunt/adapters/slots/tests/test_slots.py
@@ -10,8 +10,8 @@
 from dahliashunt.adapters.slots import SlotClient
 from dahliashunt.adapters.slots import SlotServer
 from dahliashunt.decisions.slot_keeper import SlotKeeper
-from dahliashunt.decisions.slot_keeper import Use
-from dahliashunt.decisions.slot_keeper import Verdict
+from dahliashunt.decisions.slot_messages import Use
+from dahliashunt.decisions.slot_messages import Verdict
 from dahliashunt.metrics import Metrics
 
 LIMIT_S = 10
--- a/dahliashunt/decisions/item_order.py
+++ b/dahliashunt/decisions/item_order.py
@@ -25,11 +25,6 @@
   late, also where nobody had to be;
 - earliest due first among the feasible, which is this module.
 
-Played with `decisions/tests/test_shared_fleet.py`, mean late items of paired
-seeds beside earliest due first: with twelve times the jobs for four seconds
-120 instead of 152 (32 +- 5 fewer, 12 seeds), with six times 12 instead of
-14 (2.2 +- 1.5 fewer), and no late item in waves alone either way.
-
 How
 ---
 An item is feasible while the time to its due time covers what it is still
@@ -40,9 +35,7 @@
 feasible yields its slot before one that is.
 
 The waves that will still stop an item are left out, so that an item is
-called late only when it surely is. Counting them by how much longer than
-their runs items took made more items late: 125 instead of 120, and 15
-instead of 12, in the plays above.
+called late only when it surely is.
 
 Complexity: O(log n) amortised to take the next of n waiting items; an item
 changes queues once.
--- a/dahliashunt/decisions/partners.py
+++ b/dahliashunt/decisions/partners.py
@@ -10,9 +10,7 @@
 An entry that renews and hears of every replica costs messages with the
 product of the two numbers, and each request orders every replica. With
 173 entries before 127 agents that is 22,000 renewals a second, and up to
-ten times as many load messages. Measured on a day of 300 machines: an agent
-wakes 130 times a second and moves 26 kB, and 56 times and 16 kB with the
-bound; it took 2.1% of a core, and 1.3% with it (docs/CAPACITY.md).
+ten times as many load messages (docs/CAPACITY.md).
 
 How
 ---
@@ -20,9 +18,8 @@
 them from the two ids: the sets differ between entries, so that the load
 spreads, and a replica that comes or goes moves nothing but its own place.
 Where all partners are full a few others, drawn anew for each request, are
-asked as well, which also reaches replicas that are nobody's partner: of a
-wave for 95 in 100 slots of 127 replicas, 1.3% find none at first go, as by
-asking at random everywhere, and 2.8% with the partners alone
+asked as well, which also reaches replicas that are nobody's partner, so
+that a wave finds slots as by asking at random everywhere
 (`test_a_wave_is_served_as_well_as_by_asking_at_random`).
 
 References
--- a/dahliashunt/decisions/tests/shared_fleet.py
+++ b/dahliashunt/decisions/tests/shared_fleet.py
@@ -16,12 +16,12 @@
 from dahliashunt.decisions.item_order import WaitingItem
 from dahliashunt.decisions.replica_choice import Candidate
 from dahliashunt.decisions.replica_choice import order_replicas
-from dahliashunt.decisions.slot_keeper import Answered
-from dahliashunt.decisions.slot_keeper import Ask
-from dahliashunt.decisions.slot_keeper import Revoked
 from dahliashunt.decisions.slot_keeper import SlotKeeper
-from dahliashunt.decisions.slot_keeper import Use
-from dahliashunt.decisions.slot_keeper import Verdict
+from dahliashunt.decisions.slot_messages import Answered
+from dahliashunt.decisions.slot_messages import Ask
+from dahliashunt.decisions.slot_messages import Revoked
+from dahliashunt.decisions.slot_messages import Use
+from dahliashunt.decisions.slot_messages import Verdict
 
 __all__ = ["EarliestDue", "Fleet", "Load", "Outcome", "Switches"]
 
@@ -314,6 +314,6 @@
     def _lose(self, count):
         for number in range(count):
             self._away.add(number)
-            for name in list(self._keepers[number]._hold_by_id):
+            for name in list(self._keepers[number].held):
                 self._revoked(name)
             self._keepers[number] = self._keeper()
--- a/dahliashunt/decisions/tests/test_slot_keeper.py
+++ b/dahliashunt/decisions/tests/test_slot_keeper.py
@@ -3,15 +3,15 @@
 import pytest
 
 from dahliashunt.decisions import slot_keeper
-from dahliashunt.decisions.slot_keeper import Answered
-from dahliashunt.decisions.slot_keeper import Ask
+from dahliashunt.decisions.slot_holds import RENEW_WITHIN_MS
+from dahliashunt.decisions.slot_holds import UNSEEN_MS
 from dahliashunt.decisions.slot_keeper import RECENT_MS
-from dahliashunt.decisions.slot_keeper import RENEW_WITHIN_MS
-from dahliashunt.decisions.slot_keeper import Revoked
 from dahliashunt.decisions.slot_keeper import SlotKeeper
-from dahliashunt.decisions.slot_keeper import UNSEEN_MS
-from dahliashunt.decisions.slot_keeper import Use
-from dahliashunt.decisions.slot_keeper import Verdict
+from dahliashunt.decisions.slot_messages import Answered
+from dahliashunt.decisions.slot_messages import Ask
+from dahliashunt.decisions.slot_messages import Revoked
+from dahliashunt.decisions.slot_messages import Use
+from dahliashunt.decisions.slot_messages import Verdict
 
 NOTHING = frozenset()
 
--- a/dahliashunt/entry/settings.py
+++ b/dahliashunt/entry/settings.py
@@ -156,7 +156,7 @@
         Shared by all nodes of a fleet whose links are not TLS.
     decisions
         Policies and thresholds of the decisions under load; see
-        docs/design/entry-decisions.md. The defaults are measured ones.
+        docs/design/entry-decisions.md.
     """
 
     node_id: str
--- a/dahliashunt/forwarding/asking.py
+++ b/dahliashunt/forwarding/asking.py
@@ -7,7 +7,7 @@
 
 from dahliashunt.adapters.slots import Attempt
 from dahliashunt.adapters.slots import SlotClient
-from dahliashunt.decisions.slot_keeper import Verdict
+from dahliashunt.decisions.slot_messages import Verdict
 from dahliashunt.forwarding.replicas import Replica
 
 __all__ = ["Asked", "Asker"]
--- a/dahliashunt/forwarding/forwarder.py
+++ b/dahliashunt/forwarding/forwarder.py
@@ -12,7 +12,7 @@
 """
 
 from dahliashunt.adapters.http1 import ConnectionPool
-from dahliashunt.decisions.slot_keeper import Use
+from dahliashunt.decisions.slot_messages import Use
 from dahliashunt.decisions.suspicion import Suspicion
 from dahliashunt.errors import ErrorKind
 from dahliashunt.errors import Ran
@@ -25,8 +25,8 @@
 from dahliashunt.forwarding.catalog import RouteKind
 from dahliashunt.forwarding.losses import digest_of
 from dahliashunt.forwarding.losses import SharedLosses
+from dahliashunt.forwarding.place import Want
 from dahliashunt.forwarding.placing import Places
-from dahliashunt.forwarding.placing import Want
 from dahliashunt.forwarding.ports import AnswerSink
 from dahliashunt.forwarding.ports import ReplicaDialect
 from dahliashunt.metrics import Metrics
--- a/dahliashunt/forwarding/placing.py
+++ b/dahliashunt/forwarding/placing.py
@@ -1,25 +1,25 @@
 """Find a replica with a slot for a request."""
 
 import asyncio
-from dataclasses import dataclass
 import random
 
 from dahliashunt.adapters.slots import SlotClient
 from dahliashunt.decisions.partners import draw_outsiders
 from dahliashunt.decisions.replica_choice import Candidate
 from dahliashunt.decisions.replica_choice import order_replicas
-from dahliashunt.decisions.slot_keeper import Use
-from dahliashunt.decisions.slot_keeper import Verdict
+from dahliashunt.decisions.slot_messages import Use
+from dahliashunt.decisions.slot_messages import Verdict
 from dahliashunt.decisions.suspicion import Suspicion
 from dahliashunt.errors import ErrorKind
 from dahliashunt.errors import RequestError
 from dahliashunt.forwarding.asking import Asker
 from dahliashunt.forwarding.partners import Partners
-from dahliashunt.forwarding.replicas import Replica
+from dahliashunt.forwarding.place import Place
+from dahliashunt.forwarding.place import Want
 from dahliashunt.forwarding.replicas import ReplicaBook
 from dahliashunt.ports import Clock
 
-__all__ = ["Place", "Places", "Want"]
+__all__ = ["Places"]
 
 MOST_ASKED = 6
 """Agents asked in turn before a request waits at one: some milliseconds,
@@ -52,52 +52,6 @@
 up some three seconds after the entries where all start at once."""
 
 
-@dataclass(frozen=True, slots=True)
-class Want:
-    """What a place is wanted for.
-
-    Attributes
-    ----------
-    service : str
-    use : Use
-    affinity : str
-        Names the deepest shared part of the prompt; empty for none.
-    wait_ms : int
-        How long the request may wait for a slot.
-    slack_ms : int
-        Of a batch item: time until it is due.
-    avoid : frozenset
-        Lives of replicas that were tried.
-    on_revoke : callable
-        Called when a granted slot is taken back.
-    """
-
-    service: str
-    use: Use
-    affinity: str
-    wait_ms: int
-    slack_ms: int
-    avoid: frozenset
-    on_revoke: object
-
-
-class Place:
-    """A replica to send to, and what is held there until `release`."""
-
-    __slots__ = ("_release", "attempt_id", "replica")
-
-    def __init__(self, replica: Replica, attempt_id: str, release):
-        self.replica = replica
-        self.attempt_id = attempt_id
-        self._release = release
-
-    def release(self) -> None:
-        """Give back what is held; a second call does nothing."""
-        release, self._release = self._release, None
-        if release is not None:
-            release()
-
-
 class Places:
     """Chooses replicas and asks their agents.
 
--- a/dahliashunt/forwarding/tests/test_placing.py
+++ b/dahliashunt/forwarding/tests/test_placing.py
@@ -8,17 +8,17 @@
 from dahliashunt.adapters.clock import VirtualClock
 from dahliashunt.decisions.partners import MOST_PARTNERS
 from dahliashunt.decisions.partners import OUTSIDERS
-from dahliashunt.decisions.slot_keeper import Use
-from dahliashunt.decisions.slot_keeper import Verdict
+from dahliashunt.decisions.slot_messages import Use
+from dahliashunt.decisions.slot_messages import Verdict
 from dahliashunt.decisions.suspicion import Suspicion
 from dahliashunt.errors import ErrorKind
 from dahliashunt.errors import RequestError
 from dahliashunt.forwarding.partners import Partners
+from dahliashunt.forwarding.place import Want
 from dahliashunt.forwarding.placing import DIRECT_SHARE
 from dahliashunt.forwarding.placing import MOST_ASKED
 from dahliashunt.forwarding.placing import NO_AGENTS_MS
 from dahliashunt.forwarding.placing import Places
-from dahliashunt.forwarding.placing import Want
 from dahliashunt.forwarding.replicas import Replica
 from dahliashunt.forwarding.replicas import ReplicaBook
 
--- a/dahliashunt/jobs/item_run.py
+++ b/dahliashunt/jobs/item_run.py
@@ -9,7 +9,7 @@
 from dahliashunt.forwarding.call import Call
 from dahliashunt.forwarding.events import EventCutter
 from dahliashunt.forwarding.events import EventOutOfOrder
-from dahliashunt.forwarding.placing import Place
+from dahliashunt.forwarding.place import Place
 from dahliashunt.forwarding.ports import ReplicaDialect
 from dahliashunt.ports import Clock
 
--- a/dahliashunt/jobs/worker.py
+++ b/dahliashunt/jobs/worker.py
@@ -11,13 +11,13 @@
 from dahliashunt.adapters.http1 import ConnectionPool
 from dahliashunt.decisions.item_order import ItemOrder
 from dahliashunt.decisions.item_order import WaitingItem
-from dahliashunt.decisions.slot_keeper import Use
+from dahliashunt.decisions.slot_messages import Use
 from dahliashunt.errors import PlatformUnavailable
 from dahliashunt.errors import RequestError
 from dahliashunt.forwarding.catalog import RouteKind
 from dahliashunt.forwarding.node import Node
+from dahliashunt.forwarding.place import Want
 from dahliashunt.forwarding.placing import Places
-from dahliashunt.forwarding.placing import Want
 from dahliashunt.forwarding.ports import ReplicaDialect
 from dahliashunt.ids import JobId
 from dahliashunt.jobs.item_run import ItemEnd
