Callers who are late yield, and those refused return after a turn

Change: decisions/caller_wait.py learns the usual time of a route's callers and so who had been waiting. decisions/slot_keeper.py gives free slots to requests that can be in time first; late ones wait behind them, up to 1.2 s longer. decisions/return_time.py: Retry-After is one to two times what a request holds its slot, as learned, instead of the next slot's time.

--- a/dahliashunt/decisions/slot_keeper.py
+++ b/dahliashunt/decisions/slot_keeper.py
@@ -27,6 +27,9 @@
 - With only online requests inside, a further one waits here, never in the
   replica, and only if a slot is expected within the time it can wait;
   else it is told so at once.
+- Requests that can be in time get a free slot before those that are late
+  in any case, so that a backlog after an outage does not make everybody
+  late (`caller_wait`). Late ones may wait for longer.
 - Holds are compared with the replica's own list (`slot_holds`).
 
 Complexity: each step is linear in the slots, which are few.
@@ -64,6 +67,10 @@
 class _Waiting:
     ask: Ask
     until_ms: int
+    late_ms: int
+
+    def is_late(self, now_ms):
+        return now_ms > self.late_ms
 
 
 @dataclass(slots=True)
@@ -123,12 +130,26 @@
             revoked = self._revoke(now_ms)
             if revoked is not None:
                 return [revoked, self._grant(ask, now_ms)]
-        if self.expected_wait_ms() > ask.wait_ms:
+        useful_ms = min(ask.slack_ms, ask.wait_ms) or ask.wait_ms
+        if self._wait_behind_ms(ask, now_ms) > useful_ms:
             return [_say(ask, Verdict.FULL)]
-        until_ms = now_ms + ask.wait_ms
-        self._waiting_by_id[ask.attempt_id] = _Waiting(ask, until_ms)
+        self._waiting_by_id[ask.attempt_id] = _Waiting(
+            ask, now_ms + ask.wait_ms, now_ms + ask.slack_ms
+        )
         return [_say(ask, Verdict.QUEUED)]
 
+    def _wait_behind_ms(self, ask, now_ms):
+        """Return how long `ask` would wait behind those that go before."""
+        waiting = self._waiting_by_id.values()
+        if ask.slack_ms:
+            ahead = sum(not each.is_late(now_ms) for each in waiting)
+        else:
+            ahead = len(waiting)
+        return self._turn_ms(ahead)
+
+    def _turn_ms(self, ahead):
+        return int((ahead + 1) * self.hold_ms / max(1, self.slots))
+
     def release(self, attempt_id: AttemptId, now_ms: int) -> list:
         """Free what `attempt_id` holds, or take it out of the queue."""
         self._waiting_by_id.pop(attempt_id, None)
@@ -153,12 +174,11 @@
 
     def expected_wait_ms(self) -> int:
         """Return how long one more online request would wait."""
-        ahead = len(self._waiting_by_id) + 1
         if not self._waiting_by_id and (
             self._holds.used < self.slots or self._holds.count(Use.BATCH)
         ):
             return 0
-        return int(ahead * self.hold_ms / max(1, self.slots))
+        return self._turn_ms(len(self._waiting_by_id))
 
     def state(self) -> KeeperState:
         """Return what entries are told."""
@@ -182,7 +202,11 @@
 
     def _grant_waiting(self, now_ms):
         answers = []
-        for attempt_id, waiting in list(self._waiting_by_id.items()):
+        in_turn = sorted(
+            self._waiting_by_id.items(),
+            key=lambda pair: pair[1].is_late(now_ms),
+        )
+        for attempt_id, waiting in in_turn:
             if waiting.until_ms < now_ms:
                 del self._waiting_by_id[attempt_id]
                 answers.append(_say(waiting.ask, Verdict.FULL))
--- a/dahliashunt/decisions/slot_messages.py
+++ b/dahliashunt/decisions/slot_messages.py
@@ -40,7 +40,8 @@
     wait_ms : int
         How long an online request would wait here.
     slack_ms : int
-        Of a batch item: time until it is due.
+        Of a batch item: time until it is due. Of an online request: how
+        long it may wait and still be in time, 0 if it can't be.
     """
 
     attempt_id: AttemptId
--- a/dahliashunt/decisions/tests/shared_fleet.py
+++ b/dahliashunt/decisions/tests/shared_fleet.py
@@ -38,6 +38,12 @@
 WAIT_MS = 260
 """What an online request may wait: its objective less a start."""
 
+LATE_WAIT_MS = 1_200
+"""What a request that is late may wait."""
+
+BACK_MS = (0, 600)
+"""After an outage callers come back within so long."""
+
 ROUND_TRIP_MS = 2
 ASKED = 6
 PAUSE_MS = (40, 90)
@@ -59,6 +65,9 @@
     loss: tuple[int, int, int] = (0, 0, 0)
     """From, until, and how many replicas are away."""
 
+    outage: tuple[int, int] = (0, 0)
+    """From and until when callers find no entry at all."""
+
 
 class EarliestDue(ItemOrder):
     """The baseline: by due time alone, in the queue and at the keeper."""
@@ -86,6 +95,13 @@
     queues: bool = True
     """Whether an online request may wait at a full replica."""
 
+    late_yields: bool = True
+    """Whether a request that is late waits longer, and behind others."""
+
+    return_ms: tuple[int, int] | None = None
+    """From when until when after a refusal a caller comes once more; None
+    if callers don't come back."""
+
 
 @dataclass(frozen=True, slots=True)
 class Outcome:
@@ -96,6 +112,22 @@
     unfinished: int
     revokes: int
     refused: int
+    in_time: int
+    """Online requests that got a slot in time."""
+
+    returned_in_time: int
+    """Those that did so after a refusal, counted from their return."""
+
+    served_late: int
+
+
+@dataclass(slots=True, eq=False)
+class _Online:
+    run_ms: float
+    came_ms: float
+    waited_ms: float = 0
+    refused: bool = False
+    last: bool = False
 
 
 @dataclass(slots=True, eq=False)
@@ -130,6 +162,7 @@
         self._events = []
         self._numbers = itertools.count()
         self._revokes = self._refused = 0
+        self._in_time = self._returned_in_time = self._served_late = 0
         self._now_ms = 0
 
     def _keeper(self):
@@ -160,6 +193,9 @@
             len(unfinished),
             self._revokes,
             self._refused,
+            self._in_time,
+            self._returned_in_time,
+            self._served_late,
         )
 
     def _at(self, at_ms, step, *values):
@@ -179,22 +215,47 @@
         is_calm = self._now_ms % WAVE_MS < CALM_MS
         run_ms = max(150, rng.gauss(ONLINE_RUN_MS, ONLINE_RUN_MS / 4))
         if rng.random() < (CALM_X if is_calm else WAVE_X) / WAVE_X:
-            self._place_online(run_ms)
-
-    def _place_online(self, run_ms):
+            self._comes_first(run_ms)
+
+    def _comes_first(self, run_ms):
+        from_ms, until_ms = self.load.outage
+        if from_ms <= self._now_ms < until_ms:
+            back_ms = until_ms + self._online_rng.uniform(*BACK_MS)
+            waited_ms = back_ms - self._now_ms
+            online = _Online(run_ms, back_ms, waited_ms, last=True)
+            self._at(back_ms, self._place_online, online)
+        else:
+            self._place_online(_Online(run_ms, self._now_ms))
+
+    def _place_online(self, online):
         name = f"online{next(self._numbers)}"
         asked = self._ordered()[:ASKED]
         rounds = [(0, asked)]
+        wait_ms, slack_ms = WAIT_MS, WAIT_MS
+        if self.switches.late_yields:
+            slack_ms = max(0, WAIT_MS - int(online.waited_ms))
+            wait_ms = slack_ms + LATE_WAIT_MS
         if self.switches.queues:
-            rounds.append((WAIT_MS, asked[:1]))
+            rounds.append((wait_ms, asked[:1]))
         for wait_ms, numbers in rounds:
             for number in numbers:
-                asker = ("online", number, run_ms)
-                ask = Ask(name, name, asker, Use.ONLINE, wait_ms)
+                asker = ("online", number, online)
+                ask = Ask(name, name, asker, Use.ONLINE, wait_ms, slack_ms)
                 verdict = self._tell(self._keepers[number], ask)
                 if verdict is not Verdict.FULL:
                     return
-        self._refused += 1
+        self._refuse(online)
+
+    def _refuse(self, online):
+        return_ms = self.switches.return_ms
+        if return_ms is None or online.last:
+            self._refused += 1
+            return
+        after_ms = self._online_rng.uniform(*return_ms)
+        online.waited_ms += after_ms
+        online.came_ms = self._now_ms + after_ms
+        online.refused = online.last = True
+        self._at(online.came_ms, self._place_online, online)
 
     def _tell(self, keeper, ask):
         effects = keeper.ask(ask, self._now_ms)
@@ -209,10 +270,21 @@
                 self._online_answered(effect)
 
     def _online_answered(self, answered: Answered):
-        _, number, run_ms = answered.asker
+        _, number, online = answered.asker
         if answered.verdict is Verdict.GRANTED:
             ended = (number, answered.attempt_id)
-            self._at(self._now_ms + run_ms, self._release, *ended)
+            self._at(self._now_ms + online.run_ms, self._release, *ended)
+            self._count_served(online)
+
+    def _count_served(self, online):
+        if self._now_ms - online.came_ms > WAIT_MS:
+            self._served_late += 1
+        elif online.refused:
+            self._returned_in_time += 1
+        elif online.waited_ms:
+            self._served_late += 1
+        else:
+            self._in_time += 1
 
     def _release(self, number, attempt_id):
         keeper = self._keepers[number]
--- a/dahliashunt/decisions/tests/test_shared_fleet.py
+++ b/dahliashunt/decisions/tests/test_shared_fleet.py
@@ -35,6 +35,34 @@
 )
 """Demand of nearly all of the slots, and eight replicas of 28 lost."""
 
+FULL_LOSS = Load(
+    replicas=28,
+    slots=7,
+    owners=40,
+    online_per_s=149,
+    jobs_per_s=1.8,
+    length_ms=8_000,
+    loss=(2_000, 7_000, 10),
+)
+"""A wave that meets a fleet without ten of its 28 replicas."""
+
+OUTAGE = Load(
+    replicas=28,
+    slots=7,
+    owners=40,
+    online_per_s=149,
+    jobs_per_s=1.8,
+    length_ms=8_000,
+    outage=(3_000, 4_600),
+)
+"""All entries are gone for 1.6 s in a wave, and callers come back."""
+
+NEXT_SLOT_MS = (100, 300)
+"""The former Retry-After: when a slot is next expected."""
+
+ONE_TURN_MS = (700, 1_470)
+"""Retry-After by `return_time`, for holds of 0.7 s."""
+
 MORE_REFUSED = 15
 """One in 200 of some 3,000 online requests: batch may not be bought with
 requests refused."""
@@ -90,3 +118,25 @@
 
 def test_items_that_cannot_be_in_time_are_done_in_the_end():
     assert mean(played(BURST), "unfinished") == 0
+
+
+@pytest.mark.parametrize("load", [FULL_LOSS, OUTAGE], ids=["loss", "outage"])
+def test_callers_who_come_back_after_a_turn_are_served(load):
+    # Clerks find every slot taken. Told to come back when the next slot is
+    # free they meet the same full fleet, are refused again and give up,
+    # while a second later slots stand idle.
+    former = played(load, return_ms=NEXT_SLOT_MS, late_yields=False)
+    now = played(load, return_ms=ONE_TURN_MS, late_yields=False)
+    assert mean(now, "refused") < mean(former, "refused")
+    assert mean(now, "in_time") >= 0.99 * mean(former, "in_time")
+
+
+def test_a_backlog_after_an_outage_does_not_turn_new_callers_away():
+    # Everything was restarted. Callers who found nobody come back at once;
+    # they take every slot, are late all the same, and new callers are
+    # refused in their turn.
+    former = played(OUTAGE, return_ms=ONE_TURN_MS, late_yields=False)
+    now = played(OUTAGE, return_ms=ONE_TURN_MS)
+    assert mean(now, "refused") < 0.5 * mean(former, "refused")
+    assert mean(now, "in_time") >= mean(former, "in_time")
+    assert mean(now, "late") <= mean(former, "late") + 1
--- a/dahliashunt/decisions/tests/test_slot_keeper.py
+++ b/dahliashunt/decisions/tests/test_slot_keeper.py
@@ -21,8 +21,8 @@
     return SlotKeeper(slots=2)
 
 
-def online(name, wait_ms=0, asker="e1"):
-    return Ask(name, name, asker, Use.ONLINE, wait_ms=wait_ms)
+def online(name, wait_ms=0, asker="e1", slack_ms=0):
+    return Ask(name, name, asker, Use.ONLINE, wait_ms, slack_ms)
 
 
 def batch(name, slack_ms=1000, asker="e1"):
@@ -73,6 +73,38 @@
     assert verdicts(keeper.ask(online("d", 350), 0)) == [Verdict.QUEUED]
 
 
+def test_a_request_in_time_goes_before_those_that_are_late(keeper):
+    # Everybody comes back after an outage, at once. First come first served
+    # makes the new callers wait behind those whose answers are late anyway.
+    for name in ("a", "b"):
+        keeper.ask(online(name), 0)
+    late = keeper.ask(online("late", 1_200), 0)
+    assert verdicts(late) == [Verdict.QUEUED]
+    in_time = keeper.ask(online("new", 1_600, slack_ms=400), 10)
+    assert verdicts(in_time) == [Verdict.QUEUED]
+    (first,) = keeper.release("a", 100)
+    (second,) = keeper.release("b", 110)
+    assert [first.attempt_id, second.attempt_id] == ["new", "late"]
+
+
+def test_a_waiting_request_that_became_late_yields(keeper):
+    for name in ("a", "b"):
+        keeper.ask(online(name), 0)
+    keeper.ask(online("old", 2_000, slack_ms=400), 0)
+    keeper.ask(online("new", 2_000, slack_ms=800), 450)
+    (granted,) = keeper.release("a", 500)
+    assert granted.attempt_id == "new"
+
+
+def test_a_request_that_would_wait_past_its_time_may_come_back(keeper):
+    # It is told at once, while its caller can still be in time elsewhere,
+    # instead of being queued because it would accept a late answer.
+    for name in ("a", "b"):
+        keeper.ask(online(name), 0)
+    refused = keeper.ask(online("c", 1_600, slack_ms=200), 0)
+    assert verdicts(refused) == [Verdict.FULL]
+
+
 def test_a_repeated_ask_holds_one_slot(keeper):
     # The answer to an ask was lost and the entry asks again.
     keeper.ask(online("a"), 0)
--- a/dahliashunt/forwarding/forwarder.py
+++ b/dahliashunt/forwarding/forwarder.py
@@ -11,7 +11,10 @@
   that it does not look whole.
 """
 
+from dataclasses import dataclass
+
 from dahliashunt.adapters.http1 import ConnectionPool
+from dahliashunt.decisions.caller_wait import CallerWaits
 from dahliashunt.decisions.slot_messages import Use
 from dahliashunt.decisions.suspicion import Suspicion
 from dahliashunt.errors import ErrorKind
@@ -43,6 +46,11 @@
 """A broken stream may wait so long for a slot elsewhere: callers leave
 after a pause of two seconds at least."""
 
+LATE_WAIT_MS = 1_200
+"""What a request that can't be in time any more may wait for a slot: two
+turns of a full fleet, and well under the two seconds after which callers
+leave."""
+
 NOT_SENT_TRIES = 6
 """Replicas tried one after another that proved not to have run it."""
 
@@ -85,6 +93,7 @@
         self.clock = clock
         self.metrics = metrics
         self.log = log
+        self.waits = CallerWaits()
 
     async def serve(
         self, call: Call, route: Route, keeps: bool, sink: AnswerSink
@@ -103,6 +112,17 @@
         await _Run(self, call, route, keeps, sink).serve()
 
 
+@dataclass(frozen=True, slots=True)
+class _Patience:
+    """How long a request may wait, and how long and still be in time."""
+
+    wait_ms: int
+    slack_ms: int
+
+
+_NO_PATIENCE = _Patience(0, 0)
+
+
 class _Run:
     """One call on its way."""
 
@@ -122,6 +142,9 @@
             until_ms=call.arrived_ms + budget_ms,
             last_event=call.last_event,
         )
+        self._waited_ms = shared.waits.waited_ms(
+            route.name, budget_ms, route.timeout_ms
+        )
         self._service = route.service_for(call.request_id)
         self._tried = set()
         self._not_sent = 0
@@ -184,18 +207,18 @@
 
     async def _place(self):
         try:
-            return await self._find(self._wait_ms(), self._tried)
+            return await self._find(self._patience(), self._tried)
         except RequestError as error:
             self._refuse(error)
 
-    async def _find(self, wait_ms, avoid):
+    async def _find(self, patience, avoid):
         affinity = self._call.shared_parts
         want = Want(
             service=self._service,
             use=Use.ONLINE,
             affinity=affinity[-1] if affinity else "",
-            wait_ms=wait_ms,
-            slack_ms=0,
+            wait_ms=patience.wait_ms,
+            slack_ms=patience.slack_ms,
             avoid=frozenset(avoid),
             on_revoke=lambda: None,
         )
@@ -203,13 +226,17 @@
             want, self._call.request_id, self._keeps
         )
 
-    def _wait_ms(self):
-        left_ms = self._state.until_ms - self._clock.now_ms()
+    def _patience(self):
+        """Return how long this request may wait for a slot by now."""
+        left_ms = max(0, self._state.until_ms - self._clock.now_ms())
         if self._state.ran:
             # It was taken on and lost: worth a wait, though late.
-            return max(0, min(RESUME_WAIT_MS, left_ms))
-        useful_ms = self._route.objective_ms - self._age_ms() - START_MS
-        return max(0, min(useful_ms, left_ms))
+            wait_ms = min(RESUME_WAIT_MS, left_ms)
+            return _Patience(wait_ms, wait_ms)
+        age_ms = self._waited_ms + self._age_ms()
+        useful_ms = self._route.objective_ms - age_ms - START_MS
+        slack_ms = max(0, min(useful_ms, left_ms))
+        return _Patience(min(slack_ms + LATE_WAIT_MS, left_ms), slack_ms)
 
     def _refuse(self, error):
         """Turn a missing place into the answer that is true by now."""
@@ -228,7 +255,7 @@
         async def has_elsewhere():
             avoid = {*self._tried, replica.life}
             try:
-                self._next_place = await self._find(0, avoid)
+                self._next_place = await self._find(_NO_PATIENCE, avoid)
             except RequestError:
                 return False
             return True
--- a/dahliashunt/forwarding/node.py
+++ b/dahliashunt/forwarding/node.py
@@ -98,6 +98,9 @@
         if held is not None and catalog.revision <= held.revision:
             return
         self.catalog = catalog
+        if self.forwarder is not None:
+            names = {route.name for route in catalog.routes}
+            self.forwarder.waits.keep_only(names)
         self.log.info(
             "configuration_adopted",
             revision=catalog.revision,
--- a/dahliashunt/forwarding/place.py
+++ b/dahliashunt/forwarding/place.py
@@ -21,7 +21,8 @@
     wait_ms : int
         How long the request may wait for a slot.
     slack_ms : int
-        Of a batch item: time until it is due.
+        Of a batch item: time until it is due. Of an online request: how
+        long it may wait and still be in time, 0 if it can't be.
     avoid : frozenset
         Lives of replicas that were tried.
     on_revoke : callable
--- a/dahliashunt/forwarding/placing.py
+++ b/dahliashunt/forwarding/placing.py
@@ -7,6 +7,8 @@
 from dahliashunt.decisions.partners import draw_outsiders
 from dahliashunt.decisions.replica_choice import Candidate
 from dahliashunt.decisions.replica_choice import order_replicas
+from dahliashunt.decisions.return_time import HoldTimes
+from dahliashunt.decisions.return_time import return_after_ms
 from dahliashunt.decisions.slot_messages import Use
 from dahliashunt.decisions.slot_messages import Verdict
 from dahliashunt.decisions.suspicion import Suspicion
@@ -29,10 +31,6 @@
 """Retry-After when a service has no replica: replicas come back, or new
 ones are listed, within a heartbeat or two of 1.2 s."""
 
-LEAST_RETRY_MS = 50
-"""Least Retry-After when all slots are taken; a shorter one returns
-before anything has changed."""
-
 DIRECT_SHARE = 4
 """A replica whose agent is silent is sent to directly, with this part of
 its slots at the most: several entries do so at a time and none knows of
@@ -94,6 +92,7 @@
         self._is_connected = is_connected
         self._own_by_life: dict[tuple, int] = {}
         self._asker = Asker(slots, self._agent)
+        self._holds = HoldTimes()
         self._started_ms = clock.now_ms()
         self._renewed: set[tuple[str, int]] = set()
 
@@ -178,7 +177,7 @@
         raise RequestError(
             ErrorKind.OVERLOADED,
             f"this entry fills every slot of {want.service}",
-            retry_after_ms=LEAST_RETRY_MS,
+            retry_after_ms=self._return_after_ms(want.service, 0),
         )
 
     def _ordered(self, replicas, affinity):
@@ -237,19 +236,27 @@
         raise RequestError(
             ErrorKind.OVERLOADED,
             f"every slot of {want.service} is taken",
-            retry_after_ms=max(LEAST_RETRY_MS, wait_ms),
+            retry_after_ms=self._return_after_ms(want.service, wait_ms),
         )
 
+    def _return_after_ms(self, service, wait_ms):
+        hold_ms = self._holds.mean_ms(service)
+        return return_after_ms(hold_ms, wait_ms, self._rng)
+
     def _expected_wait_ms(self, replica):
         known = self._slots.known_by_address.get(self._agent(replica))
         return known.state.wait_ms if known is not None else 0
 
     def _granted(self, replica, attempt):
         self._count(replica.life, 1)
+        since_ms = self._clock.now_ms()
 
         def release():
             self._count(replica.life, -1)
             self._slots.release(attempt.attempt_id)
+            if attempt.use is Use.ONLINE:
+                held_ms = self._clock.now_ms() - since_ms
+                self._holds.ended(replica.service, held_ms)
 
         return Place(replica, attempt.attempt_id, release)
 
