Unfinished items' texts are kept, and a leaving owner hands over

Cause: a node's loss costs each item that it ran all that was done of it, and the loss of all nodes about a second and a half of the whole fleet's slots, on fleets that batch and online requests fill to 96%. A machine that is restarted in order ran its items until it was killed, and the others waited for its silence.

Change: jobs/partials.py keeps each unfinished item's text up to an event as one row (table partials), jobs/checkpoints.py saves each second what has made ten events or more, one call a part; the row goes with the listing of its item. A new owner reads them once and goes on by event id.

No rule rests on these rows: one that is missing, old, late or unreadable costs a new start.

--- a/dahliashunt/jobs/beats.py
+++ b/dahliashunt/jobs/beats.py
@@ -35,6 +35,9 @@
 
 MOST_ROWS = 2_000
 
+NO_BOOT = ""
+"""Stands in the row of a node that has left: no life of it owns jobs."""
+
 
 def period_ms(owners: int) -> int:
     """Return the time between renewals with so many owners."""
@@ -57,13 +60,23 @@
 
     async def beat(self) -> bool:
         """Renew once; return whether the table took it."""
+        return await self._write(self._owner.boot)
+
+    async def leave(self) -> bool:
+        """End this life for everybody; return whether the table took it.
+
+        To be called once nothing runs here any more.
+        """
+        return await self._write(NO_BOOT)
+
+    async def _write(self, boot):
         key = _key(self._owner.node_id)
         try:
             if self._version is None:
                 row = await self._table.read(key)
                 self._version = row.version if row else MustBe.ABSENT
             self._count += 1
-            value = json.dumps([self._owner.boot, self._count])
+            value = json.dumps([boot, self._count])
             write = Write(key, value, self._version)
             (self._version,) = await self._table.transact((write,))
         except (
--- /dev/null
+++ b/dahliashunt/jobs/checkpoints.py
@@ -0,0 +1,52 @@
+"""Save what is done of a node's unfinished items, every second."""
+
+from dahliashunt.jobs.partials import PartialTexts
+from dahliashunt.jobs.worker import JobWorker
+from dahliashunt.ports import Clock
+
+__all__ = ["Checkpoints"]
+
+SAVE_MS = 1_000
+"""Between saves: what a node's loss costs an item at the most, a fifth of
+its run, besides its prompt."""
+
+LEAST_EVENTS = 10
+"""New events that are worth a row: a third of a second of a run."""
+
+
+class Checkpoints:
+    """Saves the partial texts of a worker's items.
+
+    Parameters
+    ----------
+    worker : JobWorker
+    partials : PartialTexts
+    clock : Clock
+    """
+
+    def __init__(
+        self, worker: JobWorker, partials: PartialTexts, clock: Clock
+    ):
+        self._worker = worker
+        self._partials = partials
+        self._clock = clock
+
+    async def run(self) -> None:
+        """Save for ever."""
+        while True:
+            await self._clock.sleep_ms(SAVE_MS)
+            await self.save(LEAST_EVENTS)
+
+    async def save(self, least_events: int = 1) -> None:
+        """Save the items that have made so many events since the last."""
+        items_by_name = {
+            (job_id, item.index): item
+            for job_id, item in self._worker.unfinished()
+            if item.last_event - item.saved_event >= least_events
+        }
+        partials = [
+            item.partial(job_id) for (job_id, _), item in items_by_name.items()
+        ]
+        for saved in await self._partials.save(partials):
+            item = items_by_name[saved.job_id, saved.index]
+            item.saved_event = max(item.saved_event, saved.last_event)
--- a/dahliashunt/jobs/item_run.py
+++ b/dahliashunt/jobs/item_run.py
@@ -11,6 +11,8 @@
 from dahliashunt.forwarding.events import EventOutOfOrder
 from dahliashunt.forwarding.place import Place
 from dahliashunt.forwarding.ports import ReplicaDialect
+from dahliashunt.ids import JobId
+from dahliashunt.jobs.partials import Partial
 from dahliashunt.ports import Clock
 
 __all__ = ["ItemEnd", "ItemRun"]
@@ -75,6 +77,10 @@
         When it first held one here.
     revokes : int
         How often its slot was taken back.
+    last_event : int
+        It has the events up to here.
+    saved_event : int
+        The store has its text up to here.
     """
 
     def __init__(self, index: int, call: Call, due_ms: int, abandon_ms: int):
@@ -87,8 +93,9 @@
         self.ran_ms = 0
         self.started_ms: int | None = None
         self.revokes = 0
+        self.last_event = 0
+        self.saved_event = 0
         self._losses = 0
-        self._last_event = 0
         self._texts: list[str] = []
         self._connection = None
         self._revoked = False
@@ -98,6 +105,15 @@
         """Data of all events so far, joined by line feeds."""
         return "\n".join(self._texts)
 
+    def partial(self, job_id: JobId) -> Partial:
+        """Return what it has, to be kept."""
+        return Partial(job_id, self.index, self.last_event, self.text)
+
+    def resume(self, partial: Partial) -> None:
+        """Go on from what was kept of it, before its first attempt."""
+        self.last_event = self.saved_event = partial.last_event
+        self._texts = [partial.text]
+
     def is_ready(self, now_ms: int) -> bool:
         """Tell whether it may be tried, or is to be given up, now."""
         return now_ms >= min(self.not_before_ms, self.abandon_ms)
@@ -127,7 +143,7 @@
             return ItemEnd.REVOKED
         left_ms = self.abandon_ms - clock.now_ms()
         request = dialect.request(
-            self.call, place.replica, left_ms, self._last_event
+            self.call, place.replica, left_ms, self.last_event
         )
         box = connection.start(
             request, lambda head: dialect.answers(self.call, head)
@@ -188,9 +204,9 @@
             for event in cutter.feed(data):
                 if event.number is None:
                     continue
-                if event.number != self._last_event + 1:
+                if event.number != self.last_event + 1:
                     return False
-                self._last_event = event.number
+                self.last_event = event.number
                 self._texts.append(event.data())
                 self._losses = 0
         except EventOutOfOrder:
--- a/dahliashunt/jobs/job_run.py
+++ b/dahliashunt/jobs/job_run.py
@@ -42,6 +42,7 @@
         self._worker = worker
         self._tasks = set()
         self._finished: list[Finished] = []
+        self._unfinished_by_index: dict[int, ItemRun] = {}
         self._more = asyncio.Event()
         self.spawn(self._run())
 
@@ -77,6 +78,14 @@
         finished, self._finished = self._finished, []
         return [each for each in finished if each.outcome is Outcome.DONE]
 
+    def unfinished(self) -> list[ItemRun]:
+        """Return the items that are neither done nor listed."""
+        return [
+            item
+            for index, item in self._unfinished_by_index.items()
+            if index not in self._listed
+        ]
+
     def is_listed(self, item: ItemRun) -> bool:
         """Tell whether `item` needs no run any more."""
         return item.index in self._listed
@@ -103,7 +112,9 @@
                 reason=reason,
             )
         self._worker.held_characters += len(text)
-        self._finished.append(Finished(item.index, outcome, text))
+        self._unfinished_by_index.pop(item.index, None)
+        saved = item.saved_event > 0
+        self._finished.append(Finished(item.index, outcome, text, saved))
         self._more.set()
 
     async def _run(self):
@@ -122,12 +133,31 @@
             listed=len(listed),
             age_ms=age_ms,
         )
+        partial_by_index = await self._partials()
         for index, call in enumerate(calls):
             if index not in listed:
                 item = ItemRun(index, call, due_ms, abandon_ms)
+                if index in partial_by_index:
+                    item.resume(partial_by_index[index])
+                self._unfinished_by_index[index] = item
                 worker.wait_for_slot(self, item)
         await self._list_all()
 
+    async def _partials(self):
+        """Return what a former owner has kept of the job's items."""
+        worker = self._worker
+        is_new = (
+            self.job.accepted_by == worker.ledger.owner
+            and self.job.job_id not in worker.view.progress_by_id
+        )
+        if is_new:
+            return {}
+        found = await worker.partials.load(self.job.job_id)
+        worker.log.info(
+            "items_resumed", job_id=self.job.job_id, items=len(found)
+        )
+        return found
+
     async def _calls(self):
         while True:
             try:
--- a/dahliashunt/jobs/keys.py
+++ b/dahliashunt/jobs/keys.py
@@ -8,10 +8,14 @@
     "JOBS_PREFIX",
     "PROGRESS_PREFIXES",
     "job_key",
+    "partial_index",
+    "partial_key",
+    "partials_range",
     "progress_key",
     "quota_key",
     "result_key",
     "results_range",
+    "shard_of",
 ]
 
 SHARDS = 8
@@ -54,3 +58,19 @@
     """Return where rows of positions `first` to `last` - 1 lie."""
     prefix = f"results/{shard_of(job_id)}/{job_id}"
     return f"{prefix}/{first:05d}", f"{prefix}/{last:05d}"
+
+
+def partial_key(job_id: JobId, index: int) -> str:
+    """Return the key of an unfinished item's text."""
+    return f"partials/{shard_of(job_id)}/{job_id}/{index:05d}"
+
+
+def partial_index(key: str) -> int:
+    """Return the item's index in a key of `partial_key`."""
+    return int(key.rsplit("/", 1)[1])
+
+
+def partials_range(job_id: JobId) -> tuple[str, str]:
+    """Return where a job's unfinished texts lie."""
+    prefix = f"partials/{shard_of(job_id)}/{job_id}"
+    return f"{prefix}/", f"{prefix}0"
--- a/dahliashunt/jobs/ledger.py
+++ b/dahliashunt/jobs/ledger.py
@@ -12,6 +12,8 @@
 from dahliashunt.errors import WriteOutcomeUnknown
 from dahliashunt.ids import JobId
 from dahliashunt.jobs.keys import job_key
+from dahliashunt.jobs.keys import partial_key
+from dahliashunt.jobs.keys import partials_range
 from dahliashunt.jobs.keys import progress_key
 from dahliashunt.jobs.keys import quota_key
 from dahliashunt.jobs.keys import result_key
@@ -59,11 +61,21 @@
 
 @dataclass(frozen=True, slots=True)
 class Finished:
-    """An item that is to be listed."""
+    """An item that is to be listed.
+
+    Attributes
+    ----------
+    index : int
+    outcome : Outcome
+    text : str
+    saved : bool
+        The store may hold a partial text of it, which goes with this.
+    """
 
     index: int
     outcome: Outcome
     text: str
+    saved: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -310,16 +322,19 @@
             Something is left.
         """
         await self._objects.delete(job.payload)
-        start, end = results_range(job.job_id, 0, len(job.items))
+        await self._remove_range(*partials_range(job.job_id))
+        await self._remove_range(*results_range(job.job_id, 0, len(job.items)))
+        await self._drop(progress_key(job.job_id))
+        await self._drop(job_key(job.job_id))
+
+    async def _remove_range(self, start, end):
         while True:
             rows = await self._table.read_range(start, end, MOST_REMOVED)
             if not rows:
-                break
+                return
             await self._table.transact(
                 tuple(Write(row.key, None) for row in rows)
             )
-        await self._drop(progress_key(job.job_id))
-        await self._drop(job_key(job.job_id))
 
     async def _drop(self, key):
         row = await self._table.read(key)
@@ -382,6 +397,8 @@
                 Write(result_key(job.job_id, position, n), json.dumps(piece))
                 for n, piece in enumerate(pieces)
             ]
+            if each.saved:
+                writes.append(Write(partial_key(job.job_id, each.index), None))
         progress = replace(progress, listed=(*progress.listed, *entries))
         if not await self._write_progress(job, known, progress, writes):
             raise PlatformUnavailable("the progress was changed meanwhile")
@@ -439,7 +456,7 @@
     page, size = [], 0
     for each in finished:
         size += len(each.text)
-        rows = size // PIECE_CHARACTERS + 2 * len(page) + 2
+        rows = size // PIECE_CHARACTERS + 3 * len(page) + 3
         if page and (size > PAGE_CHARACTERS or rows > 90):
             break
         page.append(each)
--- a/dahliashunt/jobs/takeover.py
+++ b/dahliashunt/jobs/takeover.py
@@ -1,5 +1,6 @@
 """Take over open jobs whose owner is gone."""
 
+import asyncio
 import random
 
 from dahliashunt.errors import PlatformUnavailable
@@ -22,6 +23,11 @@
 spread over those that are left."""
 
 
+LEAVE_TRIES = 3
+"""Tries to say that this node has left; the others find out by its silence
+where none is taken."""
+
+
 class Takeover:
     """Renews this node's own row and watches the others'."""
 
@@ -44,6 +50,16 @@
         self._clock = clock
         self._rng = rng
         self._log = log
+        self._left = False
+
+    async def leave(self) -> None:
+        """Renew no more, take nothing over, and say so to the others."""
+        self._left = True
+        told = False
+        for _ in range(LEAVE_TRIES):
+            # A renewal that was on its way may have been ahead.
+            told = told or await self._writer.leave()
+        self._log.info("jobs_left", told=told)
 
     async def renew(self) -> None:
         """Renew this node's row while it owns jobs, for ever.
@@ -54,14 +70,15 @@
         instead of five.
         """
         announced = False
-        while True:
+        while not self._left:
             if self._worker.owns_jobs or not announced:
                 announced = await self._writer.beat() or announced
             await self._clock.sleep_ms(period_ms(self._reader.owners))
+        await asyncio.Event().wait()
 
     async def watch(self) -> None:
         """Look for orphaned jobs, for ever."""
-        while True:
+        while not self._left:
             others = [
                 job
                 for job in self._view.open_jobs()
@@ -72,6 +89,7 @@
                 await self._reader.look(owners)
                 await self._take_some(others)
             await self._clock.sleep_ms(period_ms(self._reader.owners))
+        await asyncio.Event().wait()
 
     async def _take_some(self, others):
         orphans = [
@@ -84,6 +102,8 @@
         self._rng.shuffle(orphans)
         await self._clock.sleep_ms(self._rng.randint(0, SPREAD_MS))
         for job in orphans[:MOST_AT_ONCE]:
+            if self._left:
+                return
             owner = self._view.progress(job).owner
             if owner == self._ledger.owner or not self._reader.is_gone(owner):
                 continue
--- a/dahliashunt/jobs/tests/test_beats.py
+++ b/dahliashunt/jobs/tests/test_beats.py
@@ -92,3 +92,16 @@
         assert reader.is_gone(Owner(WATCHER.node_id, "before"))
 
     asyncio.run(main())
+
+
+def test_an_owner_that_has_left_is_gone_at_once(table, clock, reader):
+    # Machines are restarted one after the other. Their jobs waited for the
+    # term, though each of them knew that it was leaving.
+    async def main():
+        writer = BeatWriter(table, OWNER, LOG)
+        await look_for(reader, clock, 3_000, {OWNER}, writer.beat)
+        assert await writer.leave()
+        await reader.look({OWNER})
+        assert reader.is_gone(OWNER)
+
+    asyncio.run(main())
--- a/dahliashunt/jobs/worker.py
+++ b/dahliashunt/jobs/worker.py
@@ -26,6 +26,7 @@
 from dahliashunt.jobs.job_run import RETRY_MS
 from dahliashunt.jobs.ledger import JobLedger
 from dahliashunt.jobs.model import Outcome
+from dahliashunt.jobs.partials import PartialTexts
 from dahliashunt.jobs.payload import PayloadReader
 from dahliashunt.jobs.view import JobView
 
@@ -62,6 +63,7 @@
     pool : ConnectionPool
     dialect : ReplicaDialect
     payloads : PayloadReader
+    partials : PartialTexts
     store_now_ms : callable
         The store's clock, as known here.
     """
@@ -75,6 +77,7 @@
         pool: ConnectionPool,
         dialect: ReplicaDialect,
         payloads: PayloadReader,
+        partials: PartialTexts,
         store_now_ms,
     ):
         self.node = node
@@ -84,6 +87,7 @@
         self.pool = pool
         self.dialect = dialect
         self.payloads = payloads
+        self.partials = partials
         self.store_now_ms = store_now_ms
         self.clock = node.clock
         self.log = node.log
@@ -93,6 +97,7 @@
         self._woken = asyncio.Event()
         self._running = 0
         self._hand_ins = set()
+        self._leaving = False
         self.held_characters = 0
 
     @property
@@ -116,7 +121,26 @@
             for run in self._run_by_id.values():
                 run.stop()
 
+    def unfinished(self) -> list[tuple[JobId, ItemRun]]:
+        """Return the items of this node's jobs that are not done."""
+        return [
+            (job_id, item)
+            for job_id, run in self._run_by_id.items()
+            for item in run.unfinished()
+        ]
+
+    def leave(self) -> None:
+        """Stop every run for good; what was done is handed in.
+
+        The texts of unfinished items are to be saved before.
+        """
+        self._leaving = True
+        for job_id in list(self._run_by_id):
+            self.retire(job_id)
+
     def _match_view(self):
+        if self._leaving:
+            return
         mine = {
             job.job_id: job
             for job in self.view.open_jobs()
--- a/dahliashunt/platform/job_parts.py
+++ b/dahliashunt/platform/job_parts.py
@@ -8,9 +8,11 @@
 from dahliashunt.ids import NodeId
 from dahliashunt.jobs.beats import BeatReader
 from dahliashunt.jobs.beats import BeatWriter
+from dahliashunt.jobs.checkpoints import Checkpoints
 from dahliashunt.jobs.expiry import Expiry
 from dahliashunt.jobs.ledger import JobLedger
 from dahliashunt.jobs.model import Owner
+from dahliashunt.jobs.partials import PartialTexts
 from dahliashunt.jobs.takeover import Takeover
 from dahliashunt.jobs.view import JobView
 from dahliashunt.jobs.worker import JobWorker
@@ -37,6 +39,7 @@
     ----------
     view : JobView
     ledger : JobLedger
+    partials : PartialTexts
     expiry : Expiry
     """
 
@@ -53,7 +56,11 @@
         self.store = store
         self.view = JobView(node.log)
         self.ledger = JobLedger(store, store, self.view, owner, node.log)
+        self.partials = PartialTexts(store, node.log)
         self._worker = self._make_worker(places, pool)
+        self._checkpoints = Checkpoints(
+            self._worker, self.partials, node.clock
+        )
         self._takeover = self._make_takeover(owner)
         self.expiry = self._make_expiry(keep_ms)
 
@@ -66,6 +73,7 @@
             pool,
             PlatformDialect(),
             JobBodies(),
+            self.partials,
             self.store.now_ms,
         )
 
@@ -94,11 +102,28 @@
             node.log,
         )
 
+    @property
+    def unfinished(self) -> list:
+        """Items of this node's jobs that are not done, by job."""
+        return self._worker.unfinished()
+
     def loops(self) -> list:
         """Return the coroutines that run for ever."""
         return [
             self._worker.run(),
             self._takeover.renew(),
             self._takeover.watch(),
+            self._checkpoints.run(),
             self.expiry.run(),
         ]
+
+    async def hand_over(self) -> None:
+        """Give up this node's jobs, with what is done of their items.
+
+        The failure it guards against: a machine that is restarted in
+        order runs its items until it is killed, and the others find out
+        by its silence, seconds later, and begin each item anew.
+        """
+        await self._checkpoints.save()
+        self._worker.leave()
+        await self._takeover.leave()
