Routes that can be explained, and requests that can be followed

A node answers by look-ups and pages of 1,000 routes, on the metrics address beside the serving path; it keeps 2 MB of its last log lines and says how many it has dropped. served and item_done name the data centre. A log is read a line at a time; cut lines are counted; unknown hosts, paths, ids and silent nodes are one line and an exit code.

--- a/dahliashunt/cli/exits.py
+++ b/dahliashunt/cli/exits.py
@@ -6,7 +6,7 @@
 from dahliashunt.errors import ErrorKind
 from dahliashunt.errors import Ran
 
-__all__ = ["EXIT_BY_KIND", "CommandError", "Exit"]
+__all__ = ["EXIT_BY_KIND", "CommandError", "Exit", "ReadError"]
 
 
 class Exit(enum.IntEnum):
@@ -72,3 +72,7 @@
         self.message = message
         self.ran = ran
         self.details = details or {}
+
+
+class ReadError(CommandError):
+    """A command that only reads fails: there is nothing to say of changes."""
--- a/dahliashunt/cli/main.py
+++ b/dahliashunt/cli/main.py
@@ -9,15 +9,19 @@
 from docopt import docopt
 from docopt import DocoptExit
 
-from dahliashunt.cli import endpoints  # noqa: F401  registers commands
+from dahliashunt.cli import completion  # noqa: F401  registers commands
+from dahliashunt.cli import endpoints  # noqa: F401
 from dahliashunt.cli import fleet  # noqa: F401
 from dahliashunt.cli import jobs  # noqa: F401
 from dahliashunt.cli import records  # noqa: F401
 from dahliashunt.cli import records_past  # noqa: F401
+from dahliashunt.cli import routes  # noqa: F401
 from dahliashunt.cli import shift  # noqa: F401
+from dahliashunt.cli import traces  # noqa: F401
 from dahliashunt.cli.client import Client
 from dahliashunt.cli.exits import CommandError
 from dahliashunt.cli.exits import Exit
+from dahliashunt.cli.exits import ReadError
 from dahliashunt.cli.output import FORMATS
 from dahliashunt.cli.output import Printer
 from dahliashunt.cli.registry import Command
@@ -158,6 +162,8 @@
                 f"  {conflict['kind']}/{conflict['name']} {one['field']}: "
                 f"in force {one['before']!r}, yours {one['after']!r}"
             )
+    if isinstance(error, ReadError):
+        return
     if error.exit_code not in (Exit.USAGE, Exit.WAITED, Exit.FAILED):
         printer.error(_RAN_TEXT[error.ran])
 
--- /dev/null
+++ b/dahliashunt/forwarding/explain.py
@@ -0,0 +1,211 @@
+"""What a node would do with a request now, and why.
+
+Read only and bounded: an answer costs one look-up, one ordering of the
+service's partners and a page of routes, whatever the configuration's size.
+"""
+
+from collections import Counter
+from dataclasses import dataclass
+
+from dahliashunt.decisions.return_time import TURNS
+from dahliashunt.forwarding.catalog import BrokenRoute
+from dahliashunt.forwarding.catalog import Route
+
+__all__ = ["MOST_ROUTES", "Explainer"]
+
+MOST_ROUTES = 1_000
+"""Routes in one page: some milliseconds of a node's time."""
+
+MOST_CHANGES = 200
+"""Changed routes that are named; the others are counted."""
+
+MOST_REPLICAS = 100
+"""Replicas that are described one by one; partners come first."""
+
+MOST_PASSED_OVER = 20
+
+
+@dataclass(frozen=True, slots=True)
+class _Outcome:
+    says: str
+    wait_ms: int | None = None
+    retry_after_ms: tuple[int, int] | None = None
+
+
+class Explainer:
+    """Answers questions about one node's routes.
+
+    Parameters
+    ----------
+    node : Node
+    places : Places
+    """
+
+    def __init__(self, node, places):
+        self._node = node
+        self._places = places
+
+    def explain(self, host: str, path: str) -> dict:
+        """Return what would happen to a request for `path` at `host`."""
+        node = self._node
+        found = {"node": node.metrics.node_id, **self._version()}
+        if node.catalog is None:
+            return {**found, "route": None, "why": "no configuration is known"}
+        matches = list(node.catalog.candidates(host, path))
+        if not matches:
+            return {**found, "route": None, "why": self._why_none(host, path)}
+        route, *others = matches
+        found["why"] = (
+            f"{route.prefix} is the longest prefix of the path at {host}"
+        )
+        found["passed_over"] = [
+            {"name": each.name, "prefix": each.prefix, "why": "shorter"}
+            for each in others[:MOST_PASSED_OVER]
+        ]
+        if isinstance(route, BrokenRoute):
+            found["route"] = {"name": route.name, "prefix": route.prefix}
+            found["now"] = f"refused: it can't be read ({route.reason})"
+            return found
+        found["route"] = route_fields(route)
+        found["services"] = [
+            self._service(route, name, weight)
+            for name, weight in route.weight_by_service.items()
+        ]
+        return found
+
+    def _version(self):
+        node = self._node
+        now_ms = node.clock.now_ms()
+        heard_ms = node.config_heard()
+        return {
+            "version": node.catalog and node.catalog.revision,
+            "in_force_ms": _age(now_ms, node.adopted_ms),
+            "heard_ms": _age(now_ms, heard_ms),
+            "ready": node.ready,
+        }
+
+    def _why_none(self, host, path):
+        if not path.startswith("/"):
+            return f"{path} is no path: it must begin with a slash"
+        if host.lower() in self._node.catalog.hosts():
+            return f"no prefix of {host} begins {path}"
+        return f"no route has the host {host}"
+
+    def _service(self, route, name, weight):
+        service = self._node.catalog.service_by_name.get(name)
+        keeps = self._node.keeps_slots(name) if service else False
+        replicas = self._places.views(name)
+        outcome = self._outcome(route, name, replicas, keeps)
+        places = Counter(each["data_centre"] for each in replicas)
+        return {
+            "name": name,
+            "weight": weight,
+            "has_agents": keeps,
+            "replicas": len(replicas),
+            "by_data_centre": dict(sorted(places.items())),
+            "usable": sum(each["state"] == "usable" for each in replicas),
+            "asked": replicas[:MOST_REPLICAS],
+            "now": outcome.says,
+            "wait_ms": outcome.wait_ms,
+            "retry_after_ms": outcome.retry_after_ms,
+        }
+
+    def _outcome(self, route, service, replicas, keeps):
+        if not replicas:
+            return _Outcome("refused: the service has no replica")
+        usable = [each for each in replicas if each["state"] == "usable"]
+        if not keeps or not usable:
+            return _Outcome("sent to a replica without asking an agent", 0)
+        if any(each["free"] > 0 for each in usable):
+            return _Outcome("taken at once", 0)
+        if any(each["batch"] > 0 for each in usable):
+            return _Outcome("taken at once, a batch item gives way", 0)
+        wait_ms = min(each["wait_ms"] for each in usable)
+        if wait_ms <= route.objective_ms:
+            return _Outcome(f"waits about {wait_ms} ms for a slot", wait_ms)
+        hold_ms = self._places.hold_ms(service)
+        least, most = (int(hold_ms * turn) for turn in TURNS)
+        return _Outcome(
+            f"refused, with a Retry-After of {least} to {most} ms",
+            wait_ms,
+            (least, most),
+        )
+
+    def routes(self, after: int) -> dict:
+        """Return a page of routes from number `after` on."""
+        node = self._node
+        found = {"node": node.metrics.node_id, **self._version()}
+        if node.catalog is None:
+            return {**found, "total": 0, "routes": [], "broken": []}
+        routes = node.catalog.routes
+        page = routes[after : after + MOST_ROUTES]
+        found["total"] = len(routes)
+        found["next"] = after + len(page) if page else None
+        found["routes"] = [route_fields(route) for route in page]
+        if after == 0:
+            found["broken"] = [
+                {"name": b.name, "prefix": b.prefix, "reason": b.reason}
+                for b in node.catalog.broken[:MOST_CHANGES]
+            ]
+            found["replicas_by_service"] = {
+                service.name: len(self._places.views(service.name))
+                for service in node.catalog.services
+            }
+        return found
+
+    def changes(self) -> dict:
+        """Return what the version in force changed of the one before."""
+        node = self._node
+        found = {"node": node.metrics.node_id, **self._version()}
+        former = node.former
+        if node.catalog is None or former is None:
+            return {**found, "before": None, "counts": {}, "changes": []}
+        now = {route.name: route for route in node.catalog.routes}
+        before = {route.name: route for route in former.routes}
+        changes = [_change(before, now, name) for name in {**before, **now}]
+        changes = [each for each in changes if each is not None]
+        counts = Counter(each["change"] for each in changes)
+        return {
+            **found,
+            "before": former.revision,
+            "counts": dict(counts),
+            "changes": changes[:MOST_CHANGES],
+        }
+
+
+def _age(now_ms, since_ms):
+    return None if since_ms is None else now_ms - since_ms
+
+
+def _change(before, now, name):
+    old, new = before.get(name), now.get(name)
+    if old is None:
+        return {"name": name, "change": "added", "prefix": new.prefix}
+    if new is None:
+        return {"name": name, "change": "removed", "prefix": old.prefix}
+    if old == new:
+        return None
+    was, is_ = route_fields(old), route_fields(new)
+    fields = {key: [was[key], is_[key]] for key in was if was[key] != is_[key]}
+    return {
+        "name": name,
+        "change": "changed",
+        "prefix": new.prefix,
+        "fields": fields,
+    }
+
+
+def route_fields(route: Route) -> dict:
+    """Return a route as programs read it."""
+    return {
+        "name": route.name,
+        "host": route.host,
+        "prefix": route.prefix,
+        "kind": route.kind.value,
+        "services": dict(route.weight_by_service),
+        "timeout_ms": route.timeout_ms,
+        "objective_ms": route.objective_ms,
+        "max_attempts": route.max_attempts,
+        "resumable": route.resumable,
+        "rank": route.rank,
+    }
--- a/dahliashunt/forwarding/forwarder.py
+++ b/dahliashunt/forwarding/forwarder.py
@@ -177,6 +177,7 @@
                 self._note(
                     "served",
                     replica=place.replica.replica_id,
+                    data_centre=place.replica.data_centre,
                     kept=bool(place.attempt_id),
                     placed_ms=self._placed_ms,
                     first_ms=self._state.first_ms,
--- a/dahliashunt/forwarding/placing.py
+++ b/dahliashunt/forwarding/placing.py
@@ -276,6 +276,61 @@
         else:
             self._own_by_life.pop(life, None)
 
+    def hold_ms(self, service: str) -> int:
+        """Return how long online requests hold a slot, as learned here."""
+        return self._holds.mean_ms(service)
+
+    def views(self, service: str) -> list[dict]:
+        """Return what is known here of a service's replicas.
+
+        Those that are asked first come first. Ages are in milliseconds.
+        """
+        partners = self._partners.of_service(service)
+        ids = {replica.replica_id for replica in partners}
+        listed = self._book.of_service(service)
+        others = [one for one in listed if one.replica_id not in ids]
+        ordered = self._ordered(partners, "")
+        return [
+            *(self._view(replica, True) for replica in ordered),
+            *(self._view(replica, False) for replica in others),
+        ]
+
+    def _view(self, replica, is_partner):
+        now_ms = self._clock.now_ms()
+        known = self._slots.known_by_address.get(self._agent(replica))
+        view = {
+            "replica": replica.replica_id,
+            "data_centre": replica.data_centre,
+            "partner": is_partner,
+            "state": self._state(replica, known, now_ms),
+            "slots": replica.slots,
+            "own": self._own_by_life.get(replica.life, 0),
+            "age_ms": None,
+            "free": 0,
+            "batch": 0,
+            "wait_ms": 0,
+        }
+        if known is not None:
+            state = known.state
+            view["age_ms"] = now_ms - known.at_ms
+            view["free"] = max(
+                0, state.slots - state.online - state.batch - state.waiting
+            )
+            view["batch"] = state.batch
+            view["wait_ms"] = state.wait_ms
+        return view
+
+    def _state(self, replica, known, now_ms):
+        if known is not None and known.state.away:
+            return "absent, says its agent"
+        if self._suspicion.is_avoided(replica.life, now_ms):
+            return "suspected"
+        if self._slots.is_silent(self._agent(replica)):
+            return "its agent is silent"
+        if self._book.is_cold(replica, now_ms):
+            return "just started"
+        return "usable" if known is not None else "not heard of yet"
+
     async def keep_states(self, every_ms: int) -> None:
         """Renew holds and hear of loads, for ever."""
         renewed_ms = -every_ms
--- a/dahliashunt/jobs/worker.py
+++ b/dahliashunt/jobs/worker.py
@@ -333,7 +333,7 @@
         life = place.replica.life
         if end is ItemEnd.DONE:
             suspicion.served(life)
-            self._learn(job_run, item)
+            self._learn(job_run, item, place.replica)
             job_run.finish(item, Outcome.DONE, "")
             return
         if end in (ItemEnd.LOST, ItemEnd.FAILED, ItemEnd.NOT_RUN):
@@ -349,7 +349,7 @@
         else:
             self.wait_for_slot(job_run, item)
 
-    def _learn(self, job_run, item):
+    def _learn(self, job_run, item, replica):
         now_ms = self.clock.now_ms()
         took_ms = now_ms - item.started_ms
         self._waiting.done(item.ran_ms)
@@ -357,6 +357,8 @@
             "item_done",
             request_id=item.call.request_id,
             job_id=job_run.job.job_id,
+            replica=replica.replica_id,
+            data_centre=replica.data_centre,
             ran_ms=item.ran_ms,
             took_ms=took_ms,
             revokes=item.revokes,
--- a/dahliashunt/logs.py
+++ b/dahliashunt/logs.py
@@ -7,6 +7,8 @@
 
 import structlog
 
+from dahliashunt.recent_lines import RecentLines
+
 __all__ = ["BoundedLoggerFactory", "set_up_logs"]
 
 LINES_PER_S = 200
@@ -31,15 +33,23 @@
         Where lines go; it is set not to block.
     now_s : callable
         A monotonic clock in seconds.
+    recent : RecentLines, optional
+        Keeps what was written.
     """
 
-    def __init__(self, descriptor: int, now_s=time.monotonic):
+    def __init__(
+        self,
+        descriptor: int,
+        now_s=time.monotonic,
+        recent: RecentLines | None = None,
+    ):
         os.set_blocking(descriptor, False)
         self._descriptor = descriptor
         self._now_s = now_s
         self._tokens = float(LINES_AT_ONCE)
         self._filled_s = now_s()
         self._cut = b""
+        self._recent = recent
         self.dropped = 0
 
     def __call__(self, *args):
@@ -56,6 +66,8 @@
             self.dropped += 1
             return
         self._tokens -= 1
+        if self._recent is not None:
+            self._recent.add(message)
         self._write(message)
 
     log = debug = info = warn = warning = msg
@@ -81,7 +93,11 @@
 
 
 def set_up_logs(
-    program: str, node_id: str, level: str = "info", to_stdout: bool = False
+    program: str,
+    node_id: str,
+    level: str = "info",
+    to_stdout: bool = False,
+    recent: RecentLines | None = None,
 ):
     """Configure `structlog` for a program; return its bound logger.
 
@@ -90,7 +106,7 @@
     waiting for the reader.
     """
     if to_stdout:
-        factory = BoundedLoggerFactory(sys.stdout.fileno())
+        factory = BoundedLoggerFactory(sys.stdout.fileno(), recent=recent)
     else:
         factory = structlog.WriteLoggerFactory(sys.stderr)
     if not to_stdout and sys.stderr.isatty():
--- a/dahliashunt/platform/__main__.py
+++ b/dahliashunt/platform/__main__.py
@@ -33,6 +33,7 @@
 from dahliashunt.platform.boot import Source
 from dahliashunt.process import ExitCode
 from dahliashunt.process import run_served
+from dahliashunt.recent_lines import RecentLines
 
 __all__ = ["main"]
 
@@ -57,8 +58,11 @@
         print(f"--metrics-port: {port} is not a port", file=sys.stderr)
         return ExitCode.SETTINGS
     role = "entry" if arguments["entry"] else "agent"
-    log = set_up_logs(f"dahliashunt-{role}", boot.node_id, to_stdout=True)
-    source = Source(path, boot, int(port))
+    recent = RecentLines()
+    log = set_up_logs(
+        f"dahliashunt-{role}", boot.node_id, to_stdout=True, recent=recent
+    )
+    source = Source(path, boot, int(port), recent)
     try:
         return asyncio.run(run_served(source, _serve(role), log))
     except OSError as error:
--- a/dahliashunt/platform/boot.py
+++ b/dahliashunt/platform/boot.py
@@ -1,12 +1,14 @@
 """The platform's settings file, as typed settings of this package."""
 
 from dataclasses import dataclass
+from dataclasses import field
 import json
 import pathlib
 
 from dahliashunt.errors import SettingsError
 from dahliashunt.ids import DataCentreId
 from dahliashunt.ids import NodeId
+from dahliashunt.recent_lines import RecentLines
 
 __all__ = ["Address", "Boot", "Bounds", "Source", "StoreBoot", "load_boot"]
 
@@ -102,11 +104,14 @@
         What it held.
     metrics_port : int
         Where metrics are served; 0 for nowhere.
+    recent : RecentLines
+        What it has logged of late.
     """
 
     path: str
     boot: Boot
     metrics_port: int = 0
+    recent: RecentLines = field(default_factory=RecentLines)
 
 
 class _Reader:
--- /dev/null
+++ b/dahliashunt/platform/inspect_page.py
@@ -0,0 +1,71 @@
+"""Questions about routes and requests, on the metrics address."""
+
+import json
+from urllib.parse import parse_qs
+
+from dahliashunt.forwarding.explain import Explainer
+from dahliashunt.platform.short_answer import send_short
+from dahliashunt.recent_lines import RecentLines
+
+__all__ = ["InspectPage"]
+
+LONGEST_ID = 200
+"""Characters of an id that is looked for."""
+
+
+class InspectPage:
+    """ASGI application; what it does not know goes to `otherwise`.
+
+    Parameters
+    ----------
+    explainer : Explainer or None
+        None at a program that has no routes.
+    recent : RecentLines
+    otherwise : ASGI application
+    """
+
+    def __init__(
+        self, explainer: Explainer | None, recent: RecentLines, otherwise
+    ):
+        self._explainer = explainer
+        self._recent = recent
+        self._otherwise = otherwise
+        self._answer_by_path = {"/lines": self._lines}
+        if explainer is not None:
+            self._answer_by_path |= {
+                "/routes/explain": self._explain,
+                "/routes": self._routes,
+                "/routes/changes": lambda fields: explainer.changes(),
+            }
+
+    async def __call__(self, scope, receive, send) -> None:
+        """Answer one question as JSON."""
+        answer = self._answer_by_path.get(scope["path"])
+        if answer is None:
+            await self._otherwise(scope, receive, send)
+            return
+        query = parse_qs(scope["query_string"].decode("latin-1"))
+        fields = {name: values[0] for name, values in query.items()}
+        try:
+            found = answer(fields)
+        except (KeyError, ValueError) as error:
+            await send_short(send, 400, f"bad question: {error!r}".encode())
+            return
+        await send_short(send, 200, json.dumps(found).encode())
+
+    def _explain(self, fields):
+        return self._explainer.explain(fields["host"], fields["path"])
+
+    def _routes(self, fields):
+        return self._explainer.routes(max(0, int(fields.get("after", "0"))))
+
+    def _lines(self, fields):
+        wanted = fields["id"]
+        if not wanted or len(wanted) > LONGEST_ID:
+            raise ValueError("id")
+        found = self._recent.find(json.dumps(wanted)[1:-1])
+        return {
+            "lines": found,
+            "dropped": self._recent.dropped,
+            "oldest": self._recent.oldest(),
+        }
--- a/dahliashunt/platform/metrics_page.py
+++ b/dahliashunt/platform/metrics_page.py
@@ -1,8 +1,11 @@
 """Metrics of a program over HTTP."""
 
 from dahliashunt.adapters.http_server import HttpServer
+from dahliashunt.forwarding.explain import Explainer
 from dahliashunt.metrics import Metrics
+from dahliashunt.platform.inspect_page import InspectPage
 from dahliashunt.platform.short_answer import send_short
+from dahliashunt.recent_lines import RecentLines
 
 __all__ = ["MetricsPage", "serve_metrics"]
 
@@ -23,10 +26,28 @@
             await send_short(send, 404, b"")
 
 
-async def serve_metrics(metrics: Metrics, host: str, port: int):
-    """Serve metrics on `port`; return the server, or None for port 0."""
+async def serve_metrics(
+    metrics: Metrics,
+    host: str,
+    port: int,
+    recent: RecentLines,
+    explainer: Explainer | None = None,
+):
+    """Serve metrics on `port`; return the server, or None for port 0.
+
+    Parameters
+    ----------
+    metrics : Metrics
+    host : str
+    port : int
+    recent : RecentLines
+        The program's last log lines, which may be asked for by an id.
+    explainer : Explainer, optional
+        Answers questions about routes, where there are some.
+    """
     if not port:
         return None
-    server = HttpServer(MetricsPage(metrics), host, port, lifespan=False)
+    page = InspectPage(explainer, recent, MetricsPage(metrics))
+    server = HttpServer(page, host, port, lifespan=False)
     await server.start()
     return server
--- a/dahliashunt/platform/serve_agent.py
+++ b/dahliashunt/platform/serve_agent.py
@@ -48,7 +48,7 @@
     agent = _Agent(boot, log)
     watch = SettingsWatch(source.path, boot, agent.apply, SystemClock(), log)
     watch.install()
-    page = _Page(agent, boot.ip, source.metrics_port)
+    page = _Page(agent, boot.ip, source)
     works = (agent.run(), watch.run(), page.run())
     loops = [asyncio.create_task(each) for each in works]
     leave = asyncio.create_task(signals.leave.wait())
@@ -73,10 +73,10 @@
     server takes a third of an agent's start, and nobody waits for it.
     """
 
-    def __init__(self, agent, host, port):
+    def __init__(self, agent, host, source):
         self._agent = agent
         self._host = host
-        self._port = port
+        self._source = source
         self._server = None
 
     async def run(self):
@@ -87,7 +87,10 @@
         from dahliashunt.platform.metrics_page import serve_metrics
 
         self._server = await serve_metrics(
-            self._agent.metrics, self._host, self._port
+            self._agent.metrics,
+            self._host,
+            self._source.metrics_port,
+            self._source.recent,
         )
         await asyncio.Event().wait()
 
--- a/dahliashunt/platform/serve_entry.py
+++ b/dahliashunt/platform/serve_entry.py
@@ -11,6 +11,7 @@
 from dahliashunt.adapters.slots import SlotClient
 from dahliashunt.decisions.feed_pace import FeedUse
 from dahliashunt.decisions.suspicion import Suspicion
+from dahliashunt.forwarding.explain import Explainer
 from dahliashunt.forwarding.follower import TableFollower
 from dahliashunt.forwarding.forwarder import Forwarder
 from dahliashunt.forwarding.losses import LOSSES_PREFIX
@@ -72,7 +73,11 @@
     watch.install()
     await entry.start()
     page = await serve_metrics(
-        entry.node.metrics, boot.ip, source.metrics_port
+        entry.node.metrics,
+        boot.ip,
+        source.metrics_port,
+        source.recent,
+        entry.explainer,
     )
     loops = [*entry.loops(), watch.run()]
     tasks = [asyncio.create_task(each) for each in loops]
@@ -106,6 +111,7 @@
     ----------
     node : Node
     jobs : JobParts
+    explainer : Explainer
     bounds : HttpBounds
         Of callers' connections.
     ports : tuple of int
@@ -137,6 +143,7 @@
             self._pool,
             boot.bounds.result_ms,
         )
+        self.explainer = Explainer(self.node, self._places)
         self._followers = self._make_followers()
         config = self._followers[0]
         self.node.config_heard = lambda: config.heard_ms
