--- a/dahliashunt/forwarding/explain.py
+++ b/dahliashunt/forwarding/explain.py
@@ -39,11 +39,13 @@
     ----------
     node : Node
     places : Places
+    known : KnownReplicas
     """
 
-    def __init__(self, node, places):
+    def __init__(self, node, places, known):
         self._node = node
         self._places = places
+        self._known = known
 
     def explain(self, host: str, path: str) -> dict:
         """Return what would happen to a request for `path` at `host`."""
@@ -94,7 +96,7 @@
     def _service(self, route, name, weight):
         service = self._node.catalog.service_by_name.get(name)
         keeps = self._node.keeps_slots(name) if service else False
-        replicas = self._places.views(name)
+        replicas = self._known.views(name)
         outcome = self._outcome(route, name, replicas, keeps)
         places = Counter(each["data_centre"] for each in replicas)
         return {
@@ -148,7 +150,7 @@
                 for b in node.catalog.broken[:MOST_CHANGES]
             ]
             found["replicas_by_service"] = {
-                service.name: len(self._places.views(service.name))
+                service.name: len(self._known.listed(service.name))
                 for service in node.catalog.services
             }
         return found
--- /dev/null
+++ b/dahliashunt/forwarding/known_replicas.py
@@ -0,0 +1,178 @@
+"""What an entry knows of each replica, and in which order it asks them."""
+
+import random
+
+from dahliashunt.adapters.slots import SlotClient
+from dahliashunt.decisions.replica_choice import Candidate
+from dahliashunt.decisions.replica_choice import order_replicas
+from dahliashunt.decisions.suspicion import Suspicion
+from dahliashunt.forwarding.partners import Partners
+from dahliashunt.forwarding.replicas import Replica
+from dahliashunt.forwarding.replicas import ReplicaBook
+from dahliashunt.ports import Clock
+
+__all__ = ["KnownReplicas"]
+
+UNHEARD_AGE_MS = 3_600_000
+"""Age of what is known of a replica whose agent has said nothing."""
+
+
+class KnownReplicas:
+    """Joins the list, agents' states, suspicion and own requests.
+
+    Parameters
+    ----------
+    book : ReplicaBook
+    partners : Partners
+        Which replicas of a service are asked first.
+    slots : SlotClient
+    suspicion : Suspicion
+    clock : Clock
+    rng : random.Random
+    data_centre : str
+    agent_port : int
+        Where agents listen, on the machine of their replica.
+    is_connected : callable
+        Tells whether an idle connection to an address stands.
+    """
+
+    def __init__(
+        self,
+        book: ReplicaBook,
+        partners: Partners,
+        slots: SlotClient,
+        suspicion: Suspicion,
+        clock: Clock,
+        rng: random.Random,
+        data_centre: str,
+        agent_port: int,
+        is_connected=lambda address: False,
+    ):
+        self._book = book
+        self._partners = partners
+        self._slots = slots
+        self._suspicion = suspicion
+        self._clock = clock
+        self._rng = rng
+        self._data_centre = data_centre
+        self._agent_port = agent_port
+        self._is_connected = is_connected
+        self._own_by_life: dict[tuple, int] = {}
+
+    def services(self):
+        """Return the services that have replicas."""
+        return self._book.services()
+
+    def listed(self, service: str) -> tuple[Replica, ...]:
+        """Return every usable replica of `service`."""
+        return self._book.of_service(service)
+
+    def partners(self, service: str) -> tuple[Replica, ...]:
+        """Return the replicas that are asked first."""
+        return self._partners.of_service(service)
+
+    def lives(self) -> set:
+        """Return the lives of all replicas that are listed."""
+        return {replica.life for replica in self._book.all()}
+
+    def agent(self, replica: Replica) -> tuple[str, int]:
+        """Return where the replica's agent listens."""
+        return (replica.host, self._agent_port)
+
+    def load(self, replica: Replica):
+        """Return what its agent last said and when, or None."""
+        return self._slots.known_by_address.get(self.agent(replica))
+
+    def own(self, replica: Replica) -> int:
+        """Return how many requests of this entry it has."""
+        return self._own_by_life.get(replica.life, 0)
+
+    def count(self, replica: Replica, by: int) -> None:
+        """Add to the requests of this entry there."""
+        count = self.own(replica) + by
+        if count > 0:
+            self._own_by_life[replica.life] = count
+        else:
+            self._own_by_life.pop(replica.life, None)
+
+    def ordered(self, replicas, affinity: str) -> list[Replica]:
+        """Return `replicas`, best first."""
+        by_id = {replica.replica_id: replica for replica in replicas}
+        now_ms = self._clock.now_ms()
+        candidates = [self._candidate(each, now_ms) for each in replicas]
+        ordered = order_replicas(candidates, affinity, self._rng)
+        return [by_id[candidate.replica_id] for candidate in ordered]
+
+    def _candidate(self, replica, now_ms):
+        own = self.own(replica)
+        known = self.load(replica)
+        avoided = self._suspicion.is_avoided(replica.life, now_ms)
+        taken, batch, age_ms = own, 0, UNHEARD_AGE_MS
+        if known is not None:
+            taken = max(own, known.state.online + known.state.waiting)
+            batch = known.state.batch
+            age_ms = now_ms - known.at_ms
+            avoided = avoided or known.state.away
+        return Candidate(
+            replica_id=replica.replica_id,
+            slots=replica.slots,
+            taken=taken,
+            age_ms=age_ms,
+            avoided=avoided,
+            near=replica.data_centre == self._data_centre,
+            cold=self._book.is_cold(replica, now_ms),
+            batch=batch,
+            unheard=self._slots.is_silent(self.agent(replica)),
+            connected=self._is_connected(replica.address),
+        )
+
+    def views(self, service: str) -> list[dict]:
+        """Return what is known of a service's replicas, for people.
+
+        Those that are asked first come first. Ages are in milliseconds.
+        """
+        partners = self.partners(service)
+        ids = {replica.replica_id for replica in partners}
+        others = [
+            one for one in self.listed(service) if one.replica_id not in ids
+        ]
+        ordered = self.ordered(partners, "")
+        return [
+            *(self._view(replica, True) for replica in ordered),
+            *(self._view(replica, False) for replica in others),
+        ]
+
+    def _view(self, replica, is_partner):
+        now_ms = self._clock.now_ms()
+        known = self.load(replica)
+        view = {
+            "replica": replica.replica_id,
+            "data_centre": replica.data_centre,
+            "partner": is_partner,
+            "state": self._state(replica, known, now_ms),
+            "slots": replica.slots,
+            "own": self.own(replica),
+            "age_ms": None,
+            "free": 0,
+            "batch": 0,
+            "wait_ms": 0,
+        }
+        if known is not None:
+            state = known.state
+            taken = state.online + state.batch + state.waiting
+            view["age_ms"] = now_ms - known.at_ms
+            view["free"] = max(0, state.slots - taken)
+            view["batch"] = state.batch
+            view["wait_ms"] = state.wait_ms
+        return view
+
+    def _state(self, replica, known, now_ms):
+        if known is not None and known.state.away:
+            return "absent, says its agent"
+        if self._suspicion.is_avoided(replica.life, now_ms):
+            return "suspected"
+        if self._slots.is_silent(self.agent(replica)):
+            return "its agent is silent"
+        if self._book.is_cold(replica, now_ms):
+            return "just started"
+        return "usable" if known is not None else "not heard of yet"
--- a/dahliashunt/forwarding/tests/test_placing.py
+++ b/dahliashunt/forwarding/tests/test_placing.py
@@ -13,6 +13,7 @@
 from dahliashunt.decisions.suspicion import Suspicion
 from dahliashunt.errors import ErrorKind
 from dahliashunt.errors import RequestError
+from dahliashunt.forwarding.known_replicas import KnownReplicas
 from dahliashunt.forwarding.partners import Partners
 from dahliashunt.forwarding.place import Want
 from dahliashunt.forwarding.placing import DIRECT_SHARE
@@ -79,7 +80,10 @@
 def make_places(book, slots, clock):
     partners = Partners(book, "entry-1")
     suspicion, rng = Suspicion(), random.Random(1)
-    return Places(book, partners, slots, suspicion, clock, rng, "d", 7000)
+    known = KnownReplicas(
+        book, partners, slots, suspicion, clock, rng, "d", 7000
+    )
+    return Places(known, slots, suspicion, clock, rng)
 
 
 def find(places, use=Use.ONLINE, wait_ms=0, avoid=(), keeps=True):
--- a/dahliashunt/platform/serve_entry.py
+++ b/dahliashunt/platform/serve_entry.py
@@ -14,6 +14,7 @@
 from dahliashunt.forwarding.explain import Explainer
 from dahliashunt.forwarding.follower import TableFollower
 from dahliashunt.forwarding.forwarder import Forwarder
+from dahliashunt.forwarding.known_replicas import KnownReplicas
 from dahliashunt.forwarding.losses import LOSSES_PREFIX
 from dahliashunt.forwarding.losses import SharedLosses
 from dahliashunt.forwarding.node import Node
@@ -134,7 +135,14 @@
         self._slots = SlotClient(self._clock)
         self._suspicion = Suspicion()
         self._losses = SharedLosses(self._store, self._clock, log)
-        self._places = self._make_places()
+        self._known = self._make_known()
+        self._places = Places(
+            self._known,
+            self._slots,
+            self._suspicion,
+            self._clock,
+            self._rng,
+        )
         self.node.forwarder = self._make_forwarder()
         self.jobs = JobParts(
             self.node,
@@ -143,7 +151,7 @@
             self._pool,
             boot.bounds.result_ms,
         )
-        self.explainer = Explainer(self.node, self._places)
+        self.explainer = Explainer(self.node, self._places, self._known)
         self._followers = self._make_followers()
         config = self._followers[0]
         self.node.config_heard = lambda: config.heard_ms
@@ -151,8 +159,8 @@
         self.bounds = HttpBounds()
         self.ports: tuple[int, ...] = ()
 
-    def _make_places(self):
-        return Places(
+    def _make_known(self):
+        return KnownReplicas(
             self._book,
             Partners(self._book, self._boot.node_id),
             self._slots,
