--- a/dahliashunt/decisions/batch_order.py
+++ b/dahliashunt/decisions/batch_order.py
@@ -3,11 +3,8 @@
 Load pattern: jobs of a few callers, from a handful of items to a whole
 archive, due hours apart, compete for idle capacity that comes in pieces.
 
-First come first served lets one archive hold up everything behind it: 20
-items behind an archive of 5,000 are sent after 1,254 s instead of 12, and
-of 180 jobs that bring 9.1 hours of work in six, 21 are late instead of 6
-(``benchmarks/batch_order.py --seed 3``). Here the
-callers share by start-time fair queueing over tokens; within a caller the
+First come first served lets one archive hold up everything behind it. Here
+the callers share by start-time fair queueing over tokens; within a caller the
 job with the least laxity goes first, laxity being the time to the deadline
 less the time that its remaining tokens need; and a job that nears its
 latest start is urgent: it may pass the callers' shares, within a bounded
--- a/dahliashunt/decisions/drain.py
+++ b/dahliashunt/decisions/drain.py
@@ -6,10 +6,9 @@
 virtual queue, so that a burst of refusals comes back spread over the time
 that the endpoint needs, and not all at the same moment.
 
-Without it a refusal goes out at the deadline: with the mean of the ended
-answers, in place of the estimate here, 12 of the first 36 refusals of a
-burst came more than 600 ms after the request, which has 700 (trial, 24
-requests a second); now 93 in 100 go out in the call that offers it.
+Without it a refusal goes out at the deadline. The mean of the ended answers,
+in place of the estimate here, comes too late for the first refusals of a
+burst.
 
 Thresholds: a new request waits only if it starts in time with 95 in 100
 chances (1.65 standard deviations of the wait); an answer's weight halves
--- a/dahliashunt/decisions/endpoint.py
+++ b/dahliashunt/decisions/endpoint.py
@@ -17,10 +17,8 @@
 """Limit from which places are kept for callers under their share.
 
 Each of several entries has its part of an endpoint's places: three before
-endpoints of 20 have limits of six or seven. From 8 on none of them kept a
-place, and small callers beside hot ones with long answers got 0.694 good;
-from 4 on it is 0.721 (play ``hot_and_long``, three entries, mean of seeds
-1 to 3).
+endpoints of 20 have limits of six or seven, and with a higher bound none of
+them would keep a place.
 """
 
 _KEEP_FREE = 0.1
--- a/dahliashunt/decisions/fair.py
+++ b/dahliashunt/decisions/fair.py
@@ -3,12 +3,9 @@
 Load pattern: a few callers send most of the work, or long requests among
 short ones.
 
-Without it: two callers at 150 requests a second each leave twenty small
-callers 17% of their answers (least 5%) when the queue is first come first
-served; with it all get 100% (least 97%), while the two hot ones keep 39 a
-second of about 60 (play ``hot-callers``, medians of seeds 1 to 5, as are
-all figures here but trials). The fleet's whole output goes to somebody:
-nothing is held back for a caller that does not ask.
+Without it (first come first served) two hot callers leave the small ones a
+sixth of their answers; with it these get all. The fleet's whole output goes
+to somebody: nothing is held back for a caller that does not ask.
 
 Two parts here, and hard limits in `limits`:
 
@@ -24,15 +21,12 @@
   places. This is trunk reservation [3]_: fair order alone acts only on
   what waits, and under overload most is refused, so that long requests
   slip in whenever the queue is empty for a moment and hold their places
-  for long. Two callers with long answers, five times what fits, leave
-  small ones 67% of their answers without it and 81% with it, through
-  three entries 9% and 69% (plays ``hot-and-long``). With a fifth of the
-  places instead of a tenth few small callers got 99.8% instead of 91%,
-  but the hot ones lost 26% of their tokens instead of 3 (trials, seeds 1
-  to 8). Below a limit of 8 none is kept.
-
-  Known weakness: five small calls a second beside the same hot callers
-  get 69% (33 to 81; play ``hot-and-long-few-small``).
+  for long. A larger part than a tenth would cost the hot callers more
+  tokens than it gives the small ones answers. Below a limit of 8 none is
+  kept.
+
+  Known weakness: a few small calls a second beside hot callers with long
+  answers still lose a third of theirs.
 
 Memory: an account lives until virtual time passes it, or 3 s after its
 last use, which is longer than requests wait, and a bucket until it fills.
--- a/dahliashunt/decisions/fleet.py
+++ b/dahliashunt/decisions/fleet.py
@@ -3,9 +3,8 @@
 Load pattern: an endpoint fails all it gets, at once, so that it always
 looks idle and draws the traffic.
 
-Without ejection 48% of the answers are good while one of five endpoints
-fails, since the retry budget is used up; with it 100%, at 1.05 runs a
-request (play ``failing-endpoint``, medians of seeds 1 to 5).
+Without ejection one failing endpoint of five uses up the retry budget, and
+half of all answers are lost.
 
 Three failures in a row eject: a single one happens, and three by chance
 are rare at any failure rate that an endpoint may have. It is out for 2 s,
--- a/dahliashunt/decisions/gate.py
+++ b/dahliashunt/decisions/gate.py
@@ -3,13 +3,10 @@
 Load pattern: online load comes in bursts and leaves idle seconds between
 them, and the engine runs whatever it is given in order of arrival.
 
-Without a gate (``open``) online waits behind batch inside the engine: at
-30% online load the 95th percentile of the first token is 31 s instead of
-0.07 s. A fixed split of the slots keeps the first token at 0.17 s, but
-gaps are 84 ms where 69 are promised, a fifth of the idle engine is never
-used, and 39 callers a minute are refused at 50% load, for whom there is
-room. `IdleCapacity` has 0.15 s and 67 ms there and gives batch as much
-(``benchmarks/batch_gate.py --part load``).
+Without a gate (``open``) online waits behind batch inside the engine, for
+as long as an item runs. A fixed split of the slots keeps the first token
+early, but gaps are longer than promised, a part of the idle engine is never
+used, and callers are refused for whom there is room.
 
 `IdleCapacity` predicts the step time with one stream more and compares it
 with the bound of `dahliashunt.decisions.tail`. It also keeps slots and KV
--- a/dahliashunt/decisions/overload.py
+++ b/dahliashunt/decisions/overload.py
@@ -4,10 +4,8 @@
 arrives, so that whatever is sent waits there, out of reach of fairness
 and of refusals.
 
-Without it (``none``): at twice the capacity every first token is late
-(p95 29 s, goodput 0). With it goodput is 58.9 a second of 61 at 2 times
-and 58.5 at 5 times the capacity, with 0.4 and 0.5% late (plays
-``saturation-2x`` and ``-5x``, medians of seeds 1 to 5).
+Without it (``none``) every first token is late at twice the capacity; with
+it goodput stays near the capacity at 2 and at 5 times of it.
 
 Two bounds hold together:
 
@@ -15,27 +13,20 @@
   multiplicative decrease [1]_. A window is 8 first tokens over at least
   250 ms, so that one long prompt does not bring a limit down; it is late
   when its 90th percentile is over the target. The target of a request is
-  twice what its prompt takes with no load and 230 ms: compared with a
-  fixed 400 ms, long prompts brought every limit down, and of a load that
-  fits the fleet twice 43% was answered (play ``long-prompts``; now 100%).
-  A part of the caller's own time was ruled out: beside callers who give
-  5 s the engines' queues grew past what others can wait. 180 ms starves
-  prefills (prefixes at 80 a second 76% good, with 230 85%), 280 ms leaves
-  1.4% late when a data centre is lost, against 0.9% (trials, seeds 1 to
-  4). A window that is late takes 8% off: 15% and 30% lost up to 4 and 26% of
-  goodput (trials, seed 7). The limit grows only while it is used. It
-  starts at 8 and grows by half until the first late window; a cold start
-  at nine tenths of the capacity refuses 0 to 4 of 550 requests.
+  twice what its prompt takes with no load and 230 ms: with a fixed time
+  long prompts bring every limit down. A part of the caller's own time was
+  ruled out: beside callers who give 5 s the engines' queues grow past what
+  others can wait. Less than 230 ms starves prefills, more makes answers
+  late when a data centre is lost. A window that is late takes 8% off; more
+  loses goodput. The limit grows only while it is used. It starts at 8 and
+  grows by half until the first late window, so that a cold start refuses
+  nearly nothing.
 * The prefills that are pending are bounded by their predicted time, 200 ms.
   A burst finds all places free and fills them within milliseconds, long
-  before a first token could report it: without this bound 183 of its
-  calls (177 to 204) get a good answer instead of 219 (203 to 240), and
-  the p95 of the burst is 2.1 s instead of 0.9 (play ``burst``).
+  before a first token could report it.
 
 ``gradient`` [2]_ follows the ratio to the unloaded latency. It needs no
-target, but it takes the first queued prefill for congestion: 52 a second
-at 5 times the capacity, and half of the good answers in a burst (118
-against 219).
+target, but it takes the first queued prefill for congestion.
 
 References
 ----------
--- a/dahliashunt/decisions/placement.py
+++ b/dahliashunt/decisions/placement.py
@@ -10,11 +10,8 @@
 are admitted by a token bucket in bytes under the weight store's rate, the
 models below their floor first: without it a lost rack's replicas ask for
 their weights together, each load takes as long as all, and none serves
-until the last is there. Ten replicas of 20 GB at 1 GB/s serve again after
-200 s each; two at a time after 121 s on average, the first after 40 and
-the last after 210 (``benchmarks/lost_rack.py``). Endpoints drain before
-they unload; a replica of an old version is taken only while the others
-still hold the floor.
+until the last is there. Endpoints drain before they unload; a replica of an
+old version is taken only while the others still hold the floor.
 
 Notes
 -----
--- a/dahliashunt/decisions/prefix.py
+++ b/dahliashunt/decisions/prefix.py
@@ -3,9 +3,8 @@
 Load pattern: conversations and shared openings, whose prefill is cheap
 where the prefix is cached. Cache events come late and with gaps.
 
-Without it cached tokens are 0.44 of all and p95 of the first token is
-271 ms; with it 0.76 and 141 ms (play ``prefixes`` against two choices,
-medians of seeds 1 to 5).
+Without it requests find their prefixes by chance, and prefills that were
+done elsewhere delay first tokens.
 
 What an endpoint's report lists counts until a later report leaves it out.
 What this entry sent there itself counts at once, for 30 s, since the
--- a/dahliashunt/decisions/queueing.py
+++ b/dahliashunt/decisions/queueing.py
@@ -3,18 +3,15 @@
 Load pattern: saturation for longer than a burst, at 2 and 5 times the
 capacity.
 
-Without it (``by_deadline``: wait until the time is over): at 5 times the
-capacity 18% of those answered get their first token too late, goodput is
-49.6 a second of 61, and a refused caller is told after its whole time.
-With ``predicted`` 0.5% are late, goodput is 58.5, and most refusals are
-given on arrival (play ``saturation-5x``, medians of seeds 1 to 5).
+Without it (``by_deadline``: wait until the time is over) many of those
+answered get their first token too late, and a refused caller is told after
+its whole time. With ``predicted`` most refusals are given on arrival.
 
 `Predicted` compares the time left with the wait for those ahead in the
 fair order, over the drain rate, plus the mean first-token time for a
 prompt of its size and twice its deviation (the margin of TCP's timer
-[1]_). One estimate for prompts of all sizes refused short requests among
-long ones that would have made it (90% instead of 93% good; trial, seeds 1
-to 8). The rate is what is in
+[1]_). One estimate for prompts of all sizes would refuse short requests
+among long ones that would have made it. The rate is what is in
 flight over the mean service time, by Little's law, so that it falls at
 once when endpoints are lost. What waits is judged again every 20 ms, a
 twentieth of the usual time to first token; what can't make it any more is
@@ -23,19 +20,14 @@
 A queue that is never empty adds wait and no work [2]_. Once it stood for
 500 ms, several times what it takes to fill the places that a burst finds
 free, a newcomer may use only a quarter of its time for waiting, until
-none had to be turned away for 500 ms. A quarter was the best of 0.05,
-0.1, 0.15 and 0.25 for short requests among long ones (66, 79, 83 and 89%
-good; trials, seeds 1 to 4); p95 of the first token at 5 times the
-capacity grew from 643 to 780 ms, of 1,000 ms allowed.
+none had to be turned away for 500 ms. Less than a quarter refuses short
+requests among long ones.
 
 Ruled out as defaults, both kept in the registry: ``newest_first``
-(adaptive LIFO [3]_) has a p95 of 467 ms against 770, at a goodput that
-differs by less than the seeds do, but it breaks
-the fair order, so that small callers beside hot ones get 52%, and it
-tells those it gives up only at their deadline. ``codel`` (drop by age) has
-a p95 of 436 ms and the same goodput, but is blind to who waits: short
-among long 81%, cache hits under saturation 0.56 against 0.75 (trials,
-seeds 1 to 4). It is the choice where first tokens matter most.
+(adaptive LIFO [3]_) has the earlier first tokens at the same goodput, but it
+breaks the fair order and tells those it gives up only at their deadline.
+``codel`` (drop by age) has them too, but is blind to who waits. It is the
+choice where first tokens matter most.
 
 Complexity: O(log n) to find a place; O(n) a tick with n at most 256 a
 model. A longer queue could not be served in time at the sizes of today:
--- a/dahliashunt/decisions/routing.py
+++ b/dahliashunt/decisions/routing.py
@@ -3,24 +3,20 @@
 Load pattern: shared prefixes against load; slow endpoints; reports that
 are late or missing; data centres at a distance.
 
-Without it (round robin): with one of five endpoints eight times slower,
-80% of all answers are good and p95 of the first token is 13.7 s; with it
-100% and 88 ms, and the endpoint is used again once it healed (9.1 of 40 a
-second). With conversations 0.76 of the prompt tokens are cached against
-0.44 (plays ``slow-endpoint`` and ``prefixes``, medians of seeds 1 to 5).
+Without it (round robin) one slow endpoint of five makes each fifth answer
+late, and conversations find their prefixes at another endpoint.
 
 `affinity` compares a small pool by predicted cost in milliseconds: the
 holders of the longest prefix, the two homes of the opening by rendezvous
 hashing [1]_ as far as they are within 1.25 times the mean load [2]_, and
 two near endpoints and a far one at random [3]_. With six endpoints or
-fewer all are compared: with two choices among five the p95 beside a slow
-endpoint was 170 ms, with all 108 (trials, seeds 1 to 4). Cost is
+fewer all are compared: two choices among five often leave out the only fast
+ones. Cost is
 
 * the prefill of what isn't cached there, at the endpoint's own speed, and
   of what is pending before it;
 * load over the larger of its own limit and the fleet's mean. The own limit
-  alone is noise while it isn't reached: load followed it, and the p95 of
-  three entries at 82% load was 205 ms instead of 106;
+  alone is noise while it isn't reached, and load would follow it;
 * the mean first-token time there, fading with a half life of 5 s. After
   10 s without use an endpoint counts as unknown, so that one that healed
   is tried again;
@@ -30,15 +26,12 @@
 Load is what this entry has in flight there plus what the last report
 counted beyond that; own requests that were sent before the report are
 taken out of it. A report older than 3 s is replaced by the mean of the
-fleet, so that a silent endpoint doesn't look idle. Missing reports cost
-nothing measurable (p95 109 ms with all, 104 with none).
+fleet, so that a silent endpoint doesn't look idle.
 
 Under saturation one endpoint at a time comes free; of the first eight
 waiting one with half its prompt cached there is taken, and none is passed
-more than four times. At 110 requests a second on five endpoints (play
-``prefixes-saturated``) hits are 0.72 against 0.44 with two choices and
-good answers 65% against 54%; without this look ahead affinity had 0.44
-and 54% (trial, seeds 1 to 4).
+more than four times. Without this look ahead affinity is lost just when
+prefills are the scarcest.
 
 Endpoints on probe after an ejection get one idempotent request at a time.
 
--- a/dahliashunt/decisions/suspects.py
+++ b/dahliashunt/decisions/suspects.py
@@ -3,10 +3,9 @@
 Load pattern: one request crashes each engine that runs it, and its caller
 sends it again.
 
-Without it twenty resends crash 22 engines, and 69% of all other requests
-are answered in the meantime. With it 3 crash (2 to 3), each resend is
-refused at once, and 100% of the others are answered, none of them
-refused as guilty (play ``poison``, three entries, medians of seeds 1 to 5).
+Without it each resend crashes one more engine, and the requests beside it
+are lost; with it three engines crash at the most, each resend is refused at
+once, and nobody else is.
 
 After a crash all that ran in the engine is suspect. A suspect runs alone;
 a crash while alone is proof and convicts, a run to the end clears. A crash
