A leaving node without the store runs its items on

While the store does not answer, a node that leaves can neither save texts nor say that it has left, and nobody could go on: its items stood still. It now tries to save until its time to leave is over, and its items run on meanwhile.

--- a/dahliashunt/jobs/checkpoints.py
+++ b/dahliashunt/jobs/checkpoints.py
@@ -37,8 +37,14 @@
             await self._clock.sleep_ms(SAVE_MS)
             await self.save(LEAST_EVENTS)
 
-    async def save(self, least_events: int = 1) -> None:
-        """Save the items that have made so many events since the last."""
+    async def save(self, least_events: int = 1) -> bool:
+        """Save the items that have made so many events since the last.
+
+        Returns
+        -------
+        bool
+            Whether the store took all of them.
+        """
         items_by_name = {
             (job_id, item.index): item
             for job_id, item in self._worker.unfinished()
@@ -47,6 +53,8 @@
         partials = [
             item.partial(job_id) for (job_id, _), item in items_by_name.items()
         ]
-        for saved in await self._partials.save(partials):
+        taken = await self._partials.save(partials)
+        for saved in taken:
             item = items_by_name[saved.job_id, saved.index]
             item.saved_event = max(item.saved_event, saved.last_event)
+        return len(taken) == len(partials)
--- a/dahliashunt/jobs/partials.py
+++ b/dahliashunt/jobs/partials.py
@@ -24,7 +24,7 @@
 from dahliashunt.ports import TableService
 from dahliashunt.ports.table import Write
 
-__all__ = ["Partial", "PartialTexts"]
+__all__ = ["Partial", "PartialTexts", "fits_row"]
 
 MOST_ROW_BYTES = 60_000
 """A longer text is not kept: a row takes 64 KB."""
@@ -119,19 +119,25 @@
         return None
 
 
+def fits_row(partial: Partial) -> bool:
+    """Tell whether `partial` is small enough to be kept."""
+    return len(_encoded(partial).encode()) <= MOST_ROW_BYTES
+
+
+def _encoded(partial):
+    content = [partial.last_event, partial.text]
+    return json.dumps(content, ensure_ascii=False)
+
+
 def _grouped(partials):
     """Yield groups that fit one transaction each, of one part each."""
     writes_by_shard = {}
     for partial in partials:
-        value = json.dumps(
-            [partial.last_event, partial.text], ensure_ascii=False
-        )
-        size = len(value.encode())
-        if size <= MOST_ROW_BYTES:
-            key = partial_key(partial.job_id, partial.index)
-            shard = shard_of(partial.job_id)
-            entry = (size, partial, Write(key, value))
-            writes_by_shard.setdefault(shard, []).append(entry)
+        value = _encoded(partial)
+        key = partial_key(partial.job_id, partial.index)
+        shard = shard_of(partial.job_id)
+        entry = (len(value.encode()), partial, Write(key, value))
+        writes_by_shard.setdefault(shard, []).append(entry)
     for entries in writes_by_shard.values():
         group, total = [], 0
         for size, partial, write in entries:
--- a/dahliashunt/platform/job_parts.py
+++ b/dahliashunt/platform/job_parts.py
@@ -22,6 +22,9 @@
 
 __all__ = ["JobParts"]
 
+HAND_OVER_RETRY_MS = 300
+"""Between tries to save while the store does not answer a leaving node."""
+
 
 class JobParts:
     """The view, the ledger and the worker of one entry.
@@ -117,13 +120,19 @@
             self.expiry.run(),
         ]
 
-    async def hand_over(self) -> None:
+    async def hand_over(self, until_ms: int) -> None:
         """Give up this node's jobs, with what is done of their items.
 
         The failure it guards against: a machine that is restarted in
         order runs its items until it is killed, and the others find out
-        by its silence, seconds later, and begin each item anew.
+        by its silence, seconds later, and begin each item anew. While the
+        store is away nobody could go on, so that the items run on here,
+        up to `until_ms`.
         """
-        await self._checkpoints.save()
+        clock = self._node.clock
+        while not await self._checkpoints.save():
+            if clock.now_ms() + HAND_OVER_RETRY_MS >= until_ms:
+                break
+            await clock.sleep_ms(HAND_OVER_RETRY_MS)
         self._worker.leave()
         await self._takeover.leave()
--- a/dahliashunt/platform/serve_entry.py
+++ b/dahliashunt/platform/serve_entry.py
@@ -285,10 +285,10 @@
         until_ms = now_ms + self._boot.bounds.leave_ms - LEAVE_MARGIN_MS
         self._log.info("leaving", in_progress=self.node.busy)
         quiet_ms = min(now_ms + NEW_CONNECTIONS_MS, until_ms)
-        await asyncio.gather(
-            self.jobs.hand_over(), self._clock.sleep_ms(quiet_ms - now_ms)
-        )
+        hand_over = asyncio.create_task(self.jobs.hand_over(until_ms))
+        await self._clock.sleep_ms(quiet_ms - now_ms)
         await self.finish(until_ms)
+        await hand_over
 
     async def finish(self, until_ms):
         """Close the ports and end what is in progress, up to `until_ms`.
--- a/dahliashunt/platform/tests/test_job_handover.py
+++ b/dahliashunt/platform/tests/test_job_handover.py
@@ -69,6 +69,28 @@
     platform(scenario, ROUTE)
 
 
+def test_a_leaving_entry_without_the_store_runs_on(platform):
+    # The store is silent while machines are restarted: nobody could go on
+    # with the items, which stood still until it was back.
+    async def scenario(p):
+        leaving, other = p.entries[0], await p.add_entry()
+        replica = p.replicas[0].then(events=EVENTS, silent_after=MADE)
+        assert (await submit(p, body=job_body("a"))).status == 202
+        await p.until(lambda: replica.running)
+        p.store.trouble.status = 503
+        leave = asyncio.create_task(leaving.leave())
+        await p.until(lambda: leaving.node.leaving.is_set())
+        replica.steps.clear()
+        replica.then(events=EVENTS)
+        await p.until(lambda: not leaving.jobs.unfinished)
+        p.store.trouble.status = None
+        (result,) = await read_all(p, entry=other)
+        assert result["output"] == output(EVENTS)
+        await leave
+
+    platform(scenario, ROUTE)
+
+
 def test_a_listed_item_is_not_run_again_for_an_older_text(platform):
     # The owner listed an item, and its text of a second before came to the
     # store late. The next owner must neither run nor list it again.
--- a/dahliashunt/recent_lines.py
+++ b/dahliashunt/recent_lines.py
@@ -4,8 +4,8 @@
 
 __all__ = ["RecentLines"]
 
-MOST_CHARACTERS = 2_000_000
-"""Of kept lines together: some 6,000 lines, on machines of 128 MB."""
+MOST_CHARACTERS = 1_000_000
+"""Of kept lines together: some 3,000 lines, on machines of 128 MB."""
 
 MOST_FOUND = 500
 """Lines of one answer."""
