--- a/dahliashunt/jobs/checkpoints.py
+++ b/dahliashunt/jobs/checkpoints.py
@@ -1,5 +1,6 @@
 """Save what is done of a node's unfinished items, every second."""
 
+from dahliashunt.jobs.partials import fits_row
 from dahliashunt.jobs.partials import PartialTexts
 from dahliashunt.jobs.worker import JobWorker
 from dahliashunt.ports import Clock
@@ -50,9 +51,10 @@
             for job_id, item in self._worker.unfinished()
             if item.last_event - item.saved_event >= least_events
         }
-        partials = [
+        made = [
             item.partial(job_id) for (job_id, _), item in items_by_name.items()
         ]
+        partials = [partial for partial in made if fits_row(partial)]
         taken = await self._partials.save(partials)
         for saved in taken:
             item = items_by_name[saved.job_id, saved.index]
