--- a/dahliashunt/forwarding/explain.py
+++ b/dahliashunt/forwarding/explain.py
@@ -10,6 +10,7 @@
 from dahliashunt.decisions.return_time import TURNS
 from dahliashunt.forwarding.catalog import BrokenRoute
 from dahliashunt.forwarding.catalog import Route
+from dahliashunt.forwarding.replica_view import ReplicaState
 
 __all__ = ["MOST_ROUTES", "Explainer"]
 
@@ -98,15 +99,16 @@
         keeps = self._node.keeps_slots(name) if service else False
         replicas = self._known.views(name)
         outcome = self._outcome(route, name, replicas, keeps)
-        places = Counter(each["data_centre"] for each in replicas)
+        places = Counter(each.data_centre for each in replicas)
+        usable = [r for r in replicas if r.state is ReplicaState.USABLE]
         return {
             "name": name,
             "weight": weight,
             "has_agents": keeps,
             "replicas": len(replicas),
             "by_data_centre": dict(sorted(places.items())),
-            "usable": sum(each["state"] == "usable" for each in replicas),
-            "asked": replicas[:MOST_REPLICAS],
+            "usable": len(usable),
+            "asked": [each.fields() for each in replicas[:MOST_REPLICAS]],
             "now": outcome.says,
             "wait_ms": outcome.wait_ms,
             "retry_after_ms": outcome.retry_after_ms,
@@ -115,14 +117,14 @@
     def _outcome(self, route, service, replicas, keeps):
         if not replicas:
             return _Outcome("refused: the service has no replica")
-        usable = [each for each in replicas if each["state"] == "usable"]
+        usable = [r for r in replicas if r.state is ReplicaState.USABLE]
         if not keeps or not usable:
             return _Outcome("sent to a replica without asking an agent", 0)
-        if any(each["free"] > 0 for each in usable):
+        if any(each.free > 0 for each in usable):
             return _Outcome("taken at once", 0)
-        if any(each["batch"] > 0 for each in usable):
+        if any(each.batch > 0 for each in usable):
             return _Outcome("taken at once, a batch item gives way", 0)
-        wait_ms = min(each["wait_ms"] for each in usable)
+        wait_ms = min(each.wait_ms for each in usable)
         if wait_ms <= route.objective_ms:
             return _Outcome(f"waits about {wait_ms} ms for a slot", wait_ms)
         hold_ms = self._places.hold_ms(service)
--- a/dahliashunt/forwarding/known_replicas.py
+++ b/dahliashunt/forwarding/known_replicas.py
@@ -7,6 +7,8 @@
 from dahliashunt.decisions.replica_choice import order_replicas
 from dahliashunt.decisions.suspicion import Suspicion
 from dahliashunt.forwarding.partners import Partners
+from dahliashunt.forwarding.replica_view import ReplicaState
+from dahliashunt.forwarding.replica_view import ReplicaView
 from dahliashunt.forwarding.replicas import Replica
 from dahliashunt.forwarding.replicas import ReplicaBook
 from dahliashunt.ports import Clock
@@ -126,10 +128,10 @@
             connected=self._is_connected(replica.address),
         )
 
-    def views(self, service: str) -> list[dict]:
-        """Return what is known of a service's replicas, for people.
+    def views(self, service: str) -> list[ReplicaView]:
+        """Return what is known of a service's replicas.
 
-        Those that are asked first come first. Ages are in milliseconds.
+        Those that are asked first come first.
         """
         partners = self.partners(service)
         ids = {replica.replica_id for replica in partners}
@@ -145,34 +147,35 @@
     def _view(self, replica, is_partner):
         now_ms = self._clock.now_ms()
         known = self.load(replica)
-        view = {
-            "replica": replica.replica_id,
-            "data_centre": replica.data_centre,
-            "partner": is_partner,
-            "state": self._state(replica, known, now_ms),
-            "slots": replica.slots,
-            "own": self.own(replica),
-            "age_ms": None,
-            "free": 0,
-            "batch": 0,
-            "wait_ms": 0,
-        }
-        if known is not None:
-            state = known.state
-            taken = state.online + state.batch + state.waiting
-            view["age_ms"] = now_ms - known.at_ms
-            view["free"] = max(0, state.slots - taken)
-            view["batch"] = state.batch
-            view["wait_ms"] = state.wait_ms
-        return view
-
-    def _state(self, replica, known, now_ms):
-        if known is not None and known.state.away:
-            return "absent, says its agent"
+        load = known.state if known is not None else None
+        return ReplicaView(
+            replica=replica.replica_id,
+            data_centre=replica.data_centre,
+            partner=is_partner,
+            state=self._state(replica, load, now_ms),
+            slots=replica.slots,
+            own=self.own(replica),
+            age_ms=now_ms - known.at_ms if known is not None else None,
+            free=_free(load),
+            batch=load.batch if load is not None else 0,
+            wait_ms=load.wait_ms if load is not None else 0,
+        )
+
+    def _state(self, replica, load, now_ms):
+        if load is not None and load.away:
+            return ReplicaState.ABSENT
         if self._suspicion.is_avoided(replica.life, now_ms):
-            return "suspected"
+            return ReplicaState.SUSPECTED
         if self._slots.is_silent(self.agent(replica)):
-            return "its agent is silent"
+            return ReplicaState.AGENT_SILENT
         if self._book.is_cold(replica, now_ms):
-            return "just started"
-        return "usable" if known is not None else "not heard of yet"
+            return ReplicaState.COLD
+        if load is None:
+            return ReplicaState.UNHEARD
+        return ReplicaState.USABLE
+
+
+def _free(load):
+    if load is None:
+        return 0
+    return max(0, load.slots - load.online - load.batch - load.waiting)
