--- a/dahliashunt/cli/tests/test_traces.py
+++ b/dahliashunt/cli/tests/test_traces.py
@@ -1,6 +1,7 @@
 """Steps of requests and jobs in folders of logs."""
 
 import json
+import pathlib
 
 import pytest
 
@@ -29,7 +30,7 @@
 
 
 def trace(capsys, *words):
-    code = main(["request", "trace", *words])
+    code = main(["request", "trace", *map(str, words)])
     return code, capsys.readouterr()
 
 
@@ -121,3 +122,11 @@
     assert main(["completion", "zsh"]) == Exit.OK
     assert "bashcompinit" in capsys.readouterr().out
     assert main(["completion", "tcsh"]) == Exit.USAGE
+
+
+def test_a_jobs_way_reads_as_in_the_golden_session(capsys):
+    # To the byte: operators compare these tables with the pages.
+    golden = pathlib.Path(__file__).parent / "golden"
+    code, said = trace(capsys, "lot", "--job", "--logs", golden / "lot.log")
+    assert code == Exit.OK
+    assert said.out == (golden / "lot.txt").read_text()
--- a/dahliashunt/cli/traces.py
+++ b/dahliashunt/cli/traces.py
@@ -178,7 +178,7 @@
             if str(item["data_centre"]) == centre and item["timestamp"]
         )
         counts = range(1, len(times) + 1)
-        axes.step(times, counts, where="post", label=centre)
+        axes.step(times, counts, where="post", marker="o", label=centre)
     axes.set_ylabel("items done")
     axes.set_title(f"job {job_id}")
     if centres:
