A start without a configuration: wait for the first read, return later

Change: a request waits up to 200 ms after the process's start for the first configuration. Later Retry-After is the time that the outage has lasted, spread by a third, from 0.3 to 1.6 s: a node that is alone with it still sends callers elsewhere at once.

--- a/dahliashunt/decisions/return_time.py
+++ b/dahliashunt/decisions/return_time.py
@@ -1,4 +1,4 @@
-"""When a caller that found every slot taken is told to come back.
+"""When a caller that found no service is told to come back.
 
 Load pattern
 ------------
@@ -11,7 +11,9 @@
 The time until the next slot is free, some tens of milliseconds in a fleet,
 is the wrong answer: thousands of others wait for that slot. Callers return
 to the same full fleet together, are refused again and give up, while a
-second later slots stand idle.
+second later slots stand idle. A node that was started while the store is
+away, with all others, refuses everybody; told to come back in a moment they
+are refused twice before it is over.
 
 How
 ---
@@ -20,6 +22,10 @@
 those who were refused together. How long slots are held is learned from
 this entry's own requests.
 
+Of an outage nothing is known but how long it has lasted; it is taken to
+last as long again. A short one, which other nodes may not share, so sends
+callers elsewhere at once, and a long one tells them to wait.
+
 References
 ----------
 Metcalfe and Boggs, "Ethernet: distributed packet switching for local
@@ -29,7 +35,7 @@
 
 import random
 
-__all__ = ["HoldTimes", "return_after_ms"]
+__all__ = ["HoldTimes", "return_after_ms", "return_after_outage_ms"]
 
 FIRST_HOLD_MS = 700
 """Time a slot is held before any was seen to end; about 250 output tokens
@@ -47,6 +53,13 @@
 holds of 0.7 s the latest is a third of five seconds, beyond which callers
 do not wait."""
 
+OUTAGE_MS = (300, 1_600)
+"""Bounds of Retry-After in an outage: another node takes an early retry,
+and a third of five seconds is the longest that callers wait."""
+
+OUTAGE_SPREAD = (0.7, 1.3)
+"""Callers of one moment come back over so much of the time."""
+
 
 class HoldTimes:
     """How long online requests hold a slot of each service.
@@ -95,3 +108,24 @@
     """
     after_ms = int(hold_ms * rng.uniform(*TURNS))
     return max(wait_ms, after_ms)
+
+
+def return_after_outage_ms(lasted_ms: int, rng: random.Random) -> int:
+    """Return the time after which to come back in an outage, in ms.
+
+    Parameters
+    ----------
+    lasted_ms : int
+        How long it has lasted, as far as this node knows.
+    rng : random.Random
+
+    Examples
+    --------
+    >>> return_after_outage_ms(10, random.Random(1))
+    300
+    >>> return_after_outage_ms(60_000, random.Random(1))
+    1600
+    """
+    least_ms, most_ms = OUTAGE_MS
+    after_ms = int(lasted_ms * rng.uniform(*OUTAGE_SPREAD))
+    return max(least_ms, min(most_ms, after_ms))
--- a/dahliashunt/forwarding/node.py
+++ b/dahliashunt/forwarding/node.py
@@ -4,6 +4,7 @@
 import contextlib
 import random
 
+from dahliashunt.decisions.return_time import return_after_outage_ms
 from dahliashunt.errors import ErrorKind
 from dahliashunt.errors import RequestError
 from dahliashunt.forwarding.call import Call
@@ -29,8 +30,13 @@
 """Broken routes that are named in the log; `route list` shows all."""
 
 RETRY_MS = 300
-"""Retry-After while the configuration is missing or stale: another node
-takes the retry, and one that lost the store is not ready by then."""
+"""Retry-After where this node alone may be behind: another one takes the
+retry."""
+
+FIRST_READ_MS = 200
+"""A request that comes while the first configuration is being read waits
+for it up to so long: two reads of a slow store, and less than an objective.
+Refused, its caller would come back later than that."""
 
 
 class Node:
@@ -69,6 +75,8 @@
         self.leaving = asyncio.Event()
         self.config_heard = lambda: None
         self._in_flight = 0
+        self._started_ms = clock.now_ms()
+        self._configured = asyncio.Event()
 
     @contextlib.contextmanager
     def in_flight(self):
@@ -108,6 +116,7 @@
         if held is not None and catalog.revision <= held.revision:
             return
         self.catalog, self.former = catalog, held
+        self._configured.set()
         self.adopted_ms = self.clock.now_ms()
         if self.forwarder is not None:
             names = {route.name for route in catalog.routes}
@@ -124,6 +133,20 @@
                 "route_unreadable", route=route.name, reason=route.reason
             )
 
+    async def first_read(self) -> None:
+        """Wait for the first configuration if this node has just started.
+
+        The failure it guards against: after a restart of everything
+        callers come back while each entry listens and still reads; they
+        would be refused for a few milliseconds' sake.
+        """
+        left_ms = self._started_ms + FIRST_READ_MS - self.clock.now_ms()
+        if self.catalog is not None or left_ms <= 0:
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(left_ms / 1000):
+                await self._configured.wait()
+
     def route(self, host: str, path: str) -> Route:
         """Return the route of a request.
 
@@ -136,7 +159,9 @@
             raise RequestError(
                 ErrorKind.STORE_UNAVAILABLE,
                 "no configuration was read yet",
-                retry_after_ms=RETRY_MS,
+                retry_after_ms=return_after_outage_ms(
+                    self.clock.now_ms() - self._started_ms, self.rng
+                ),
             )
         route = self.catalog.match(host, path)
         if route is None:
--- a/dahliashunt/platform/ingress.py
+++ b/dahliashunt/platform/ingress.py
@@ -147,6 +147,7 @@
 
     async def _serve(self, exchange):
         arrived_ms = self._node.clock.now_ms()
+        await self._node.first_read()
         catalog = self._node.catalog
         limits = catalog.limits if catalog else IngressLimits()
         body = await exchange.body(limits)
