--- a/dahliashunt/decisions/tests/test_shared_fleet.py
+++ b/dahliashunt/decisions/tests/test_shared_fleet.py
@@ -1,5 +1,6 @@
 """Waves, bursts of jobs and losses on a shared fleet, beside former ways."""
 
+import dataclasses
 import functools
 import statistics
 
@@ -35,26 +36,12 @@
 )
 """Demand of nearly all of the slots, and eight replicas of 28 lost."""
 
-FULL_LOSS = Load(
-    replicas=28,
-    slots=7,
-    owners=40,
-    online_per_s=149,
-    jobs_per_s=1.8,
-    length_ms=8_000,
-    loss=(2_000, 7_000, 10),
+FULL_LOSS = dataclasses.replace(
+    LOSS, jobs_per_s=1.8, length_ms=8_000, loss=(2_000, 7_000, 10)
 )
 """A wave that meets a fleet without ten of its 28 replicas."""
 
-OUTAGE = Load(
-    replicas=28,
-    slots=7,
-    owners=40,
-    online_per_s=149,
-    jobs_per_s=1.8,
-    length_ms=8_000,
-    outage=(3_000, 4_600),
-)
+OUTAGE = dataclasses.replace(FULL_LOSS, loss=(0, 0, 0), outage=(3_000, 4_600))
 """All entries are gone for 1.6 s in a wave, and callers come back."""
 
 NEXT_SLOT_MS = (100, 300)
