A feed's answer keeps its order: replicas that came back are known

The store's list had lapsed while it was silent; the nodes' feed came back 1.8 s after it, and one answer held the removal and the new entry of each replica. The adapter split them into rows and removals and lost their order; the listener took the removals last, and dropped the replicas two seconds later, for good. Gathering changes makes such answers more frequent; the fault was there before.

Change: of each key an answer says what came last.

Test: fails before (no replica is known), passes after.

Ruled out: that the store left out the new entries. The nodes whose feed came back a second earlier list all 53.

--- a/dahliashunt/platform/store.py
+++ b/dahliashunt/platform/store.py
@@ -161,13 +161,16 @@
         query = {"table": table, "after": after, "wait-ms": wait_ms}
         self._count("feed", table)
         found = await self._read_json("/api/rows-feed", query, wait_ms)
-        rows, removed = [], []
+        row_by_key = {}
         for each in found["rows"]:
-            if each.get("removed"):
-                removed.append(_key(each))
-            else:
-                rows.append(_row(each))
-        return Changes(tuple(rows), tuple(removed), found["ver"])
+            key = _key(each)
+            # A row that was removed and written again comes twice in one
+            # answer: what came last is how it is now.
+            row_by_key.pop(key, None)
+            row_by_key[key] = None if each.get("removed") else _row(each)
+        rows = tuple(row for row in row_by_key.values() if row is not None)
+        removed = tuple(key for key, row in row_by_key.items() if row is None)
+        return Changes(rows, removed, found["ver"])
 
     # Objects.
 
--- a/dahliashunt/platform/tests/test_online.py
+++ b/dahliashunt/platform/tests/test_online.py
@@ -7,6 +7,7 @@
 from dahliashunt.adapters.http1 import ConnectionPool
 from dahliashunt.adapters.http1 import End
 from dahliashunt.adapters.http1 import open_connection
+from dahliashunt.forwarding.replicas import AFTER_OUTAGE_MS
 from dahliashunt.platform import serve_entry
 from dahliashunt.platform.standins.caller import caller_request
 from dahliashunt.platform.standins.settings import config_fields
@@ -424,3 +425,27 @@
             assert answer.status == 200
 
     platform(scenario, route_fields(**{"max-attempts": 1}), slots=20)
+
+
+def test_a_replica_that_lapsed_and_came_back_in_one_answer_is_known(platform):
+    # The store is away, the list lapses, and its entries are back before a
+    # node's feed is. One answer then holds that each was removed and listed
+    # again; a node that took the removals last had no replica for good and
+    # refused everybody beside a fleet that served.
+    async def scenario(p):
+        replica, entry = p.replicas[0], p.entries[0]
+        fields = replica_fields(replica.address)
+        p.store.trouble.status = 503
+        await p.until(entry.node.is_stale)
+        p.store.unlist_replica(replica.replica_id)
+        p.store.list_replica(replica.replica_id, fields)
+        p.store.trouble.status = None
+        await p.until(lambda: entry.node.ready)
+        other = await p.add_replica()
+        book = entry.node.book
+        await p.until(lambda: book.get(other.replica_id) is not None)
+        # What lapsed in an outage is kept for a while, and then dropped.
+        book.expire(entry.node.clock.now_ms() + AFTER_OUTAGE_MS)
+        assert book.get(replica.replica_id) is not None
+
+    platform(scenario)
