Callers known by their keys; jobs belong to a workspace

Cause: the deployment's configuration has workspaces with keys, and the path on the platform knew none. Keys went on to replicas, strangers were served, and a job's cap was counted for all callers of a route together.

Change: workspaces are decoded once in the adapter, and looked up by the key's digest (one module serves both ways of the house). The entry tells replicas the workspace, drops the key and what a caller claims; 401 with a challenge for a stranger, but 503 with Retry-After where this entry cannot tell (no configuration, cut off from the store, an unreadable workspace). Jobs keep their workspace in their row; to another one they do not exist; waiting tokens are counted for each workspace and route in the transaction that accepts. Rows of earlier versions read as nobody's.

Tests: dahliashunt/platform/tests/test_keys.py; each of its cases of a key or a workspace's name fails on the code before (nothing was decoded).

--- a/dahliashunt/forwarding/call.py
+++ b/dahliashunt/forwarding/call.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from dahliashunt.ids import RequestId
+from dahliashunt.ids import WorkspaceId
 
 __all__ = ["Call"]
 
@@ -30,6 +31,8 @@
         Ids of the prompt's parts that other requests share, in order.
     tokens : int
         Prompt tokens and most output tokens together; 0 if unknown.
+    workspace : WorkspaceId
+        In whose name it runs; empty for nobody's.
     """
 
     request_id: RequestId
@@ -42,3 +45,4 @@
     last_event: int = 0
     shared_parts: tuple[str, ...] = ()
     tokens: int = 0
+    workspace: WorkspaceId = WorkspaceId("")
--- a/dahliashunt/forwarding/catalog.py
+++ b/dahliashunt/forwarding/catalog.py
@@ -5,6 +5,7 @@
 import enum
 import hashlib
 
+from dahliashunt.forwarding.workspaces import Workspaces
 from dahliashunt.ids import Revision
 
 __all__ = [
@@ -53,6 +54,9 @@
         Batch: when all results are due, and when items may be given up.
     max_waiting_tokens : int
         Batch: quota of tokens that wait, over all entries; 0 is no limit.
+        Each workspace has one of its own, where there are workspaces.
+    public : bool
+        Whether requests come without a key.
     """
 
     name: str
@@ -69,6 +73,7 @@
     completion_ms: int = 0
     abandon_ms: int = 0
     max_waiting_tokens: int = 0
+    public: bool = False
 
     @property
     def repeatable(self) -> bool:
@@ -154,6 +159,8 @@
 class Catalog:
     """One revision of the configuration, whole.
 
+    Callers are asked for a key where there are `workspaces`.
+
     A route that can't be read harms only itself: it keeps its place, so
     that its requests are refused instead of being taken by a shorter prefix
     and sent to another service.
@@ -181,6 +188,7 @@
     services: tuple[Service, ...]
     limits: IngressLimits
     broken: tuple[BrokenRoute, ...] = ()
+    workspaces: Workspaces | None = None
     service_by_name: dict[str, Service] = field(init=False)
     _by_prefix_by_host: dict[str, dict] = field(init=False, repr=False)
     _batch_by_name: dict[str, Route] = field(init=False, repr=False)
--- a/dahliashunt/forwarding/node.py
+++ b/dahliashunt/forwarding/node.py
@@ -14,6 +14,8 @@
 from dahliashunt.forwarding.forwarder import Forwarder
 from dahliashunt.forwarding.ports import AnswerSink
 from dahliashunt.forwarding.replicas import ReplicaBook
+from dahliashunt.forwarding.workspaces import BrokenWorkspace
+from dahliashunt.forwarding.workspaces import Workspace
 from dahliashunt.metrics import Metrics
 from dahliashunt.ports import Clock
 
@@ -127,11 +129,19 @@
             before=held.revision if held else None,
             routes=len(catalog.routes),
             broken=len(catalog.broken),
+            workspaces=_count_workspaces(catalog),
         )
         for route in catalog.broken[:MOST_NAMED]:
             self.log.error(
                 "route_unreadable", route=route.name, reason=route.reason
             )
+        unreadable = catalog.workspaces.broken if catalog.workspaces else ()
+        for workspace in unreadable[:MOST_NAMED]:
+            self.log.error(
+                "workspace_unreadable",
+                workspace=workspace.name,
+                reason=workspace.reason,
+            )
 
     async def first_read(self) -> None:
         """Wait for the first configuration if this node has just started.
@@ -155,30 +165,77 @@
         RequestError
             There is none, or this node cannot tell.
         """
-        if self.catalog is None:
-            raise RequestError(
-                ErrorKind.STORE_UNAVAILABLE,
-                "no configuration was read yet",
-                retry_after_ms=return_after_outage_ms(
-                    self.clock.now_ms() - self._started_ms, self.rng
-                ),
-            )
+        self._demand_configuration()
         route = self.catalog.match(host, path)
         if route is None:
             if self.is_stale():
-                raise RequestError(
-                    ErrorKind.STORE_UNAVAILABLE,
-                    "the route may be newer than this node's configuration",
-                    retry_after_ms=RETRY_MS,
+                raise _unsure(
+                    "the route may be newer than this node's configuration"
                 )
             raise RequestError(ErrorKind.NOT_FOUND, "no route matches")
         if isinstance(route, BrokenRoute):
+            raise _unsure(
+                f"the route {route.name} can't be read: {route.reason}"
+            )
+        return route
+
+    def _demand_configuration(self):
+        if self.catalog is None:
             raise RequestError(
                 ErrorKind.STORE_UNAVAILABLE,
-                f"the route {route.name} can't be read: {route.reason}",
-                retry_after_ms=RETRY_MS,
+                "no configuration was read yet",
+                retry_after_ms=return_after_outage_ms(
+                    self.clock.now_ms() - self._started_ms, self.rng
+                ),
             )
-        return route
+
+    @property
+    def asks_for_keys(self) -> bool:
+        """Whether the configuration in force has workspaces."""
+        return self.catalog is not None and self.catalog.workspaces is not None
+
+    def caller_on(self, route: Route, key: str | None) -> Workspace | None:
+        """Return in whose name a request on `route` runs; None for nobody.
+
+        Raises
+        ------
+        RequestError
+            The route wants a key and the caller has none that is known.
+        """
+        if route.public and self.asks_for_keys:
+            found = self.catalog.workspaces.of_key(key or "")
+            return found if isinstance(found, Workspace) else None
+        workspace = self.caller(key)
+        self.demand_key(workspace)
+        return workspace
+
+    def caller(self, key: str | None) -> Workspace | None:
+        """Return whose key this is; None without a key or workspaces.
+
+        Raises
+        ------
+        RequestError
+            Nobody has the key, or this node cannot tell.
+        """
+        self._demand_configuration()
+        workspaces = self.catalog.workspaces
+        if workspaces is None or key is None:
+            return None
+        found = workspaces.of_key(key)
+        if isinstance(found, Workspace):
+            return found
+        if isinstance(found, BrokenWorkspace):
+            raise _unsure("the key's workspace can't be read")
+        if self.is_stale():
+            raise _unsure("the key may be newer than this node's revision")
+        if not workspaces.knows_all_keys:
+            raise _unsure("some workspace's keys can't be read")
+        raise RequestError(ErrorKind.UNAUTHENTICATED, "nobody has this key")
+
+    def demand_key(self, workspace: Workspace | None) -> None:
+        """Raise unless a caller is known or none has to be."""
+        if workspace is None and self.asks_for_keys:
+            raise RequestError(ErrorKind.UNAUTHENTICATED, "a key is wanted")
 
     def is_stale(self) -> bool:
         """Tell whether the store was not heard of for `STALE_MS`."""
@@ -199,3 +256,14 @@
         await self.forwarder.serve(
             call, route, self.keeps_slots(service), sink
         )
+
+
+def _unsure(message):
+    """Return the refusal of a caller whom another node may know."""
+    return RequestError(
+        ErrorKind.STORE_UNAVAILABLE, message, retry_after_ms=RETRY_MS
+    )
+
+
+def _count_workspaces(catalog):
+    return len(catalog.workspaces.by_id) if catalog.workspaces else 0
--- a/dahliashunt/ids.py
+++ b/dahliashunt/ids.py
@@ -19,6 +19,7 @@
     "NodeId",
     "RequestId",
     "Revision",
+    "WorkspaceId",
 ]
 
 RequestId = NewType("RequestId", str)
@@ -51,3 +52,6 @@
 
 Revision = NewType("Revision", int)
 """Place of a change in the one sequence of serving records."""
+
+WorkspaceId = NewType("WorkspaceId", str)
+"""A workspace of the users' platform; empty where there are none."""
--- a/dahliashunt/jobs/job_run.py
+++ b/dahliashunt/jobs/job_run.py
@@ -170,7 +170,7 @@
                 )
                 await self._retry_pause()
                 continue
-            return self._worker.payloads.calls(self.job.host, payload)
+            return self._worker.payloads.calls(self.job, payload)
 
     async def _retry_pause(self):
         worker = self._worker
--- a/dahliashunt/jobs/keys.py
+++ b/dahliashunt/jobs/keys.py
@@ -3,6 +3,7 @@
 import hashlib
 
 from dahliashunt.ids import JobId
+from dahliashunt.ids import WorkspaceId
 
 __all__ = [
     "JOBS_PREFIX",
@@ -38,9 +39,17 @@
     return f"{JOBS_PREFIX}{job_id}"
 
 
-def quota_key(route: str) -> str:
-    """Return the key of a route's token count."""
-    return f"quotas//{route}"
+def quota_key(route: str, workspace: WorkspaceId) -> str:
+    """Return the key of the count of tokens that wait on a route.
+
+    Of one workspace, or of all callers together where there are none. Names
+    are digested: together they may be longer than a key.
+    """
+    if not workspace:
+        return f"quotas//{route}"
+    both = f"{route}\0{workspace}".encode()
+    digest = hashlib.blake2b(both, digest_size=16).hexdigest()
+    return f"quotas//of-workspace/{digest}"
 
 
 def progress_key(job_id: JobId) -> str:
--- a/dahliashunt/jobs/ledger.py
+++ b/dahliashunt/jobs/ledger.py
@@ -143,25 +143,26 @@
         raise RequestError(ErrorKind.OVERLOADED, "too many jobs come at once")
 
     async def _try_accept(self, job, most_tokens):
-        quota = await self._read(quota_key(job.route), Ran.NO)
+        quota = await self._read(_quota_key(job), Ran.NO)
         held = json.loads(quota.value)["tokens"] if quota else 0
-        waiting = held - self._view.finished_tokens(job.route)
+        waiting = held - self._view.finished_tokens(job.route, job.workspace)
         if most_tokens and max(0, waiting) + job.tokens > most_tokens:
             self._log.info(
                 "job_over_quota",
                 job_id=job.job_id,
+                workspace=job.workspace,
                 tokens=job.tokens,
                 waiting=waiting,
                 most=most_tokens,
             )
             raise RequestError(
                 ErrorKind.OVER_LIMIT,
-                "the route's waiting tokens are at their limit",
+                "as many tokens wait as may wait on the route",
                 retry_after_ms=QUOTA_RETRY_MS,
             )
         writes = (
             Write(job_key(job.job_id), encode_job(job), MustBe.ABSENT),
-            _quota_write(job.route, quota, held + job.tokens),
+            _quota_write(job, quota, held + job.tokens),
         )
         try:
             versions = await self._table.transact(writes)
@@ -294,12 +295,12 @@
         raise RequestError(ErrorKind.OVERLOADED, "the job changes too fast")
 
     async def _try_state(self, job, version, state):
-        quota = await self._read(quota_key(job.route), Ran.NO)
+        quota = await self._read(_quota_key(job), Ran.NO)
         held = json.loads(quota.value)["tokens"] if quota else 0
         changed = replace(job, state=state)
         writes = (
             Write(job_key(job.job_id), encode_job(changed), version),
-            _quota_write(job.route, quota, max(0, held - job.tokens)),
+            _quota_write(job, quota, max(0, held - job.tokens)),
         )
         try:
             versions = await self._table.transact(writes)
@@ -438,10 +439,14 @@
     )
 
 
-def _quota_write(route, row, tokens):
+def _quota_key(job):
+    return quota_key(job.route, job.workspace)
+
+
+def _quota_write(job, row, tokens):
     expect = row.version if row else MustBe.ABSENT
     value = json.dumps({"tokens": tokens})
-    return Write(quota_key(route), value, expect)
+    return Write(_quota_key(job), value, expect)
 
 
 def _pieces(text):
--- a/dahliashunt/jobs/model.py
+++ b/dahliashunt/jobs/model.py
@@ -12,6 +12,7 @@
 from dahliashunt.errors import PlatformError
 from dahliashunt.ids import JobId
 from dahliashunt.ids import NodeId
+from dahliashunt.ids import WorkspaceId
 
 __all__ = [
     "Item",
@@ -101,6 +102,8 @@
         By the store's clock, which all nodes share.
     accepted_by : Owner
     state : JobState
+    workspace : WorkspaceId
+        Whose job it is; empty where callers have no keys.
     """
 
     job_id: JobId
@@ -111,6 +114,7 @@
     accepted_ms: int
     accepted_by: Owner
     state: JobState = JobState.OPEN
+    workspace: WorkspaceId = WorkspaceId("")
 
     @property
     def tokens(self) -> int:
@@ -169,6 +173,7 @@
             "accepted_ms": job.accepted_ms,
             "accepted_by": [job.accepted_by.node_id, job.accepted_by.boot],
             "state": job.state.value,
+            "workspace": job.workspace,
         },
         separators=(",", ":"),
     )
@@ -187,8 +192,10 @@
             accepted_ms=fields["accepted_ms"],
             accepted_by=Owner(*fields["accepted_by"]),
             state=JobState(fields["state"]),
+            # Rows of versions without workspaces have none.
+            workspace=WorkspaceId(fields.get("workspace", "")),
         )
-    except (KeyError, TypeError, ValueError) as error:
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise UnreadableRow(f"job: {error!r}") from None
 
 
--- a/dahliashunt/jobs/view.py
+++ b/dahliashunt/jobs/view.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from dahliashunt.ids import JobId
+from dahliashunt.ids import WorkspaceId
 from dahliashunt.jobs.keys import JOBS_PREFIX
 from dahliashunt.jobs.keys import PROGRESS_PREFIXES
 from dahliashunt.jobs.model import decode_job
@@ -124,11 +125,11 @@
         """Tell whether the job is open, as far as is known here."""
         return job_id in self._open
 
-    def finished_tokens(self, route: str) -> int:
-        """Return tokens of listed items of the route's open jobs."""
+    def finished_tokens(self, route: str, workspace: WorkspaceId) -> int:
+        """Return tokens of listed items of a workspace's open jobs."""
         total = 0
         for job in self.open_jobs():
-            if job.route == route:
+            if job.route == route and job.workspace == workspace:
                 total += sum(
                     job.items[listed.index].tokens
                     for listed in self.progress(job).listed
--- a/dahliashunt/platform/dialect.py
+++ b/dahliashunt/platform/dialect.py
@@ -14,11 +14,12 @@
 from dahliashunt.platform.names import NOT_RUN
 from dahliashunt.platform.names import REQUEST_ID
 from dahliashunt.platform.names import SIGNATURE
+from dahliashunt.platform.names import WORKSPACE
 
 __all__ = ["PlatformDialect", "ReplicaReport", "decode_report"]
 
 REPORT_PATH = "/api/report"
-_SET_HERE = HOP_BY_HOP | {BUDGET, EXPECTED_REPLICA, LAST_EVENT}
+_SET_HERE = HOP_BY_HOP | {BUDGET, EXPECTED_REPLICA, LAST_EVENT, WORKSPACE}
 
 
 class PlatformDialect:
@@ -35,6 +36,8 @@
         ]
         headers.append((BUDGET, str(max(1, left_ms))))
         headers.append((EXPECTED_REPLICA, replica.replica_id))
+        if call.workspace:
+            headers.append((WORKSPACE, call.workspace))
         if after_event:
             headers.append((LAST_EVENT, str(after_event)))
         return encode_request(call.method, call.target, headers, call.body)
--- a/dahliashunt/platform/ingress.py
+++ b/dahliashunt/platform/ingress.py
@@ -6,6 +6,7 @@
 import asyncio
 import contextlib
 from dataclasses import dataclass
+from dataclasses import replace
 
 from dahliashunt.errors import ANSWERS
 from dahliashunt.errors import ErrorKind
@@ -17,8 +18,11 @@
 from dahliashunt.forwarding.forwarder import AnswerCut
 from dahliashunt.forwarding.node import Node
 from dahliashunt.ids import RequestId
+from dahliashunt.ids import WorkspaceId
 from dahliashunt.platform.job_calls import JobCalls
+from dahliashunt.platform.names import AUTHORIZATION
 from dahliashunt.platform.names import BUDGET
+from dahliashunt.platform.names import KEY_SCHEME
 from dahliashunt.platform.names import LAST_EVENT
 from dahliashunt.platform.names import PROMPT_PARTS
 from dahliashunt.platform.names import REQUEST_ID
@@ -172,17 +176,22 @@
         query = exchange.scope["query_string"].decode("latin-1")
         headers = exchange.header_by_name
         about_job = self._jobs.parse(method, path, query, headers)
+        key = _key(headers)
         if about_job is not None:
-            await self._jobs.answer(about_job, exchange)
+            caller = self._node.caller(key)
+            await self._jobs.answer(about_job, caller, exchange)
             return
         route = self._node.route(headers.get("host", ""), path)
+        workspace = self._node.caller_on(route, key)
         if route.kind is RouteKind.BATCH:
             if method != "POST":
                 raise RequestError(ErrorKind.NOT_FOUND, "jobs are posted")
-            await self._jobs.submit(route, headers, body, exchange)
+            await self._jobs.submit(route, workspace, headers, body, exchange)
             return
         target = f"{path}?{query}" if query else path
         call = _call(exchange, target, body, arrived_ms)
+        if self._node.asks_for_keys:
+            call = _in_name_of(workspace, call)
         try:
             await self._node.forward(call, route, _Sink(exchange))
         except AnswerCut as cut:
@@ -201,6 +210,8 @@
         request_id = exchange.header_by_name.get(REQUEST_ID)
         if request_id:
             headers.append((REQUEST_ID, request_id))
+        if error.kind is ErrorKind.UNAUTHENTICATED:
+            headers.append(("www-authenticate", KEY_SCHEME))
         if error.ran is Ran.NO and answer.retry:
             after_s = (error.retry_after_ms or DEFAULT_RETRY_MS) / 1000
             headers.append(("retry-after", f"{after_s:.3f}"))
@@ -216,6 +227,25 @@
         await exchange.whole(status, headers, error.message.encode())
 
 
+def _key(headers):
+    """Return the caller's key, or None if it sent none of ours."""
+    scheme, _, key = headers.get(AUTHORIZATION, "").partition(" ")
+    if scheme.lower() != KEY_SCHEME.lower():
+        return None
+    return key.strip()
+
+
+def _in_name_of(workspace, call):
+    """Return `call` for its workspace, without the caller's key."""
+    return replace(
+        call,
+        headers=tuple(
+            pair for pair in call.headers if pair[0].lower() != AUTHORIZATION
+        ),
+        workspace=workspace.workspace_id if workspace else WorkspaceId(""),
+    )
+
+
 def _call(exchange, target, body, arrived_ms):
     headers = exchange.header_by_name
     budget = headers.get(BUDGET, "")
--- a/dahliashunt/platform/job_bodies.py
+++ b/dahliashunt/platform/job_bodies.py
@@ -12,6 +12,8 @@
 from dahliashunt.jobs.ledger import Result
 from dahliashunt.jobs.model import Item
 from dahliashunt.jobs.model import ItemId
+from dahliashunt.jobs.model import Job
+from dahliashunt.platform.names import AUTHORIZATION
 from dahliashunt.platform.names import PROMPT_PARTS
 from dahliashunt.platform.names import REQUEST_ID
 from dahliashunt.platform.prompts import shared_parts
@@ -86,28 +88,31 @@
 class JobBodies:
     """`PayloadReader` of jobs as the platform's callers submit them."""
 
-    def calls(self, host: str, payload: bytes) -> list[Call]:
+    def calls(self, job: Job, payload: bytes) -> list[Call]:
         """Return the items' calls, in the job's order."""
-        return [_call(host, each) for each in decode_submission(payload)]
+        return [_call(job, each) for each in decode_submission(payload)]
 
 
-def _call(host, submitted):
+def _call(job, submitted):
     by_name = {name.lower(): value for name, value in submitted.headers}
     item_id = submitted.item.item_id
-    own = (("Host", host), (REQUEST_ID, item_id))
-    named = {"host", REQUEST_ID}
+    own = (("Host", job.host), (REQUEST_ID, item_id))
+    dropped = {"host", REQUEST_ID}
+    if job.workspace:
+        dropped.add(AUTHORIZATION)
     return Call(
         request_id=RequestId(item_id),
         method="POST",
         target=submitted.path,
         headers=(
             *own,
-            *(h for h in submitted.headers if h[0].lower() not in named),
+            *(h for h in submitted.headers if h[0].lower() not in dropped),
         ),
         body=submitted.body,
         arrived_ms=0,
         shared_parts=shared_parts(by_name.get(PROMPT_PARTS, "")),
         tokens=submitted.item.tokens,
+        workspace=job.workspace,
     )
 
 
--- a/dahliashunt/platform/job_calls.py
+++ b/dahliashunt/platform/job_calls.py
@@ -10,7 +10,9 @@
 from dahliashunt.errors import RequestError
 from dahliashunt.forwarding.catalog import Route
 from dahliashunt.forwarding.node import Node
+from dahliashunt.forwarding.workspaces import Workspace
 from dahliashunt.ids import JobId
+from dahliashunt.ids import WorkspaceId
 from dahliashunt.jobs.model import Job
 from dahliashunt.jobs.model import JobState
 from dahliashunt.platform.job_bodies import decode_submission
@@ -121,14 +123,31 @@
             item_id=fields.get("id", [""])[0],
         )
 
-    async def answer(self, about: AboutJob, exchange) -> None:
-        """Answer a call about a job that exists."""
+    async def answer(
+        self, about: AboutJob, workspace: Workspace | None, exchange
+    ) -> None:
+        """Answer a call about a job.
+
+        To another workspace it is as if there were no such job. A job that
+        belongs to nobody came without a key, and may be read without one.
+        """
         job = await self._ledger.find(about.job_id)
         if job is None:
-            raise RequestError(ErrorKind.NOT_FOUND, "there is no such job")
+            raise _no_job()
+        if job.workspace and self._node.asks_for_keys:
+            self._node.demand_key(workspace)
+            if job.workspace != _id_of(workspace):
+                raise _no_job()
         await self._answer_by_verb[about.verb](job, about, exchange)
 
-    async def submit(self, route: Route, headers, body, exchange) -> None:
+    async def submit(
+        self,
+        route: Route,
+        workspace: Workspace | None,
+        headers,
+        body,
+        exchange,
+    ) -> None:
         """Accept a job; 202 means that it is kept for good."""
         node = self._node
         job_id = JobId(headers.get(REQUEST_ID, ""))
@@ -150,6 +169,7 @@
             payload=f"job-{job_id}-{digest}",
             accepted_ms=self._store.now_ms(),
             accepted_by=self._ledger.owner,
+            workspace=_id_of(workspace),
         )
         is_new = await self._ledger.accept(job, body, route.max_waiting_tokens)
         event = "job_accepted" if is_new else "job_repeated"
@@ -158,6 +178,7 @@
             event,
             job_id=job_id,
             route=route.name,
+            workspace=job.workspace,
             items=len(items),
             tokens=job.tokens,
         )
@@ -201,3 +222,11 @@
         await self._ledger.set_state(job.job_id, JobState.ENDED)
         self._node.log.info("job_ended", job_id=job.job_id)
         await exchange.whole(200, [], b"")
+
+
+def _id_of(workspace):
+    return workspace.workspace_id if workspace else WorkspaceId("")
+
+
+def _no_job():
+    return RequestError(ErrorKind.NOT_FOUND, "there is no such job")
--- a/dahliashunt/platform/names.py
+++ b/dahliashunt/platform/names.py
@@ -2,9 +2,11 @@
 
 __all__ = [
     "ANSWERED_BY",
+    "AUTHORIZATION",
     "BUDGET",
     "EXPECTED_REPLICA",
     "HOP_BY_HOP",
+    "KEY_SCHEME",
     "LAST_EVENT",
     "NOT_RUN",
     "POLL_WAIT",
@@ -12,6 +14,7 @@
     "REQUEST_ID",
     "SIGNATURE",
     "TOKENS",
+    "WORKSPACE",
 ]
 
 REQUEST_ID = "dahliashunt-request-id"
@@ -30,6 +33,13 @@
 LAST_EVENT = "last-event-id"
 POLL_WAIT = "dahliashunt-poll-wait-ms"
 
+AUTHORIZATION = "authorization"
+KEY_SCHEME = "Token"
+"""Callers send ``Authorization: Token KEY``."""
+
+WORKSPACE = "dahliashunt-tenant"
+"""Set here alone; the platform says tenant where we say workspace."""
+
 HOP_BY_HOP = frozenset(
     (
         "connection",
--- a/dahliashunt/platform/operator.py
+++ b/dahliashunt/platform/operator.py
@@ -1,6 +1,7 @@
 """The operator's configuration and the list of replicas, decoded."""
 
 import json
+import math
 
 from dahliashunt.forwarding.catalog import BrokenRoute
 from dahliashunt.forwarding.catalog import Catalog
@@ -10,8 +11,13 @@
 from dahliashunt.forwarding.catalog import RouteKind
 from dahliashunt.forwarding.catalog import Service
 from dahliashunt.forwarding.replicas import Replica
+from dahliashunt.forwarding.workspaces import BrokenWorkspace
+from dahliashunt.forwarding.workspaces import Workspace
+from dahliashunt.forwarding.workspaces import Workspaces
 from dahliashunt.ids import DataCentreId
 from dahliashunt.ids import Revision
+from dahliashunt.ids import WorkspaceId
+from dahliashunt.key_digest import key_digest
 
 __all__ = ["Undecodable", "decode_catalog", "decode_replica"]
 
@@ -45,6 +51,7 @@
             services=tuple(_service(each) for each in fields["services"]),
             limits=_limits(limits),
             broken=tuple(r for r in found if isinstance(r, BrokenRoute)),
+            workspaces=_workspaces(fields.get("tenants")),
         )
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise Undecodable(f"configuration: {error!r}") from None
@@ -100,9 +107,57 @@
         abandon_ms=int(1000 * (fields.get("max-wait-s") or 0)),
         # Of tokens that wait, not of requests.
         max_waiting_tokens=int(fields.get("cap") or 0),
+        public=bool(fields.get("public")),
     )
 
 
+def _workspaces(found):
+    """Return the workspaces, or None where callers need no key."""
+    if found is None:
+        return None
+    decoded = [_workspace_or_broken(each) for each in found]
+    return Workspaces(
+        (each for each in decoded if isinstance(each, Workspace)),
+        (each for each in decoded if isinstance(each, BrokenWorkspace)),
+    )
+
+
+def _workspace_or_broken(fields):
+    """Return the workspace; errors are told by type alone.
+
+    The text of an error may quote what could not be read: a key.
+    """
+    name, digests = "", None
+    try:
+        name = str(fields.get("name", ""))
+        digests = tuple(key_digest(_text(k)) for k in fields["api-keys"])
+        return _workspace(fields, digests)
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        return BrokenWorkspace(name, digests, type(error).__name__)
+
+
+def _workspace(fields, digests):
+    rank = fields.get("priority")
+    name = _text(fields["name"])
+    if not name:
+        raise ValueError("a workspace without a name")
+    return Workspace(
+        workspace_id=WorkspaceId(name),
+        digests=digests,
+        rank=None if rank is None else int(rank),
+        rate=_limit(fields.get("rate-per-s")),
+        burst=_limit(fields.get("burst")),
+    )
+
+
+def _limit(value):
+    """Return a number of requests; one below 0 bounds nothing."""
+    number = float(value or 0)
+    if not 0 <= number < math.inf:
+        raise ValueError("a limit is below 0 or no number")
+    return number
+
+
 def _text(value):
     if not isinstance(value, str):
         raise TypeError(f"{value!r} is no text")
--- a/dahliashunt/platform/standins/caller.py
+++ b/dahliashunt/platform/standins/caller.py
@@ -7,11 +7,13 @@
 
 from dahliashunt.adapters.http1 import encode_request
 from dahliashunt.adapters.http1 import End
+from dahliashunt.platform.names import AUTHORIZATION
 from dahliashunt.platform.names import BUDGET
 from dahliashunt.platform.names import LAST_EVENT
 from dahliashunt.platform.names import POLL_WAIT
 from dahliashunt.platform.names import PROMPT_PARTS
 from dahliashunt.platform.names import REQUEST_ID
+from dahliashunt.platform.names import WORKSPACE
 
 __all__ = [
     "JobItem",
@@ -29,6 +31,8 @@
     "budget_ms": BUDGET,
     "wait_ms": POLL_WAIT,
     "last_event": LAST_EVENT,
+    "authorization": AUTHORIZATION,
+    "workspace": WORKSPACE,
 }
 
 
@@ -80,7 +84,8 @@
     Parameters
     ----------
     **fields
-        ``request_id``, ``budget_ms``, ``wait_ms``, ``last_event``.
+        ``request_id``, ``budget_ms``, ``wait_ms``, ``last_event``,
+        ``authorization``, ``workspace``.
     """
     fields = {"request_id": "r1", "budget_ms": "3000", **fields}
     headers = [("Host", host)]
--- a/dahliashunt/platform/standins/settings.py
+++ b/dahliashunt/platform/standins/settings.py
@@ -11,6 +11,7 @@
     "route_fields",
     "settings_fields",
     "stream_route",
+    "workspace_fields",
 ]
 
 UNREADABLE_REPLICAS = (b"\xff{", "[]", {"address": 7}, {"state": "ready"})
@@ -59,14 +60,34 @@
     return {**fields, **changed}
 
 
+def workspace_fields(name: str, *keys: str, **changed) -> dict:
+    """Return a workspace of the operator's configuration."""
+    fields = {"name": name, "api-keys": list(keys)}
+    return {**fields, **changed}
+
+
 def config_fields(
-    routes, version: int = 1, engine: bool = True, slots: int = 2
+    routes,
+    version: int = 1,
+    engine: bool = True,
+    slots: int = 2,
+    workspaces=None,
 ) -> dict:
-    """Return a configuration with one service called llm."""
+    """Return a configuration with one service called llm.
+
+    Callers need keys where `workspaces` are given.
+    """
     service = {"name": "llm", "health-path": "/health", "max-conns": 100}
     if engine:
         service["engine"] = {"slots": slots, "kv-capacity": 100_000}
-    return {"version": version, "routes": list(routes), "services": [service]}
+    fields = {
+        "version": version,
+        "routes": list(routes),
+        "services": [service],
+    }
+    if workspaces is not None:
+        fields["tenants"] = list(workspaces)
+    return fields
 
 
 def replica_fields(address: tuple[str, int], **changed) -> dict:
--- /dev/null
+++ b/dahliashunt/platform/tests/test_keys.py
@@ -0,0 +1,293 @@
+"""Callers known by their keys, on every way to a replica."""
+
+import json
+
+import pytest
+from structlog.testing import capture_logs
+
+from dahliashunt.platform.operator import decode_catalog
+from dahliashunt.platform.standins.settings import config_fields
+from dahliashunt.platform.standins.settings import route_fields
+from dahliashunt.platform.standins.settings import workspace_fields
+from dahliashunt.platform.tests.test_jobs import job_body
+from dahliashunt.platform.tests.test_jobs import read
+from dahliashunt.platform.tests.test_jobs import read_all
+from dahliashunt.platform.tests.test_jobs import ROUTE as JOB_ROUTE
+from dahliashunt.platform.tests.test_jobs import submit
+
+OURS = "Token k-ours"
+OUR_SECOND = "token k-ours-2"
+THEIRS = "Token k-theirs"
+NAME = "dahliashunt-tenant"
+
+WORKSPACES = (
+    workspace_fields("ours", "k-ours", "k-ours-2"),
+    workspace_fields("theirs", "k-theirs"),
+)
+ROUTES = (
+    route_fields(kind="idempotent", resumable=False),
+    route_fields(name="r-2", prefix="/s/"),
+    route_fields(name="open", prefix="/o/", kind="idempotent", public=True),
+    JOB_ROUTE,
+)
+
+
+@pytest.fixture
+def keyed(platform):
+    """Return ``play(scenario)`` with callers who need keys."""
+
+    def play(scenario, workspaces=WORKSPACES, **how):
+        config = config_fields(ROUTES, engine=False, workspaces=workspaces)
+        return platform(scenario, config=config, **how)
+
+    return play
+
+
+def reconfigure(p, *workspaces):
+    """Put version 2 in force; return a condition that says that it is."""
+    p.store.configure(
+        config_fields(ROUTES, version=2, engine=False, workspaces=workspaces)
+    )
+    return lambda: all(e.node.catalog.revision == 2 for e in p.entries)
+
+
+def seen(p):
+    return [a for r in p.replicas for a in r.arrivals]
+
+
+def test_a_replica_is_told_the_workspace_and_never_the_key(keyed):
+    """Guards against a replica that learns keys or believes a caller."""
+
+    async def scenario(p):
+        answer = await p.call(authorization=OUR_SECOND, workspace="theirs")
+        assert answer.status == 200
+        (arrival,) = seen(p)
+        assert arrival.headers[NAME] == "ours"
+        assert "authorization" not in arrival.headers
+
+    keyed(scenario)
+
+
+@pytest.mark.parametrize(
+    "headers",
+    [{}, {"authorization": "Token no"}, {"authorization": "Bearer k-ours"}],
+)
+def test_an_unknown_key_is_refused_with_a_challenge(keyed, headers):
+    """Guards against a stranger's request that runs."""
+
+    async def scenario(p):
+        for target in ("/a/x", "/s/x", "/j/j1"):
+            answer = await p.call("POST", target, job_body("a"), **headers)
+            assert answer.status == 401
+            assert answer.head.get("www-authenticate") == "Token"
+            assert answer.head.get("retry-after") is None
+        assert seen(p) == []
+
+    keyed(scenario)
+
+
+def test_a_public_route_needs_no_key(keyed):
+    """Guards against a public route that asks for keys or passes them."""
+
+    async def scenario(p):
+        assert (await p.call(target="/o/1", workspace="x")).status == 200
+        assert (
+            await p.call(target="/o/2", authorization="Token no")
+        ).status == 200
+        assert (await p.call(target="/o/3", authorization=OURS)).status == 200
+        names = [arrival.headers.get(NAME) for arrival in seen(p)]
+        assert names == [None, None, "ours"]
+        assert all("authorization" not in a.headers for a in seen(p))
+
+    keyed(scenario)
+
+
+def test_without_workspaces_no_key_is_asked_for(platform):
+    """Guards against a change for deployments that know no keys."""
+
+    async def scenario(p):
+        answer = await p.call(authorization="Basic abc", workspace="x")
+        assert answer.status == 200
+        (arrival,) = seen(p)
+        assert arrival.headers["authorization"] == "Basic abc"
+        assert NAME not in arrival.headers
+
+    platform(scenario, ROUTES[0])
+
+
+def test_a_resumed_stream_runs_for_the_same_workspace(keyed):
+    """Guards against a second attempt without the workspace's name."""
+
+    async def scenario(p):
+        for replica in p.replicas:
+            replica.then(events=6, cut_after=3).then(events=6)
+        answer = await p.call(target="/s/x", authorization=THEIRS)
+        assert answer.whole
+        assert [a.headers[NAME] for a in seen(p)] == ["theirs", "theirs"]
+        assert all("authorization" not in a.headers for a in seen(p))
+
+    keyed(scenario, replicas=2)
+
+
+def test_a_key_taken_away_stops_requests_on_open_connections(keyed):
+    """Guards against keys that live on with their connections."""
+
+    async def scenario(p):
+        assert (await p.call(authorization=OURS)).status == 200
+        theirs = WORKSPACES[1]
+        kept = workspace_fields("ours", "k-ours-2")
+        moved = workspace_fields("theirs", "k-theirs", "k-ours")
+        await p.until(reconfigure(p, kept, theirs))
+        assert (await p.call(authorization=OURS)).status == 401
+        assert (await p.call(authorization=OUR_SECOND)).status == 200
+        p.store.configure(
+            config_fields(
+                ROUTES, version=3, engine=False, workspaces=(kept, moved)
+            )
+        )
+        await p.until(lambda: p.entries[0].node.catalog.revision == 3)
+        assert (await p.call(authorization=OURS)).status == 200
+        assert seen(p)[-1].headers[NAME] == "theirs"
+
+    keyed(scenario)
+
+
+def test_without_a_configuration_nobody_is_called_a_stranger(keyed):
+    """Guards against a final refusal by an entry that has just started."""
+
+    async def scenario(p):
+        node = p.entries[0].node
+        catalog, node.catalog = node.catalog, None
+        node._started_ms -= 10_000
+        for target in ("/a/x", "/j/j1"):
+            answer = await p.call("POST", target, authorization="Token no")
+            assert answer.status == 503
+            assert float(answer.head.get("retry-after")) > 0
+        answer = await read(p, authorization="Token no")
+        assert answer.status == 503
+        node.catalog = catalog
+
+    keyed(scenario)
+
+
+def test_an_entry_without_the_store_calls_nobody_a_stranger(keyed):
+    """Guards against 401 for a key that a newer revision added."""
+
+    async def scenario(p):
+        p.entries[0].node.config_heard = lambda: None
+        assert (await p.call(authorization="Token new")).status == 503
+        assert (await p.call(authorization=OURS)).status == 200
+
+    keyed(scenario)
+
+
+def test_an_unreadable_workspace_harms_only_itself(keyed):
+    """Guards against one broken entry that locks out everybody."""
+    broken = workspace_fields("bad", "k-bad", **{"rate-per-s": "many"})
+    no_keys = {"name": "worse", "api-keys": 7}
+
+    async def scenario(p):
+        assert (await p.call(authorization=OURS)).status == 200
+        assert (await p.call(authorization="Token k-bad")).status == 503
+        assert (await p.call(authorization="Token no")).status == 503
+        await p.until(reconfigure(p, *WORKSPACES, broken))
+        assert (await p.call(authorization="Token k-bad")).status == 503
+        assert (await p.call(authorization="Token no")).status == 401
+
+    keyed(scenario, workspaces=(*WORKSPACES, broken, no_keys, "k-odd"))
+
+
+def test_a_job_is_its_workspaces_alone(keyed):
+    """Guards against a job that another workspace reads or ends."""
+
+    async def scenario(p):
+        p.replicas[0].then(events=2)
+        assert (await submit(p, authorization=OURS)).status == 202
+        await read_all(p, authorization=OURS)
+        for target in ("/api/lots/j1", "/api/items/j1?id=a"):
+            answer = await p.call("GET", target, authorization=THEIRS)
+            assert answer.status == 404
+            assert (await p.call("GET", target)).status == 401
+        ended = await p.call("DELETE", "/api/lots/j1", authorization=THEIRS)
+        assert ended.status == 404
+        kept = workspace_fields("ours", "k-new")
+        await p.until(reconfigure(p, kept, WORKSPACES[1]))
+        assert (await read(p, authorization=OURS)).status == 401
+        answer = await read(p, authorization="Token k-new")
+        assert len(answer.json()["results"]) == 2
+        arrivals = [a for a in seen(p) if a.target.startswith("/j/")]
+        assert {a.headers[NAME] for a in arrivals} == {"ours"}
+
+    keyed(scenario)
+
+
+def test_an_items_own_headers_name_no_workspace(keyed):
+    """Guards against a submitter that runs items in another's name."""
+    forged = {"Dahliashunt-Tenant": "theirs", "Authorization": THEIRS}
+    fields = json.loads(job_body("a"))
+    fields["requests"][0]["headers"].update(forged)
+
+    async def scenario(p):
+        p.replicas[0].then(events=1)
+        body = json.dumps(fields).encode()
+        await submit(p, body=body, authorization=OURS)
+        await read_all(p, authorization=OURS)
+        (arrival,) = [a for a in seen(p) if a.request_id == "a"]
+        assert arrival.headers[NAME] == "ours"
+        assert "authorization" not in arrival.headers
+
+    keyed(scenario)
+
+
+def test_waiting_tokens_are_capped_for_each_workspace(keyed):
+    """Guards against one workspace's jobs that shut out the others'."""
+
+    async def scenario(p):
+        p.replicas[0].then(events=1, gap_ms=60_000)
+        full = job_body(*(f"i{n}" for n in range(10)))
+        assert (await submit(p, "j1", full, authorization=OURS)).status == 202
+        refused = await submit(p, "j2", authorization=OUR_SECOND)
+        assert refused.status == 429
+        assert float(refused.head.get("retry-after")) > 0
+        assert (await submit(p, "j3", authorization=THEIRS)).status == 202
+        ended = await p.call("DELETE", "/api/lots/j1", authorization=OURS)
+        assert ended.status == 200
+        assert (await submit(p, "j2", authorization=OURS)).status == 202
+
+    keyed(scenario)
+
+
+def test_no_key_is_ever_written_anywhere(keyed):
+    """Guards against keys in logs, metrics, pages and error texts."""
+
+    async def scenario(p):
+        answers = [
+            await p.call(authorization="Token k-nobody"),
+            await p.call(authorization=OURS),
+            await submit(p, authorization=OURS),
+            await p.call(target="/none/", authorization=OURS),
+        ]
+        entry = p.entries[0]
+        texts = [a.body.decode("latin-1") for a in answers]
+        texts += [str(a.head.headers) for a in answers]
+        texts.append(entry.node.metrics.text())
+        texts.append(json.dumps(entry.explainer.explain("a.example", "/a/")))
+        texts.append(json.dumps(entry.explainer.routes(0)))
+        texts.append(repr(entry.node.catalog))
+        return texts
+
+    odd = {"name": "odd", "api-keys": ["k-odd"], "priority": "k-mixed-up"}
+    with capture_logs() as lines:
+        texts = keyed(scenario, workspaces=(*WORKSPACES, odd))
+    texts += [repr(line) for line in lines]
+    for key in ("k-ours", "k-theirs", "k-nobody", "k-odd", "k-mixed-up"):
+        assert not [text for text in texts if key in text], key
+
+
+def test_of_two_workspaces_with_one_key_every_entry_takes_the_same():
+    """Guards against entries that serve one key in two names."""
+    for order in ((0, 1), (1, 0)):
+        both = [workspace_fields(name, "k") for name in ("b", "a")]
+        fields = config_fields((), workspaces=[both[n] for n in order])
+        catalog = decode_catalog(json.dumps(fields))
+        assert catalog.workspaces.of_key("k").workspace_id == "a"
--- a/dahliashunt/records/callers.py
+++ b/dahliashunt/records/callers.py
@@ -16,16 +16,16 @@
 
 from array import array
 from dataclasses import dataclass
-import hashlib
 
 from dahliashunt.decisions.events import CallerLimits
 from dahliashunt.ids import CallerId
 from dahliashunt.ids import ModelId
+from dahliashunt.key_digest import DIGEST_BYTES
+from dahliashunt.key_digest import key_digest
 from dahliashunt.records.record import canonical_json
 
 __all__ = ["BatchLimits", "Caller", "CallerIndex", "CallerProfile"]
 
-DIGEST_BYTES = 16
 ALL = "*"
 
 
@@ -65,11 +65,6 @@
     profile: CallerProfile
 
 
-def key_digest(key: str) -> bytes:
-    """Return the digest of an API key as the index holds it."""
-    return hashlib.sha256(key.encode()).digest()[:DIGEST_BYTES]
-
-
 def profile_of(spec: dict) -> CallerProfile:
     """Return the profile of a version 2 spec."""
     limits = spec.get("limits", {})
@@ -97,6 +92,7 @@
 
     Examples
     --------
+    >>> import hashlib
     >>> index = CallerIndex()
     >>> digest = hashlib.sha256(b"secret").hexdigest()
     >>> spec = {"keys": [{"id": "a", "sha256": digest}]}
