Limits of workspaces that bind all entries together

Change: a registry of policies (decisions/rate_limits.py). 'metered', the default: three agents, chosen by rendezvous among the machines of model replicas, count each workspace. Far from the limit an entry lets in and reports in batches; near it, it asks, and a meter grants one after another and gives refused callers turns. An entry that less than half of the meters answer goes by its share, and meters hold back the shares of entries that they have not heard for 2.2 s. 'equal-share', the baseline, asks nobody. What does not run is given back. No store call, no state that must last.

Without a network (decisions/tests/cap_play.py, 29 entries, 21 agents, a limit of 20 a second and 20 at once, within 5 requests): held to the bound of each 5 s window at nine times the limit, with entries and meters killed, two halves cut for 12 s, messages lost and doubled, entries frozen, a limit lowered that some have not heard of; and 60 histories of hypothesis. A caller on two entries at 0.6 of its limit: nothing refused; by equal shares over half of it.

Failed tries on the way: totals that held undecided requests (a reordered question counted as granted: 176 let in at one moment after a freeze); a restarted meter taken at its word (+8 over the bound); a majority that granted the whole limit while the others gave their shares (+19).

--- a/dahliashunt/adapters/slots/client.py
+++ b/dahliashunt/adapters/slots/client.py
@@ -4,12 +4,15 @@
 from dataclasses import dataclass
 
 from dahliashunt.adapters.slots.datagrams import open_datagrams
+from dahliashunt.adapters.slots.use import decode_reading
+from dahliashunt.adapters.slots.use import encode_report
 from dahliashunt.adapters.wire.gen.link.ttypes import SlotAsk
 from dahliashunt.adapters.wire.gen.link.ttypes import SlotFrame
 from dahliashunt.adapters.wire.gen.link.ttypes import SlotHeld
 from dahliashunt.adapters.wire.gen.link.ttypes import SlotRelease
 from dahliashunt.adapters.wire.gen.link.ttypes import SlotUse
 from dahliashunt.adapters.wire.gen.link.ttypes import SlotVerdict
+from dahliashunt.decisions.meter_messages import Report
 from dahliashunt.decisions.slot_messages import KeeperState
 from dahliashunt.decisions.slot_messages import Use
 from dahliashunt.decisions.slot_messages import Verdict
@@ -93,6 +96,12 @@
     Parameters
     ----------
     clock : Clock
+
+    Attributes
+    ----------
+    known_by_address : dict
+    on_reading : callable
+        Called with an agent's host and each `Reading` of it.
     """
 
     def __init__(self, clock: Clock):
@@ -101,6 +110,7 @@
         self._asked_by_id: dict[str, _Asked] = {}
         self.known_by_address: dict[tuple[str, int], Known] = {}
         self._unanswered_by_address: dict[tuple[str, int], _Unanswered] = {}
+        self.on_reading = lambda host, reading: None
 
     async def start(self, host: str, port: int) -> None:
         """Open the socket."""
@@ -205,6 +215,11 @@
                 address, _Unanswered(now_ms)
             )
 
+    def tell_use(self, address: tuple[str, int], report: Report) -> None:
+        """Send a report of a workspace's use to the agent at `address`."""
+        frame = SlotFrame(use_report=encode_report(report))
+        self._datagrams.send(frame, address)
+
     def probe(self) -> None:
         """Ask silent agents for their states again.
 
@@ -223,7 +238,9 @@
 
     def _received(self, frame, address):
         self._unanswered_by_address.pop(address, None)
-        if frame.answer is not None:
+        if frame.use_reading is not None:
+            self.on_reading(address[0], decode_reading(frame.use_reading))
+        elif frame.answer is not None:
             self._learn(frame.answer.state, address)
             self._answered(frame.answer, address)
         elif frame.state is not None:
--- a/dahliashunt/adapters/slots/server.py
+++ b/dahliashunt/adapters/slots/server.py
@@ -1,12 +1,15 @@
 """An agent's side: ask the keeper's decisions and send them."""
 
 from dahliashunt.adapters.slots.datagrams import open_datagrams
+from dahliashunt.adapters.slots.use import decode_report
+from dahliashunt.adapters.slots.use import encode_reading
 from dahliashunt.adapters.wire.gen.link.ttypes import SlotAnswer
 from dahliashunt.adapters.wire.gen.link.ttypes import SlotFrame
 from dahliashunt.adapters.wire.gen.link.ttypes import SlotRevoke
 from dahliashunt.adapters.wire.gen.link.ttypes import SlotState
 from dahliashunt.adapters.wire.gen.link.ttypes import SlotUse
 from dahliashunt.adapters.wire.gen.link.ttypes import SlotVerdict
+from dahliashunt.decisions.meter import Meter
 from dahliashunt.decisions.slot_keeper import SlotKeeper
 from dahliashunt.decisions.slot_messages import Answered
 from dahliashunt.decisions.slot_messages import Ask
@@ -31,7 +34,7 @@
 
 
 class SlotServer:
-    """Serves one `SlotKeeper` over datagrams.
+    """Serves one `SlotKeeper`, and one `Meter`, over datagrams.
 
     Parameters
     ----------
@@ -48,6 +51,7 @@
         self._clock = clock
         self._metrics = metrics
         self._log = log
+        self.meter = Meter()
         self._datagrams = None
         self._heard_ms_by_asker: dict[tuple[str, int], int] = {}
         self._last_state = None
@@ -69,6 +73,10 @@
 
     def _received(self, frame, asker):
         now_ms = self._clock.now_ms()
+        self.meter.heard.note(now_ms, asker)
+        if frame.use_report is not None:
+            self._metered(now_ms, frame.use_report, asker)
+            return
         self._heard_ms_by_asker[asker] = now_ms
         if frame.ask is not None:
             self._send_all(self.keeper.ask(_ask(frame.ask, asker), now_ms))
@@ -81,6 +89,14 @@
             # nothing new to say from one that is gone.
             self._datagrams.send(SlotFrame(state=self._state()), asker)
 
+    def _metered(self, now_ms, wire, asker):
+        reading = self.meter.report(now_ms, asker, decode_report(wire))
+        self._metrics.count("use_reports")
+        if wire.wanted and reading.granted < wire.wanted:
+            self._metrics.count("use_refused", wire.wanted - reading.granted)
+        frame = SlotFrame(use_reading=encode_reading(reading))
+        self._datagrams.send(frame, asker)
+
     def report(self, running: frozenset, waiting: int) -> None:
         """Take over what the replica says, and act on it."""
         now_ms = self._clock.now_ms()
--- a/dahliashunt/adapters/wire/gen/link/ttypes.py
+++ b/dahliashunt/adapters/wire/gen/link/ttypes.py
@@ -2958,6 +2958,439 @@
         return not (self == other)
 
 
+class UseReport(object):
+    """
+    Attributes:
+     - workspace
+     - life
+     - sequence
+     - total
+     - since
+     - wanted
+     - rate
+     - room
+     - revision
+
+    """
+
+    __slots__ = (
+        'workspace',
+        'life',
+        'sequence',
+        'total',
+        'since',
+        'wanted',
+        'rate',
+        'room',
+        'revision',
+    )
+
+
+    def __init__(self, workspace=None, life=None, sequence=None, total=None, since=None, wanted=None, rate=None, room=None, revision=None,):
+        self.workspace = workspace
+        self.life = life
+        self.sequence = sequence
+        self.total = total
+        self.since = since
+        self.wanted = wanted
+        self.rate = rate
+        self.room = room
+        self.revision = revision
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.workspace = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.life = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.sequence = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.total = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.since = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.wanted = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.DOUBLE:
+                    self.rate = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.DOUBLE:
+                    self.room = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('UseReport')
+        if self.workspace is not None:
+            oprot.writeFieldBegin('workspace', TType.I64, 1)
+            oprot.writeI64(self.workspace)
+            oprot.writeFieldEnd()
+        if self.life is not None:
+            oprot.writeFieldBegin('life', TType.I32, 2)
+            oprot.writeI32(self.life)
+            oprot.writeFieldEnd()
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I32, 3)
+            oprot.writeI32(self.sequence)
+            oprot.writeFieldEnd()
+        if self.total is not None:
+            oprot.writeFieldBegin('total', TType.I64, 4)
+            oprot.writeI64(self.total)
+            oprot.writeFieldEnd()
+        if self.since is not None:
+            oprot.writeFieldBegin('since', TType.I64, 5)
+            oprot.writeI64(self.since)
+            oprot.writeFieldEnd()
+        if self.wanted is not None:
+            oprot.writeFieldBegin('wanted', TType.I32, 6)
+            oprot.writeI32(self.wanted)
+            oprot.writeFieldEnd()
+        if self.rate is not None:
+            oprot.writeFieldBegin('rate', TType.DOUBLE, 7)
+            oprot.writeDouble(self.rate)
+            oprot.writeFieldEnd()
+        if self.room is not None:
+            oprot.writeFieldBegin('room', TType.DOUBLE, 8)
+            oprot.writeDouble(self.room)
+            oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 9)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class UseLimit(object):
+    """
+    Attributes:
+     - rate
+     - room
+     - revision
+
+    """
+
+    __slots__ = (
+        'rate',
+        'room',
+        'revision',
+    )
+
+
+    def __init__(self, rate=None, room=None, revision=None,):
+        self.rate = rate
+        self.room = room
+        self.revision = revision
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.DOUBLE:
+                    self.rate = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.room = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('UseLimit')
+        if self.rate is not None:
+            oprot.writeFieldBegin('rate', TType.DOUBLE, 1)
+            oprot.writeDouble(self.rate)
+            oprot.writeFieldEnd()
+        if self.room is not None:
+            oprot.writeFieldBegin('room', TType.DOUBLE, 2)
+            oprot.writeDouble(self.room)
+            oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 3)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class UseReading(object):
+    """
+    Attributes:
+     - workspace
+     - life
+     - sequence
+     - counted
+     - level
+     - mature
+     - granted
+     - wait_ms
+     - entries
+     - newer
+
+    """
+
+    __slots__ = (
+        'workspace',
+        'life',
+        'sequence',
+        'counted',
+        'level',
+        'mature',
+        'granted',
+        'wait_ms',
+        'entries',
+        'newer',
+    )
+
+
+    def __init__(self, workspace=None, life=None, sequence=None, counted=None, level=None, mature=None, granted=None, wait_ms=None, entries=None, newer=None,):
+        self.workspace = workspace
+        self.life = life
+        self.sequence = sequence
+        self.counted = counted
+        self.level = level
+        self.mature = mature
+        self.granted = granted
+        self.wait_ms = wait_ms
+        self.entries = entries
+        self.newer = newer
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.workspace = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.life = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.sequence = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.counted = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.DOUBLE:
+                    self.level = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.mature = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.granted = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.wait_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I32:
+                    self.entries = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.STRUCT:
+                    self.newer = UseLimit()
+                    self.newer.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('UseReading')
+        if self.workspace is not None:
+            oprot.writeFieldBegin('workspace', TType.I64, 1)
+            oprot.writeI64(self.workspace)
+            oprot.writeFieldEnd()
+        if self.life is not None:
+            oprot.writeFieldBegin('life', TType.I32, 2)
+            oprot.writeI32(self.life)
+            oprot.writeFieldEnd()
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I32, 3)
+            oprot.writeI32(self.sequence)
+            oprot.writeFieldEnd()
+        if self.counted is not None:
+            oprot.writeFieldBegin('counted', TType.I64, 4)
+            oprot.writeI64(self.counted)
+            oprot.writeFieldEnd()
+        if self.level is not None:
+            oprot.writeFieldBegin('level', TType.DOUBLE, 5)
+            oprot.writeDouble(self.level)
+            oprot.writeFieldEnd()
+        if self.mature is not None:
+            oprot.writeFieldBegin('mature', TType.BOOL, 6)
+            oprot.writeBool(self.mature)
+            oprot.writeFieldEnd()
+        if self.granted is not None:
+            oprot.writeFieldBegin('granted', TType.I32, 7)
+            oprot.writeI32(self.granted)
+            oprot.writeFieldEnd()
+        if self.wait_ms is not None:
+            oprot.writeFieldBegin('wait_ms', TType.I32, 8)
+            oprot.writeI32(self.wait_ms)
+            oprot.writeFieldEnd()
+        if self.entries is not None:
+            oprot.writeFieldBegin('entries', TType.I32, 9)
+            oprot.writeI32(self.entries)
+            oprot.writeFieldEnd()
+        if self.newer is not None:
+            oprot.writeFieldBegin('newer', TType.STRUCT, 10)
+            self.newer.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class SlotFrame(object):
     """
     Attributes:
@@ -2967,6 +3400,8 @@
      - release
      - revoke
      - state
+     - use_report
+     - use_reading
 
     """
 
@@ -2977,16 +3412,20 @@
         'release',
         'revoke',
         'state',
+        'use_report',
+        'use_reading',
     )
 
 
-    def __init__(self, ask=None, answer=None, held=None, release=None, revoke=None, state=None,):
+    def __init__(self, ask=None, answer=None, held=None, release=None, revoke=None, state=None, use_report=None, use_reading=None,):
         self.ask = ask
         self.answer = answer
         self.held = held
         self.release = release
         self.revoke = revoke
         self.state = state
+        self.use_report = use_report
+        self.use_reading = use_reading
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3033,6 +3472,18 @@
                     self.state.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRUCT:
+                    self.use_report = UseReport()
+                    self.use_report.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRUCT:
+                    self.use_reading = UseReading()
+                    self.use_reading.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3067,6 +3518,14 @@
             oprot.writeFieldBegin('state', TType.STRUCT, 6)
             self.state.write(oprot)
             oprot.writeFieldEnd()
+        if self.use_report is not None:
+            oprot.writeFieldBegin('use_report', TType.STRUCT, 7)
+            self.use_report.write(oprot)
+            oprot.writeFieldEnd()
+        if self.use_reading is not None:
+            oprot.writeFieldBegin('use_reading', TType.STRUCT, 8)
+            self.use_reading.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3304,6 +3763,40 @@
     None,  # 0
     (1, TType.STRING, 'attempt_id', 'UTF8', None, ),  # 1
 )
+all_structs.append(UseReport)
+UseReport.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'workspace', None, None, ),  # 1
+    (2, TType.I32, 'life', None, None, ),  # 2
+    (3, TType.I32, 'sequence', None, None, ),  # 3
+    (4, TType.I64, 'total', None, None, ),  # 4
+    (5, TType.I64, 'since', None, None, ),  # 5
+    (6, TType.I32, 'wanted', None, None, ),  # 6
+    (7, TType.DOUBLE, 'rate', None, None, ),  # 7
+    (8, TType.DOUBLE, 'room', None, None, ),  # 8
+    (9, TType.I64, 'revision', None, None, ),  # 9
+)
+all_structs.append(UseLimit)
+UseLimit.thrift_spec = (
+    None,  # 0
+    (1, TType.DOUBLE, 'rate', None, None, ),  # 1
+    (2, TType.DOUBLE, 'room', None, None, ),  # 2
+    (3, TType.I64, 'revision', None, None, ),  # 3
+)
+all_structs.append(UseReading)
+UseReading.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'workspace', None, None, ),  # 1
+    (2, TType.I32, 'life', None, None, ),  # 2
+    (3, TType.I32, 'sequence', None, None, ),  # 3
+    (4, TType.I64, 'counted', None, None, ),  # 4
+    (5, TType.DOUBLE, 'level', None, None, ),  # 5
+    (6, TType.BOOL, 'mature', None, None, ),  # 6
+    (7, TType.I32, 'granted', None, None, ),  # 7
+    (8, TType.I32, 'wait_ms', None, None, ),  # 8
+    (9, TType.I32, 'entries', None, None, ),  # 9
+    (10, TType.STRUCT, 'newer', [UseLimit, None], None, ),  # 10
+)
 all_structs.append(SlotFrame)
 SlotFrame.thrift_spec = (
     None,  # 0
@@ -3313,6 +3806,8 @@
     (4, TType.STRUCT, 'release', [SlotRelease, None], None, ),  # 4
     (5, TType.STRUCT, 'revoke', [SlotRevoke, None], None, ),  # 5
     (6, TType.STRUCT, 'state', [SlotState, None], None, ),  # 6
+    (7, TType.STRUCT, 'use_report', [UseReport, None], None, ),  # 7
+    (8, TType.STRUCT, 'use_reading', [UseReading, None], None, ),  # 8
 )
 fix_spec(all_structs)
 del all_structs
--- a/dahliashunt/adapters/wire/link.thrift
+++ b/dahliashunt/adapters/wire/link.thrift
@@ -187,6 +187,37 @@
 
 struct SlotRevoke { 1: string attempt_id; }       // make room: stop it
 
+// Requests of a workspace that an entry let in, told to the agents that
+// count them. Each report says the whole count, so that lost and doubled
+// ones do no harm; a later one has a higher sequence.
+
+struct UseReport {
+  1: i64 workspace;         // digest of its name
+  2: i32 life;              // of the count: another one after a restart
+  3: i32 sequence;
+  4: i64 total;             // let in since the count's start
+  5: i64 since;             // of them this agent is known to have counted
+  6: i32 wanted;            // let in only if the agent grants them
+  7: double rate;           // requests a second
+  8: double room;           // requests at once
+  9: i64 revision;          // of the configuration that says so
+}
+
+struct UseLimit { 1: double rate; 2: double room; 3: i64 revision; }
+
+struct UseReading {
+  1: i64 workspace;
+  2: i32 life;
+  3: i32 sequence;          // of the report
+  4: i64 counted;
+  5: double level;          // of all entries, less what the rate has paid
+  6: bool mature;           // has counted for a whole window
+  7: i32 granted;
+  8: i32 wait_ms;           // until the first one of the others would pass
+  9: i32 entries;           // known to the agent
+  10: optional UseLimit newer;  // the report's limit was an older one
+}
+
 struct SlotFrame {
   1: optional SlotAsk ask;
   2: optional SlotAnswer answer;
@@ -194,4 +225,6 @@
   4: optional SlotRelease release;
   5: optional SlotRevoke revoke;
   6: optional SlotState state;
+  7: optional UseReport use_report;
+  8: optional UseReading use_reading;
 }
--- /dev/null
+++ b/dahliashunt/decisions/tests/cap_play.py
@@ -0,0 +1,264 @@
+"""Entries, meters and a network that loses things, on a virtual clock.
+
+`CapPlay` plays requests of workspaces through the policies of `CAPS` and
+notes which were let in. `overruns` holds these against the bound that the
+limit allows in each window, and `lost` against one exact count.
+"""
+
+import bisect
+from dataclasses import dataclass
+from dataclasses import field
+import heapq
+import itertools
+import random
+
+from dahliashunt.decisions.link_choice import rendezvous_rank
+from dahliashunt.decisions.meter import Meter
+from dahliashunt.decisions.metered import METERS
+from dahliashunt.decisions.rate_limits import Asked
+from dahliashunt.decisions.rate_limits import CAPS
+from dahliashunt.decisions.rate_limits import Level
+from dahliashunt.decisions.rate_limits import Verdict
+
+__all__ = ["CapPlay", "arrivals", "lost", "overruns"]
+
+WINDOW_MS = 5_000
+OVERRUN = 0.1
+SLACK = 20
+TICK_MS = 25
+
+RENEW_MS = 1_000
+
+HOP_MS = (1, 3)
+"""One way between two machines of a region, with both sides' work."""
+
+REPORT_BYTES = 64
+"""A report or a reading with its datagram's headers, as encoded."""
+
+
+@dataclass
+class Request:
+    """One request and what became of it."""
+
+    at_ms: int
+    workspace: int
+    verdict: object = None
+    decided_ms: int = 0
+
+
+@dataclass
+class _Entry:
+    policy: object
+    frozen_until_ms: int = 0
+    pending: dict = field(default_factory=dict)
+    late: list = field(default_factory=list)
+
+
+class CapPlay:
+    """A fleet of entries and meters.
+
+    Parameters
+    ----------
+    policy : str
+        Of `CAPS`.
+    entries, meters : int
+    limit : RateLimit
+        Of every workspace.
+    seed : int
+    known_entries : int, optional
+        What entries know of their number from elsewhere.
+    """
+
+    def __init__(
+        self, policy, entries, meters, limit, seed=0, known_entries=None
+    ):
+        self.rng = random.Random(seed)
+        self.now_ms = 0
+        self.limit_by_entry = dict.fromkeys(range(entries), limit)
+        self.requests: list[Request] = []
+        self.messages = 0
+        self.loss = self.doubling = 0.0
+        self.cut = lambda entry, host: False
+        self._policy = policy
+        self._known = known_entries or entries
+        self._hosts = [f"m{n}" for n in range(meters)]
+        self.meters = {host: Meter() for host in self._hosts}
+        self.entries = {n: self._start(n) for n in range(entries)}
+        self._events = []
+        self._order = itertools.count()
+        self._ticking = set()
+        for number in range(entries):
+            first_ms = self.rng.randrange(RENEW_MS)
+            self.at(first_ms, lambda n=number: self._renew(n))
+
+    def _start(self, number):
+        member = CAPS.get(self._policy)
+        return _Entry(member(lambda: self._known, self._meters_of, self.rng))
+
+    def _meters_of(self, workspace):
+        ranked = sorted(
+            self._hosts,
+            key=lambda host: rendezvous_rank(str(workspace), host),
+            reverse=True,
+        )
+        return tuple(ranked[:METERS])
+
+    # What may happen.
+
+    def at(self, at_ms, act):
+        """Do `act` at a time."""
+        heapq.heappush(self._events, (at_ms, next(self._order), act))
+
+    def kill_entry(self, number):
+        """Lose an entry; a new one comes in its place at once."""
+        self.entries[number] = self._start(number)
+
+    def kill_meter(self, host):
+        """Lose a meter; a new one comes in its place at once."""
+        self.meters[host] = Meter()
+
+    def freeze(self, number, for_ms):
+        """Stop an entry; what comes meanwhile is done when it wakes."""
+        self.entries[number].frozen_until_ms = self.now_ms + for_ms
+        self.at(self.now_ms + for_ms, lambda: self._wake(number))
+
+    def _wake(self, number):
+        entry = self.entries[number]
+        late, entry.late = entry.late, []
+        for act in late:
+            act()
+
+    def _renew(self, number):
+        """Let an entry renew its slots, a sign of life for all meters."""
+        self.at(self.now_ms + RENEW_MS, lambda: self._renew(number))
+        if self.now_ms < self.entries[number].frozen_until_ms:
+            return
+        for host in self._hosts:
+            if not self.cut(number, host):
+                self.meters[host].heard.note(self.now_ms, number)
+
+    # Requests and messages.
+
+    def send(self, at_ms, number, workspace):
+        """Let a caller send a request to an entry."""
+        request = Request(at_ms, workspace)
+        self.requests.append(request)
+        self.at(at_ms, lambda: self._arrive(number, request))
+        return request
+
+    def _arrive(self, number, request):
+        entry = self.entries[number]
+        if self.now_ms < entry.frozen_until_ms:
+            entry.late.append(lambda: self._arrive(number, request))
+            return
+        limit = self.limit_by_entry[number]
+        found = entry.policy.take(self.now_ms, request.workspace, limit)
+        if isinstance(found, Asked):
+            entry.pending[found.number] = request
+        else:
+            self._decide(request, found)
+        self._flush(number)
+
+    def _decide(self, request, verdict):
+        request.verdict, request.decided_ms = verdict, self.now_ms
+
+    def _outcomes(self, number, outcomes):
+        pending = self.entries[number].pending
+        for outcome in outcomes:
+            self._decide(pending.pop(outcome.number), outcome.verdict)
+
+    def _flush(self, number):
+        entry = self.entries[number]
+        for host, report in entry.policy.outbox():
+            self._carry(
+                number,
+                host,
+                lambda h=host, r=report, e=entry: self._reported(
+                    number, h, r, e
+                ),
+            )
+        if entry.policy.is_waiting and number not in self._ticking:
+            self._ticking.add(number)
+            self.at(self.now_ms + TICK_MS, lambda: self._tick(number))
+
+    def _tick(self, number):
+        self._ticking.discard(number)
+        entry = self.entries[number]
+        if self.now_ms < entry.frozen_until_ms:
+            entry.late.append(lambda: self._tick(number))
+            return
+        self._outcomes(number, entry.policy.tick(self.now_ms))
+        self._flush(number)
+
+    def _carry(self, number, host, act):
+        self.messages += 1
+        if self.cut(number, host) or self.rng.random() < self.loss:
+            return
+        copies = 1 + (self.rng.random() < self.doubling)
+        for _ in range(copies):
+            self.at(self.now_ms + self.rng.randint(*HOP_MS), act)
+
+    def _reported(self, number, host, report, entry):
+        reading = self.meters[host].report(self.now_ms, number, report)
+        self._carry(
+            number, host, lambda: self._heard(number, host, reading, entry)
+        )
+
+    def _heard(self, number, host, reading, entry):
+        if self.entries[number] is not entry:
+            return
+        if self.now_ms < entry.frozen_until_ms:
+            entry.late.append(
+                lambda: self._heard(number, host, reading, entry)
+            )
+            return
+        self._outcomes(number, entry.policy.heard(self.now_ms, host, reading))
+        self._flush(number)
+
+    def run(self, until_ms):
+        """Play up to a time."""
+        while self._events and self._events[0][0] <= until_ms:
+            self.now_ms, _, act = heapq.heappop(self._events)
+            act()
+        self.now_ms = until_ms
+
+    def admitted(self, workspace):
+        """Return when requests of a workspace were let in, in order."""
+        return sorted(
+            r.decided_ms
+            for r in self.requests
+            if r.workspace == workspace and r.verdict is Verdict.ADMITTED
+        )
+
+
+def arrivals(rng, rate, from_ms, until_ms):
+    """Return times of a Poisson stream of `rate` requests a second."""
+    times, at_ms = [], float(from_ms)
+    while True:
+        at_ms += rng.expovariate(rate / 1000)
+        if at_ms >= until_ms:
+            return times
+        times.append(int(at_ms))
+
+
+def overruns(play, workspace, limit, burst):
+    """Return the most by which a window is above what is allowed."""
+    times = play.admitted(workspace)
+    allowed = (limit.rate * WINDOW_MS / 1000 + burst) * (1 + OVERRUN) + SLACK
+    worst = -allowed
+    for index, start_ms in enumerate(times):
+        end = bisect.bisect_left(times, start_ms + WINDOW_MS)
+        worst = max(worst, end - index - allowed)
+    return worst
+
+
+def lost(play, workspace, rate, burst):
+    """Return how many requests one exact count would have let in besides."""
+    exact, owed = Level(), 0
+    for request in sorted(play.requests, key=lambda r: r.at_ms):
+        if request.workspace != workspace:
+            continue
+        if exact.at(request.at_ms, rate) + 1 <= burst:
+            exact.add(request.at_ms, rate)
+            owed += 1
+    return owed - len(play.admitted(workspace))
--- /dev/null
+++ b/dahliashunt/forwarding/caps.py
@@ -0,0 +1,224 @@
+"""Holds workspaces to their limits on an entry: decisions put to work."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+import hashlib
+
+from dahliashunt.adapters.slots import SlotClient
+from dahliashunt.decisions.link_choice import choose_links
+from dahliashunt.decisions.link_choice import rendezvous_rank
+from dahliashunt.decisions.metered import METERS
+from dahliashunt.decisions.rate_limits import Asked
+from dahliashunt.decisions.rate_limits import RateLimit
+from dahliashunt.decisions.rate_limits import Refused
+from dahliashunt.errors import ErrorKind
+from dahliashunt.errors import RequestError
+from dahliashunt.forwarding.replicas import ReplicaBook
+from dahliashunt.forwarding.workspaces import Workspace
+from dahliashunt.ids import Revision
+from dahliashunt.ids import WorkspaceId
+from dahliashunt.metrics import Metrics
+from dahliashunt.ports import Clock
+
+__all__ = ["Caps", "MeterChoice"]
+
+TICK_MS = 25
+"""Between looks at questions without answer and untold counts."""
+
+MOST_METER_HOSTS = 64
+"""Agents that count at all: choosing among them takes some 60 us, and more
+would not share the load better, since each workspace has three."""
+
+POOL_NAME = "meters"
+
+
+class MeterChoice:
+    """Which agents count a workspace's requests.
+
+    Chosen by rendezvous among the machines of replicas that have agents, so
+    that all entries choose the same ones, and a replica's restart on its
+    machine changes nothing.
+
+    Parameters
+    ----------
+    book : ReplicaBook
+    has_agents : callable
+        Tells whether a service's replicas have agents beside them.
+    """
+
+    def __init__(self, book: ReplicaBook, has_agents: Callable[[str], bool]):
+        self._book = book
+        self._has_agents = has_agents
+        self._lists: tuple = ()
+        self._hosts: frozenset[str] = frozenset()
+        self._chosen: dict[int, tuple[str, ...]] = {}
+
+    def of_workspace(self, workspace: int) -> tuple[str, ...]:
+        """Return the hosts of a workspace's meters, most wanted first."""
+        self._refresh()
+        chosen = self._chosen.get(workspace)
+        if chosen is None:
+            ranked = sorted(
+                self._hosts,
+                key=lambda host: rendezvous_rank(str(workspace), host),
+                reverse=True,
+            )
+            chosen = self._chosen[workspace] = tuple(ranked[:METERS])
+        return chosen
+
+    def _refresh(self):
+        services = sorted(filter(self._has_agents, self._book.services()))
+        lists = tuple(self._book.of_service(name) for name in services)
+        if _same(lists, self._lists):
+            return
+        self._lists = lists
+        hosts = {replica.host for listed in lists for replica in listed}
+        pool = choose_links(POOL_NAME, hosts, MOST_METER_HOSTS)
+        if pool != self._hosts:
+            self._hosts = pool
+            self._chosen.clear()
+
+
+@dataclass(frozen=True, slots=True)
+class _Question:
+    answer: asyncio.Future
+    key: int
+    limit: RateLimit
+
+
+class Caps:
+    """Lets requests in, or refuses them with the time to come back.
+
+    Parameters
+    ----------
+    policy : object
+        Of `CAPS`.
+    slots : SlotClient
+        Carries reports and readings.
+    agent_port : int
+    allowance : float
+        Requests beyond a burst that may come at once: what is told late
+        must not make a caller refused that is below its limit.
+    clock : Clock
+    metrics : Metrics
+    log : structlog logger
+    """
+
+    def __init__(
+        self,
+        policy,
+        slots: SlotClient,
+        agent_port: int,
+        allowance: float,
+        clock: Clock,
+        metrics: Metrics,
+        log,
+    ):
+        self._policy = policy
+        self._slots = slots
+        self._agent_port = agent_port
+        self._allowance = allowance
+        self._clock = clock
+        self._metrics = metrics
+        self._log = log
+        self._question_by_number: dict[int, _Question] = {}
+        self._wanted = asyncio.Event()
+        slots.on_reading = self._heard
+
+    async def admit(self, workspace: Workspace, revision: Revision) -> None:
+        """Let one request of `workspace` in.
+
+        Raises
+        ------
+        RequestError
+            The workspace is at its limit; nothing was run.
+        """
+        limit = self._limit(workspace, revision)
+        if limit is None:
+            return
+        key = _key(workspace.workspace_id)
+        found = self._policy.take(self._clock.now_ms(), key, limit)
+        if isinstance(found, Asked):
+            answer = asyncio.get_running_loop().create_future()
+            question = _Question(answer, key, limit)
+            self._question_by_number[found.number] = question
+            self._flush()
+            found = await answer
+        else:
+            self._flush()
+        if isinstance(found, Refused):
+            self._refuse(workspace, limit, found)
+
+    def _refuse(self, workspace, limit, refused):
+        self._metrics.count("over_limit")
+        self._log.info(
+            "over_limit",
+            workspace=workspace.workspace_id,
+            rate=limit.rate,
+            room=limit.room,
+            after_ms=refused.after_ms,
+        )
+        raise RequestError(
+            ErrorKind.OVER_LIMIT,
+            "the workspace is at its rate limit",
+            retry_after_ms=refused.after_ms,
+        )
+
+    def give_back(self, workspace: Workspace, revision: Revision) -> None:
+        """Take back a request that was let in and did not run."""
+        limit = self._limit(workspace, revision)
+        if limit is not None:
+            key = _key(workspace.workspace_id)
+            self._policy.give_back(self._clock.now_ms(), key, limit)
+            self._flush()
+
+    def _limit(self, workspace, revision):
+        if not workspace.rate:
+            return None
+        room = max(1.0, workspace.burst + self._allowance)
+        return RateLimit(workspace.rate, room, revision)
+
+    def _heard(self, host, reading):
+        now_ms = self._clock.now_ms()
+        self._settle(self._policy.heard(now_ms, host, reading))
+        self._flush()
+
+    def _settle(self, outcomes):
+        for outcome in outcomes:
+            question = self._question_by_number.pop(outcome.number)
+            if not question.answer.done():
+                question.answer.set_result(outcome.verdict)
+            elif not isinstance(outcome.verdict, Refused):
+                # The caller has left meanwhile.
+                self._policy.give_back(
+                    self._clock.now_ms(), question.key, question.limit
+                )
+
+    def _flush(self):
+        for host, report in self._policy.outbox():
+            self._slots.tell_use((host, self._agent_port), report)
+        if self._policy.is_waiting:
+            self._wanted.set()
+
+    async def run(self) -> None:
+        """Look after questions without answer, for ever."""
+        while True:
+            await self._wanted.wait()
+            self._wanted.clear()
+            while self._policy.is_waiting:
+                await self._clock.sleep_ms(TICK_MS)
+                self._settle(self._policy.tick(self._clock.now_ms()))
+                self._flush()
+
+
+def _same(some, others):
+    return len(some) == len(others) and all(
+        one is other for one, other in zip(some, others, strict=True)
+    )
+
+
+def _key(workspace_id: WorkspaceId) -> int:
+    """Return a workspace's number on the wire, a digest of its name."""
+    digest = hashlib.blake2b(workspace_id.encode(), digest_size=8).digest()
+    return int.from_bytes(digest, signed=True)
--- a/dahliashunt/forwarding/node.py
+++ b/dahliashunt/forwarding/node.py
@@ -6,11 +6,14 @@
 
 from dahliashunt.decisions.return_time import return_after_outage_ms
 from dahliashunt.errors import ErrorKind
+from dahliashunt.errors import Ran
 from dahliashunt.errors import RequestError
 from dahliashunt.forwarding.call import Call
+from dahliashunt.forwarding.caps import Caps
 from dahliashunt.forwarding.catalog import BrokenRoute
 from dahliashunt.forwarding.catalog import Catalog
 from dahliashunt.forwarding.catalog import Route
+from dahliashunt.forwarding.forwarder import AnswerCut
 from dahliashunt.forwarding.forwarder import Forwarder
 from dahliashunt.forwarding.ports import AnswerSink
 from dahliashunt.forwarding.replicas import ReplicaBook
@@ -74,6 +77,7 @@
         self.adopted_ms: int | None = None
         self.former: Catalog | None = None
         self.forwarder: Forwarder | None = None
+        self.caps: Caps | None = None
         self.leaving = asyncio.Event()
         self.config_heard = lambda: None
         self._in_flight = 0
@@ -249,13 +253,29 @@
         return found is not None and found.engine is not None
 
     async def forward(
-        self, call: Call, route: Route, sink: AnswerSink
+        self,
+        call: Call,
+        route: Route,
+        sink: AnswerSink,
+        workspace: Workspace | None = None,
     ) -> None:
-        """Answer `call`; see `Forwarder.serve`."""
+        """Answer `call` within its workspace's limit.
+
+        See `Forwarder.serve`. What does not run is not counted.
+        """
+        revision = self.catalog.revision
+        if workspace is not None and self.caps is not None:
+            await self.caps.admit(workspace, revision)
         service = route.service_for(call.request_id)
-        await self.forwarder.serve(
-            call, route, self.keeps_slots(service), sink
-        )
+        keeps = self.keeps_slots(service)
+        try:
+            await self.forwarder.serve(call, route, keeps, sink)
+        except AnswerCut:
+            raise
+        except RequestError as error:
+            if error.ran is Ran.NO and workspace and self.caps is not None:
+                self.caps.give_back(workspace, revision)
+            raise
 
 
 def _unsure(message):
--- a/dahliashunt/platform/__main__.py
+++ b/dahliashunt/platform/__main__.py
@@ -1,13 +1,17 @@
 """Run one program of dahliashunt on the users' platform.
 
 Usage:
-  dahliashunt-platform entry [--metrics-port PORT] [--check-settings]
+  dahliashunt-platform entry [--metrics-port PORT] [--caps POLICY]
+                             [--check-settings]
   dahliashunt-platform agent [--metrics-port PORT] [--check-settings]
   dahliashunt-platform -h | --help
 
 Options:
   --metrics-port PORT  Serve metrics at /metrics on this port of the
                        machine's address; 0 serves none [default: 0].
+  --caps POLICY        How the limits of workspaces bind all entries:
+                       metered, by counts that a few agents keep, or
+                       equal-share, by each entry alone [default: metered].
   --check-settings     Only check the settings; exit 0 if they are right.
   -h --help            Print this.
 
@@ -37,6 +41,9 @@
 
 __all__ = ["main"]
 
+CAP_POLICIES = ("equal-share", "metered")
+"""Names in `CAPS`, whose modules an agent does without."""
+
 LAST_PORT = 65_535
 SETTINGS_VARIABLE = "DAHLIASHUNT_CONFIG"
 
@@ -50,6 +57,10 @@
     except SettingsError as error:
         print(error, file=sys.stderr)
         return ExitCode.SETTINGS
+    caps = arguments["--caps"]
+    if caps not in CAP_POLICIES:
+        print(f"--caps: {caps} is no policy", file=sys.stderr)
+        return ExitCode.SETTINGS
     if arguments["--check-settings"]:
         print(f"{path}: ok")
         return ExitCode.OK
@@ -62,7 +73,7 @@
     log = set_up_logs(
         f"dahliashunt-{role}", boot.node_id, to_stdout=True, recent=recent
     )
-    source = Source(path, boot, int(port), recent)
+    source = Source(path, boot, int(port), recent, caps)
     try:
         return asyncio.run(run_served(source, _serve(role), log))
     except OSError as error:
--- a/dahliashunt/platform/boot.py
+++ b/dahliashunt/platform/boot.py
@@ -31,6 +31,8 @@
         Within it a cancelled batch job's items no longer start.
     result_ms : int
         How long results stay readable.
+    limit_slack : float
+        Requests by which a workspace may be above its limit in a window.
     """
 
     leave_ms: int
@@ -38,6 +40,7 @@
     config_ms: int
     cancel_ms: int
     result_ms: int
+    limit_slack: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,6 +107,8 @@
         What it held.
     metrics_port : int
         Where metrics are served; 0 for nowhere.
+    caps : str
+        Policy by which workspaces are held to their limits.
     recent : RecentLines
         What it has logged of late.
     """
@@ -112,6 +117,7 @@
     boot: Boot
     metrics_port: int = 0
     recent: RecentLines = field(default_factory=RecentLines)
+    caps: str = "metered"
 
 
 class _Reader:
@@ -137,8 +143,8 @@
             self.fail(key, "a text is wanted")
         return value
 
-    def number(self, key):
-        value = self._table.get(key)
+    def number(self, key, usual=None):
+        value = self._table.get(key, usual)
         if isinstance(value, bool) or not isinstance(value, int | float):
             self.fail(key, "a number is wanted")
         if value < 0:
@@ -224,4 +230,5 @@
         config_ms=reader.milliseconds("config-apply-ms"),
         cancel_ms=reader.milliseconds("cancel-ms"),
         result_ms=reader.milliseconds("status-s", 1000),
+        limit_slack=reader.number("quota-slack", usual=0.0),
     )
--- a/dahliashunt/platform/ingress.py
+++ b/dahliashunt/platform/ingress.py
@@ -193,7 +193,7 @@
         if self._node.asks_for_keys:
             call = _in_name_of(workspace, call)
         try:
-            await self._node.forward(call, route, _Sink(exchange))
+            await self._node.forward(call, route, _Sink(exchange), workspace)
         except AnswerCut as cut:
             # Returning with the answer unfinished makes the server close
             # the connection without its end mark.
--- a/dahliashunt/platform/job_parts.py
+++ b/dahliashunt/platform/job_parts.py
@@ -64,6 +64,7 @@
         self._checkpoints = Checkpoints(
             self._worker, self.partials, node.clock
         )
+        self._reader = BeatReader(store, owner, node.clock, node.log)
         self._takeover = self._make_takeover(owner)
         self.expiry = self._make_expiry(keep_ms)
 
@@ -80,6 +81,11 @@
             self.store.now_ms,
         )
 
+    @property
+    def owners(self) -> int:
+        """Entries that have renewed their rows, as far as is known."""
+        return self._reader.owners
+
     def _make_takeover(self, owner):
         node, store = self._node, self.store
         return Takeover(
@@ -87,7 +93,7 @@
             self.ledger,
             self._worker,
             BeatWriter(store, owner, node.log),
-            BeatReader(store, owner, node.clock, node.log),
+            self._reader,
             node.clock,
             node.rng,
             node.log,
--- a/dahliashunt/platform/serve_entry.py
+++ b/dahliashunt/platform/serve_entry.py
@@ -10,7 +10,10 @@
 from dahliashunt.adapters.http_server import HttpServer
 from dahliashunt.adapters.slots import SlotClient
 from dahliashunt.decisions.feed_pace import FeedUse
+from dahliashunt.decisions.rate_limits import CAPS
 from dahliashunt.decisions.suspicion import Suspicion
+from dahliashunt.forwarding.caps import Caps
+from dahliashunt.forwarding.caps import MeterChoice
 from dahliashunt.forwarding.explain import Explainer
 from dahliashunt.forwarding.follower import TableFollower
 from dahliashunt.forwarding.forwarder import Forwarder
@@ -46,6 +49,10 @@
 SWEEP_MS = 1_000
 """Between looks at idle connections and lapsed replicas."""
 
+SLACK_SHARE = 0.25
+"""Of the slack above a limit, what is given to a workspace's burst. The rest
+is for what entries let in while they do not know of each other."""
+
 LEAVE_MARGIN_MS = 700
 """Before the platform kills a leaving process: time to close in order."""
 
@@ -69,7 +76,7 @@
     log : structlog logger
     """
     boot = source.boot
-    entry = Entry(boot, log)
+    entry = Entry(boot, log, source.caps)
     watch = SettingsWatch(source.path, boot, entry.apply, SystemClock(), log)
     watch.install()
     await entry.start()
@@ -115,11 +122,13 @@
     explainer : Explainer
     bounds : HttpBounds
         Of callers' connections.
+    first_port : int
+        Where agents take datagrams.
     ports : tuple of int
         Where callers and questions for readiness go, once started.
     """
 
-    def __init__(self, boot, log):
+    def __init__(self, boot, log, caps="metered"):
         self._boot = boot
         self._log = log
         self._clock = SystemClock()
@@ -151,12 +160,14 @@
             self._pool,
             boot.bounds.result_ms,
         )
+        self.node.caps = self._make_caps(caps)
         self.explainer = Explainer(self.node, self._places, self._known)
         self._followers = self._make_followers()
         config = self._followers[0]
         self.node.config_heard = lambda: config.heard_ms
         self._servers = []
         self.bounds = HttpBounds()
+        self.first_port = boot.first_port
         self.ports: tuple[int, ...] = ()
 
     def _make_known(self):
@@ -184,6 +195,21 @@
             self._log,
         )
 
+    def _make_caps(self, name):
+        choice = MeterChoice(self._book, self.node.keeps_slots)
+        policy = CAPS.get(name)(
+            lambda: self.jobs.owners, choice.of_workspace, self._rng
+        )
+        return Caps(
+            policy,
+            self._slots,
+            self._boot.first_port,
+            self._boot.bounds.limit_slack * SLACK_SHARE,
+            self._clock,
+            self.node.metrics,
+            self._log,
+        )
+
     def _make_followers(self):
         """Return the tables' followers; the configuration's is the first."""
         configs = ConfigRows(self.node, self._log)
@@ -238,6 +264,7 @@
             self._follow(),
             self._places.keep_states(RENEW_MS),
             self._losses.run(),
+            self.node.caps.run(),
             self._sweep(),
         ]
 
--- /dev/null
+++ b/dahliashunt/platform/tests/test_limits.py
@@ -0,0 +1,113 @@
+"""Limits of workspaces on an entry between stand-ins."""
+
+import asyncio
+
+import pytest
+import structlog
+
+from dahliashunt.adapters.clock import SystemClock
+from dahliashunt.adapters.slots import SlotServer
+from dahliashunt.decisions.slot_keeper import SlotKeeper
+from dahliashunt.metrics import Metrics
+from dahliashunt.platform.standins.settings import config_fields
+from dahliashunt.platform.standins.settings import route_fields
+from dahliashunt.platform.standins.settings import workspace_fields
+
+ROUTES = (route_fields(kind="idempotent", resumable=False),)
+LIMITED = workspace_fields("w", "k", **{"rate-per-s": 1, "burst": 3})
+FREE = workspace_fields("free", "f", **{"rate-per-s": 0, "burst": 3})
+KEY = "Token k"
+
+
+@pytest.fixture
+def limited(platform):
+    """Return ``play(scenario)`` with two workspaces, one of them limited."""
+
+    def play(scenario, engine=True):
+        config = config_fields(
+            ROUTES, engine=engine, workspaces=(LIMITED, FREE)
+        )
+        return platform(scenario, config=config)
+
+    return play
+
+
+async def with_agent(p, scenario):
+    """Run `scenario` with an agent beside the entry's replica."""
+    server = SlotServer(
+        SlotKeeper(8), SystemClock(), Metrics("agent"), structlog.get_logger()
+    )
+    await server.start("127.0.0.1", p.entries[0].first_port)
+    try:
+        await scenario(server)
+    finally:
+        server.stop()
+
+
+async def send(p, count, key=KEY):
+    """Send requests at once; return the answers."""
+    calls = [
+        p.call(request_id=f"r{n}", authorization=key) for n in range(count)
+    ]
+    return await asyncio.gather(*calls)
+
+
+def test_beyond_its_burst_a_workspace_is_told_when_to_come_back(limited):
+    """Guards against a hot workspace that takes what others need."""
+
+    async def scenario(p):
+        async def hot(server):
+            answers = await send(p, 9)
+            refused = [a for a in answers if a.status == 429]
+            assert sum(a.status == 200 for a in answers) == 3
+            waits = [float(a.head.get("retry-after")) for a in refused]
+            assert len(waits) == 6
+            assert all(0.5 < wait <= 5.0 for wait in waits)
+            assert len({round(wait) for wait in waits}) > 3
+            assert len(p.replicas[0].arrivals) == 3
+
+        await with_agent(p, hot)
+
+    limited(scenario)
+
+
+def test_a_workspace_without_a_rate_is_not_limited(limited):
+    """Guards against a limit of 0 that shuts its workspace out."""
+
+    async def scenario(p):
+        for number in range(9):
+            (answer,) = await send(p, 1, "Token f")
+            assert answer.status == 200, number
+
+    limited(scenario)
+
+
+def test_without_any_agent_an_entry_goes_by_its_share(limited):
+    """Guards against callers that wait for meters that don't exist."""
+
+    async def scenario(p):
+        answers = await send(p, 9)
+        assert sum(a.status == 200 for a in answers) == 3
+        assert sum(a.status == 429 for a in answers) == 6
+
+    limited(scenario, engine=False)
+
+
+def test_a_request_that_did_not_run_is_not_counted(limited):
+    """Guards against refusals by full replicas that use up a limit."""
+
+    async def scenario(p):
+        async def refused(server):
+            p.replicas[0].then(status=503, not_run=True, body=b"")
+            for number in range(8):
+                answer = await p.call(
+                    request_id=f"n{number}", authorization=KEY
+                )
+                assert answer.status == 503
+            p.replicas[0].steps.clear()
+            answers = await send(p, 3)
+            assert [a.status for a in answers] == [200] * 3
+
+        await with_agent(p, refused)
+
+    limited(scenario)
