Priority of a workspace goes before its route's; commands on workspaces

Cause: a workspace's priority was decoded and nothing read it; operators had no way to see why a workspace is refused.

Change: asks for slots carry the rank (workspace's, else route's). Among requests that can be in time the more urgent get a free slot first; each fourth slot goes to a less urgent one that waits. 'dahliashunt workspace list' and 'workspace explain' ask a node's metrics address: limit, level, meters, decisions of late, open tokens by route, keys by the first bytes of their digest.

Before: among waiting requests first come first served.

--- a/dahliashunt/adapters/slots/client.py
+++ b/dahliashunt/adapters/slots/client.py
@@ -68,6 +68,8 @@
         Of a batch item: time until it is due.
     on_revoke : callable
         Called without arguments when a granted slot is taken back.
+    rank : int
+        0 is the most urgent.
     """
 
     attempt_id: str
@@ -75,6 +77,7 @@
     use: Use
     slack_ms: int
     on_revoke: object
+    rank: int = 0
 
 
 @dataclass(slots=True)
@@ -155,6 +158,7 @@
             use=_USE[attempt.use],
             wait_ms=wait_ms,
             slack_ms=attempt.slack_ms,
+            rank=attempt.rank or None,
             run_id=attempt.run_id,
         )
         frame = SlotFrame(ask=ask)
--- a/dahliashunt/adapters/slots/server.py
+++ b/dahliashunt/adapters/slots/server.py
@@ -152,4 +152,5 @@
         use=_USE.get(ask.use, Use.ONLINE),
         wait_ms=ask.wait_ms,
         slack_ms=ask.slack_ms,
+        rank=ask.rank or 0,
     )
--- a/dahliashunt/adapters/wire/gen/link/ttypes.py
+++ b/dahliashunt/adapters/wire/gen/link/ttypes.py
@@ -2545,6 +2545,7 @@
      - wait_ms
      - slack_ms
      - run_id
+     - rank
 
     """
 
@@ -2554,15 +2555,17 @@
         'wait_ms',
         'slack_ms',
         'run_id',
+        'rank',
     )
 
 
-    def __init__(self, attempt_id=None, use=None, wait_ms=None, slack_ms=None, run_id=None,):
+    def __init__(self, attempt_id=None, use=None, wait_ms=None, slack_ms=None, run_id=None, rank=None,):
         self.attempt_id = attempt_id
         self.use = use
         self.wait_ms = wait_ms
         self.slack_ms = slack_ms
         self.run_id = run_id
+        self.rank = rank
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2598,6 +2601,11 @@
                     self.run_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.rank = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2628,6 +2636,10 @@
             oprot.writeFieldBegin('run_id', TType.STRING, 5)
             oprot.writeString(self.run_id.encode('utf-8') if sys.version_info[0] == 2 else self.run_id)
             oprot.writeFieldEnd()
+        if self.rank is not None:
+            oprot.writeFieldBegin('rank', TType.I32, 6)
+            oprot.writeI32(self.rank)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3740,6 +3752,7 @@
     (3, TType.I32, 'wait_ms', None, None, ),  # 3
     (4, TType.I32, 'slack_ms', None, None, ),  # 4
     (5, TType.STRING, 'run_id', 'UTF8', None, ),  # 5
+    (6, TType.I32, 'rank', None, None, ),  # 6
 )
 all_structs.append(SlotAnswer)
 SlotAnswer.thrift_spec = (
--- a/dahliashunt/adapters/wire/link.thrift
+++ b/dahliashunt/adapters/wire/link.thrift
@@ -173,6 +173,7 @@
   3: i32 wait_ms;           // how long the asker would wait for a slot
   4: i32 slack_ms;          // batch: how long until the item is due
   5: string run_id;         // how the replica lists the request
+  6: optional i32 rank;     // 0 is the most urgent
 }
 
 struct SlotAnswer {
--- a/dahliashunt/cli/main.py
+++ b/dahliashunt/cli/main.py
@@ -18,6 +18,7 @@
 from dahliashunt.cli import routes  # noqa: F401
 from dahliashunt.cli import shift  # noqa: F401
 from dahliashunt.cli import traces  # noqa: F401
+from dahliashunt.cli import workspaces  # noqa: F401
 from dahliashunt.cli.client import Client
 from dahliashunt.cli.exits import CommandError
 from dahliashunt.cli.exits import Exit
--- a/dahliashunt/decisions/metered.py
+++ b/dahliashunt/decisions/metered.py
@@ -31,10 +31,12 @@
 from dahliashunt.decisions.rate_limits import CAPS
 from dahliashunt.decisions.rate_limits import EqualShare
 from dahliashunt.decisions.rate_limits import KEPT_MS
+from dahliashunt.decisions.rate_limits import MeterView
 from dahliashunt.decisions.rate_limits import MOST_WAIT_MS
 from dahliashunt.decisions.rate_limits import Outcome
 from dahliashunt.decisions.rate_limits import RateLimit
 from dahliashunt.decisions.rate_limits import Refused
+from dahliashunt.decisions.rate_limits import UseView
 from dahliashunt.decisions.rate_limits import Verdict
 
 __all__ = ["ASK_MS", "BATCH_MS", "METERS", "Metered"]
@@ -234,6 +236,24 @@
             use.total -= 1
             self._untold[workspace] = use
 
+    def view(self, now_ms: int, workspace: int) -> UseView:
+        """Return a workspace's use; no request is counted by it."""
+        use = self._use_by_workspace.get(workspace)
+        if use is None or not use.is_metered(now_ms):
+            return self._share.view(now_ms, workspace)
+        meters = tuple(
+            MeterView(
+                told.host,
+                told.level,
+                None if told.at_ms is None else now_ms - told.at_ms,
+                told.mature,
+                told.is_silent(now_ms),
+            )
+            for told in use.told_by_host.values()
+        )
+        entries = max(1, self._known_entries())
+        return UseView(use.level(now_ms), True, entries, meters)
+
     def _use(self, now_ms, workspace, limit):
         use = self._use_by_workspace.get(workspace)
         if use is None:
--- a/dahliashunt/decisions/rate_limits.py
+++ b/dahliashunt/decisions/rate_limits.py
@@ -32,9 +32,11 @@
     "Asked",
     "EqualShare",
     "Level",
+    "MeterView",
     "Outcome",
     "RateLimit",
     "Refused",
+    "UseView",
     "Verdict",
     "wait_ms",
 ]
@@ -101,6 +103,38 @@
     revision: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class MeterView:
+    """What an entry knows of one meter; see `Reading`."""
+
+    host: str
+    level: float
+    heard_ms: int | None
+    mature: bool
+    silent: bool
+
+
+@dataclass(frozen=True, slots=True)
+class UseView:
+    """A workspace's use as one entry sees it.
+
+    Attributes
+    ----------
+    level : float
+        Of all entries where it is metered, else of this one.
+    metered : bool
+        Whether meters decide; else this entry's share does.
+    entries : int
+        Among which the limit is shared where it is not metered.
+    meters : tuple of MeterView
+    """
+
+    level: float
+    metered: bool
+    entries: int
+    meters: tuple[MeterView, ...] = ()
+
+
 class Level:
     """Requests that were let in, less what the rate has paid since.
 
@@ -188,6 +222,12 @@
         if share is not None:
             share.level.add(now_ms, self._part(limit)[0], -1)
 
+    def view(self, now_ms: int, workspace: int) -> UseView:
+        """Return a workspace's use; no request is counted by it."""
+        share = self._share_by_workspace.get(workspace)
+        level = share.level.at(now_ms, 0) if share is not None else 0.0
+        return UseView(level, False, max(1, self._entries()))
+
     def _part(self, limit):
         entries = max(1, self._entries())
         return limit.rate / entries, max(1.0, limit.room / entries)
--- a/dahliashunt/decisions/slot_keeper.py
+++ b/dahliashunt/decisions/slot_keeper.py
@@ -30,6 +30,8 @@
 - Requests that can be in time get a free slot before those that are late
   in any case, so that a backlog after an outage does not make everybody
   late (`caller_wait`). Late ones may wait for longer.
+- Among these the more urgent go first (`Ask.rank`), but each fourth slot
+  goes to the less urgent one that came first: they don't starve.
 - Holds are compared with the replica's own list (`slot_holds`).
 
 Complexity: each step is linear in the slots, which are few.
@@ -63,6 +65,11 @@
 Longer makes items late, without it twice as many are revoked."""
 
 
+IN_TURN = 4
+"""Each so many-th slot that becomes free goes to a less urgent request, if
+one waits: then these get a quarter of the slots at the least."""
+
+
 @dataclass(slots=True)
 class _Waiting:
     ask: Ask
@@ -89,6 +96,7 @@
     _holds: SlotHolds = field(default_factory=SlotHolds)
     _waiting_by_id: dict[AttemptId, _Waiting] = field(default_factory=dict)
     _left: list[tuple[int, int]] = field(default_factory=list)
+    _grants: int = 0
 
     @property
     def held(self) -> tuple[AttemptId, ...]:
@@ -140,12 +148,16 @@
 
     def _wait_behind_ms(self, ask, now_ms):
         """Return how long `ask` would wait behind those that go before."""
-        waiting = self._waiting_by_id.values()
-        if ask.slack_ms:
-            ahead = sum(not each.is_late(now_ms) for each in waiting)
-        else:
-            ahead = len(waiting)
-        return self._turn_ms(ahead)
+        ahead = [
+            each.ask.rank
+            for each in self._waiting_by_id.values()
+            if not (ask.slack_ms and each.is_late(now_ms))
+        ]
+        behind_ms = self._turn_ms(sum(rank <= ask.rank for rank in ahead))
+        if ask.rank > min(ahead, default=ask.rank):
+            lax = sum(rank > min(ahead) for rank in ahead)
+            return min(behind_ms, IN_TURN * self._turn_ms(lax))
+        return behind_ms
 
     def _turn_ms(self, ahead):
         return int((ahead + 1) * self.hold_ms / max(1, self.slots))
@@ -202,21 +214,30 @@
 
     def _grant_waiting(self, now_ms):
         answers = []
-        in_turn = sorted(
-            self._waiting_by_id.items(),
-            key=lambda pair: pair[1].is_late(now_ms),
-        )
-        for attempt_id, waiting in in_turn:
+        for attempt_id, waiting in list(self._waiting_by_id.items()):
             if waiting.until_ms < now_ms:
                 del self._waiting_by_id[attempt_id]
                 answers.append(_say(waiting.ask, Verdict.FULL))
-            elif self._holds.used < self.slots:
-                del self._waiting_by_id[attempt_id]
-                answers.append(self._grant(waiting.ask, now_ms))
-            else:
-                break
+        while self._waiting_by_id and self._holds.used < self.slots:
+            waiting = self._waiting_by_id.pop(self._next(now_ms))
+            answers.append(self._grant(waiting.ask, now_ms))
         return answers
 
+    def _next(self, now_ms):
+        """Return whose turn it is; of equals the first that came."""
+        self._grants += 1
+        best = min(each.ask.rank for each in self._waiting_by_id.values())
+        is_lax_turn = self._grants % IN_TURN == 0
+
+        def place(attempt_id):
+            waiting = self._waiting_by_id[attempt_id]
+            rank = waiting.ask.rank
+            if is_lax_turn:
+                rank = rank == best
+            return waiting.is_late(now_ms), rank
+
+        return min(self._waiting_by_id, key=place)
+
 
 def _say(ask, verdict):
     return Answered(ask.attempt_id, ask.asker, verdict)
--- a/dahliashunt/decisions/slot_messages.py
+++ b/dahliashunt/decisions/slot_messages.py
@@ -42,6 +42,8 @@
     slack_ms : int
         Of a batch item: time until it is due. Of an online request: how
         long it may wait and still be in time, 0 if it can't be.
+    rank : int
+        Of an online request; 0 is the most urgent.
     """
 
     attempt_id: AttemptId
@@ -50,6 +52,7 @@
     use: Use
     wait_ms: int = 0
     slack_ms: int = 0
+    rank: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/dahliashunt/decisions/tests/test_slot_keeper.py
+++ b/dahliashunt/decisions/tests/test_slot_keeper.py
@@ -21,8 +21,8 @@
     return SlotKeeper(slots=2)
 
 
-def online(name, wait_ms=0, asker="e1", slack_ms=0):
-    return Ask(name, name, asker, Use.ONLINE, wait_ms, slack_ms)
+def online(name, wait_ms=0, asker="e1", slack_ms=0, rank=0):
+    return Ask(name, name, asker, Use.ONLINE, wait_ms, slack_ms, rank)
 
 
 def batch(name, slack_ms=1000, asker="e1"):
@@ -214,3 +214,55 @@
     assert verdicts(keeper.ask(batch("late"), 10_000 + recent_ms)) == [
         Verdict.GRANTED
     ]
+
+
+def test_the_more_urgent_goes_first_among_those_that_wait(keeper):
+    """Guards against a workspace's priority that nothing reads."""
+    for name in ("a", "b"):
+        keeper.ask(online(name), 0)
+    for name, rank in (("lax", 2), ("usual", 1), ("urgent", 0)):
+        keeper.ask(online(name, 2_000, slack_ms=2_000, rank=rank), 1)
+    order = [keeper.release(name, 10)[0].attempt_id for name in ("a", "b")]
+    assert order == ["urgent", "usual"]
+
+
+SATURATED_MS = 60_000
+HELD_MS = 80
+LAX_WORKSPACES = 3
+
+
+def saturate(keeper):
+    """Play twice the slots' work; return served and sent by workspace.
+
+    Half of it is urgent, the rest of three less urgent workspaces.
+    """
+    sent, served, ends = {}, {}, {}
+    gap_ms = HELD_MS // (2 * keeper.slots)
+    for number, now_ms in enumerate(range(0, SATURATED_MS, gap_ms)):
+        for name in [n for n, at_ms in ends.items() if at_ms <= now_ms]:
+            del ends[name]
+            note(keeper.release(name, now_ms), served, ends, now_ms)
+        is_urgent = number % 2 == 0
+        space = "u" if is_urgent else f"l{number // 2 % LAX_WORKSPACES}"
+        sent[space] = sent.get(space, 0) + 1
+        ask = online(f"{space} {number}", 300, "e", 300, 0 if is_urgent else 2)
+        note(keeper.ask(ask, now_ms), served, ends, now_ms)
+    return served, sent
+
+
+def note(effects, served, ends, now_ms):
+    for effect in effects:
+        if effect.verdict is Verdict.GRANTED:
+            space = effect.attempt_id.split()[0]
+            served[space] = served.get(space, 0) + 1
+            ends[effect.attempt_id] = now_ms + HELD_MS
+
+
+def test_under_saturation_the_less_urgent_do_not_starve():
+    """Guards against a priority that shuts other workspaces out."""
+    served, sent = saturate(SlotKeeper(slots=4, hold_ms=HELD_MS))
+    share = {space: served[space] / sent[space] for space in sent}
+    mean = sum(served.values()) / sum(sent.values())
+    lax = [share[f"l{n}"] for n in range(LAX_WORKSPACES)]
+    assert share["u"] >= max(lax)
+    assert min(lax) >= mean / 4
--- a/dahliashunt/forwarding/asking.py
+++ b/dahliashunt/forwarding/asking.py
@@ -62,6 +62,7 @@
             run_id=run_id,
             use=want.use,
             slack_ms=want.slack_ms,
+            rank=want.rank,
             on_revoke=want.on_revoke,
         )
 
--- a/dahliashunt/forwarding/call.py
+++ b/dahliashunt/forwarding/call.py
@@ -33,6 +33,8 @@
         Prompt tokens and most output tokens together; 0 if unknown.
     workspace : WorkspaceId
         In whose name it runs; empty for nobody's.
+    rank : int or None
+        Of the workspace, which goes before the route's; None has none.
     """
 
     request_id: RequestId
@@ -46,3 +48,4 @@
     shared_parts: tuple[str, ...] = ()
     tokens: int = 0
     workspace: WorkspaceId = WorkspaceId("")
+    rank: int | None = None
--- a/dahliashunt/forwarding/caps.py
+++ b/dahliashunt/forwarding/caps.py
@@ -12,6 +12,7 @@
 from dahliashunt.decisions.rate_limits import Asked
 from dahliashunt.decisions.rate_limits import RateLimit
 from dahliashunt.decisions.rate_limits import Refused
+from dahliashunt.decisions.rate_limits import UseView
 from dahliashunt.errors import ErrorKind
 from dahliashunt.errors import RequestError
 from dahliashunt.forwarding.replicas import ReplicaBook
@@ -21,7 +22,7 @@
 from dahliashunt.metrics import Metrics
 from dahliashunt.ports import Clock
 
-__all__ = ["Caps", "MeterChoice"]
+__all__ = ["Caps", "Counts", "MeterChoice", "RecentCounts"]
 
 TICK_MS = 25
 """Between looks at questions without answer and untold counts."""
@@ -32,6 +33,9 @@
 
 POOL_NAME = "meters"
 
+WINDOW_MS = 5_000
+"""What operators are shown of each workspace's decisions."""
+
 
 class MeterChoice:
     """Which agents count a workspace's requests.
@@ -80,6 +84,58 @@
             self._chosen.clear()
 
 
+@dataclass(frozen=True, slots=True)
+class Counts:
+    """Requests of a workspace at one entry."""
+
+    admitted: int = 0
+    refused: int = 0
+
+
+class RecentCounts:
+    """Decisions by workspace in the window that runs and the one before.
+
+    Examples
+    --------
+    >>> recent = RecentCounts()
+    >>> recent.note(0, "w", False)
+    >>> recent.note(WINDOW_MS, "w", True)
+    >>> recent.of(WINDOW_MS, "w")
+    Counts(admitted=1, refused=1)
+    >>> recent.of(3 * WINDOW_MS, "w")
+    Counts(admitted=0, refused=0)
+    """
+
+    def __init__(self):
+        self._window = 0
+        self._now: dict[WorkspaceId, Counts] = {}
+        self._before: dict[WorkspaceId, Counts] = {}
+
+    def note(self, now_ms: int, name: WorkspaceId, is_refused: bool) -> None:
+        """Count one decision."""
+        self._turn(now_ms)
+        was = self._now.get(name, Counts())
+        self._now[name] = Counts(
+            was.admitted + (not is_refused), was.refused + is_refused
+        )
+
+    def of(self, now_ms: int, name: WorkspaceId) -> Counts:
+        """Return the counts of one workspace."""
+        self._turn(now_ms)
+        both = [w.get(name, Counts()) for w in (self._now, self._before)]
+        return Counts(
+            sum(each.admitted for each in both),
+            sum(each.refused for each in both),
+        )
+
+    def _turn(self, now_ms):
+        window = now_ms // WINDOW_MS
+        if window != self._window:
+            is_next = window == self._window + 1
+            self._before = self._now if is_next else {}
+            self._now, self._window = {}, window
+
+
 @dataclass(frozen=True, slots=True)
 class _Question:
     answer: asyncio.Future
@@ -124,6 +180,7 @@
         self._log = log
         self._question_by_number: dict[int, _Question] = {}
         self._wanted = asyncio.Event()
+        self._recent = RecentCounts()
         slots.on_reading = self._heard
 
     async def admit(self, workspace: Workspace, revision: Revision) -> None:
@@ -147,7 +204,11 @@
             found = await answer
         else:
             self._flush()
-        if isinstance(found, Refused):
+        is_refused = isinstance(found, Refused)
+        self._recent.note(
+            self._clock.now_ms(), workspace.workspace_id, is_refused
+        )
+        if is_refused:
             self._refuse(workspace, limit, found)
 
     def _refuse(self, workspace, limit, refused):
@@ -173,6 +234,15 @@
             self._policy.give_back(self._clock.now_ms(), key, limit)
             self._flush()
 
+    def view(self, workspace: Workspace) -> UseView:
+        """Return a workspace's use as this entry sees it."""
+        key = _key(workspace.workspace_id)
+        return self._policy.view(self._clock.now_ms(), key)
+
+    def recent(self, workspace: Workspace) -> Counts:
+        """Return what was decided here in the last window or two."""
+        return self._recent.of(self._clock.now_ms(), workspace.workspace_id)
+
     def _limit(self, workspace, revision):
         if not workspace.rate:
             return None
--- a/dahliashunt/forwarding/forwarder.py
+++ b/dahliashunt/forwarding/forwarder.py
@@ -146,6 +146,7 @@
             route.name, budget_ms, route.timeout_ms
         )
         self._service = route.service_for(call.request_id)
+        self._rank = route.rank if call.rank is None else call.rank
         self._tried = set()
         self._not_sent = 0
         self._next_place = None
@@ -222,6 +223,7 @@
             slack_ms=patience.slack_ms,
             avoid=frozenset(avoid),
             on_revoke=lambda: None,
+            rank=self._rank,
         )
         return await self._shared.places.find(
             want, self._call.request_id, self._keeps
--- a/dahliashunt/forwarding/place.py
+++ b/dahliashunt/forwarding/place.py
@@ -27,6 +27,8 @@
         Lives of replicas that were tried.
     on_revoke : callable
         Called when a granted slot is taken back.
+    rank : int
+        0 is the most urgent.
     """
 
     service: str
@@ -36,6 +38,7 @@
     slack_ms: int
     avoid: frozenset
     on_revoke: object
+    rank: int = 0
 
 
 class Place:
--- a/dahliashunt/platform/ingress.py
+++ b/dahliashunt/platform/ingress.py
@@ -243,6 +243,7 @@
             pair for pair in call.headers if pair[0].lower() != AUTHORIZATION
         ),
         workspace=workspace.workspace_id if workspace else WorkspaceId(""),
+        rank=workspace.rank if workspace else None,
     )
 
 
--- a/dahliashunt/platform/inspect_page.py
+++ b/dahliashunt/platform/inspect_page.py
@@ -1,9 +1,10 @@
-"""Questions about routes and requests, on the metrics address."""
+"""Questions about routes, workspaces and requests, on the metrics address."""
 
 import json
 from urllib.parse import parse_qs
 
 from dahliashunt.forwarding.explain import Explainer
+from dahliashunt.forwarding.explain_workspaces import WorkspaceExplainer
 from dahliashunt.platform.short_answer import send_short
 from dahliashunt.recent_lines import RecentLines
 
@@ -22,10 +23,15 @@
         None at a program that has no routes.
     recent : RecentLines
     otherwise : ASGI application
+    workspaces : WorkspaceExplainer, optional
     """
 
     def __init__(
-        self, explainer: Explainer | None, recent: RecentLines, otherwise
+        self,
+        explainer: Explainer | None,
+        recent: RecentLines,
+        otherwise,
+        workspaces: WorkspaceExplainer | None = None,
     ):
         self._explainer = explainer
         self._recent = recent
@@ -37,6 +43,13 @@
                 "/routes": self._routes,
                 "/routes/changes": lambda fields: explainer.changes(),
             }
+        if workspaces is not None:
+            self._answer_by_path |= {
+                "/workspaces": lambda fields: workspaces.workspaces(),
+                "/workspaces/explain": lambda fields: workspaces.explain(
+                    fields["name"]
+                ),
+            }
 
     async def __call__(self, scope, receive, send) -> None:
         """Answer one question as JSON."""
--- a/dahliashunt/platform/metrics_page.py
+++ b/dahliashunt/platform/metrics_page.py
@@ -2,6 +2,7 @@
 
 from dahliashunt.adapters.http_server import HttpServer
 from dahliashunt.forwarding.explain import Explainer
+from dahliashunt.forwarding.explain_workspaces import WorkspaceExplainer
 from dahliashunt.metrics import Metrics
 from dahliashunt.platform.inspect_page import InspectPage
 from dahliashunt.platform.short_answer import send_short
@@ -32,6 +33,7 @@
     port: int,
     recent: RecentLines,
     explainer: Explainer | None = None,
+    workspaces: WorkspaceExplainer | None = None,
 ):
     """Serve metrics on `port`; return the server, or None for port 0.
 
@@ -44,10 +46,13 @@
         The program's last log lines, which may be asked for by an id.
     explainer : Explainer, optional
         Answers questions about routes, where there are some.
+    workspaces : WorkspaceExplainer, optional
+        The same about workspaces.
     """
     if not port:
         return None
-    page = InspectPage(explainer, recent, MetricsPage(metrics))
+    otherwise = MetricsPage(metrics)
+    page = InspectPage(explainer, recent, otherwise, workspaces)
     server = HttpServer(page, host, port, lifespan=False)
     await server.start()
     return server
--- a/dahliashunt/platform/serve_entry.py
+++ b/dahliashunt/platform/serve_entry.py
@@ -15,6 +15,7 @@
 from dahliashunt.forwarding.caps import Caps
 from dahliashunt.forwarding.caps import MeterChoice
 from dahliashunt.forwarding.explain import Explainer
+from dahliashunt.forwarding.explain_workspaces import WorkspaceExplainer
 from dahliashunt.forwarding.follower import TableFollower
 from dahliashunt.forwarding.forwarder import Forwarder
 from dahliashunt.forwarding.known_replicas import KnownReplicas
@@ -86,6 +87,7 @@
         source.metrics_port,
         source.recent,
         entry.explainer,
+        entry.workspaces,
     )
     loops = [*entry.loops(), watch.run()]
     tasks = [asyncio.create_task(each) for each in loops]
@@ -120,6 +122,7 @@
     node : Node
     jobs : JobParts
     explainer : Explainer
+    workspaces : WorkspaceExplainer
     bounds : HttpBounds
         Of callers' connections.
     first_port : int
@@ -162,6 +165,7 @@
         )
         self.node.caps = self._make_caps(caps)
         self.explainer = Explainer(self.node, self._places, self._known)
+        self.workspaces = WorkspaceExplainer(self.node, self.jobs.view)
         self._followers = self._make_followers()
         config = self._followers[0]
         self.node.config_heard = lambda: config.heard_ms
--- a/dahliashunt/platform/tests/test_inspect.py
+++ b/dahliashunt/platform/tests/test_inspect.py
@@ -14,6 +14,7 @@
 from dahliashunt.platform.metrics_page import MetricsPage
 from dahliashunt.platform.standins.settings import config_fields
 from dahliashunt.platform.standins.settings import route_fields
+from dahliashunt.platform.standins.settings import workspace_fields
 from dahliashunt.platform.tests.conftest import free_port
 from dahliashunt.recent_lines import RecentLines
 
@@ -29,7 +30,7 @@
     """Serve an entry's page; yield its address."""
     recent = recent or RecentLines()
     metrics = MetricsPage(Metrics("x"))
-    page = InspectPage(entry.explainer, recent, metrics)
+    page = InspectPage(entry.explainer, recent, metrics, entry.workspaces)
     server = HttpServer(page, "127.0.0.1", 0, lifespan=False)
     await server.start()
     try:
@@ -225,3 +226,51 @@
             assert code == Exit.USAGE
 
     platform(scenario, *ROUTES)
+
+
+KEYED = config_fields(
+    (route_fields(kind="idempotent", resumable=False),),
+    engine=False,
+    workspaces=(
+        workspace_fields("quiet", "k-1", priority=1),
+        workspace_fields("hot", "k-2", **{"rate-per-s": 1, "burst": 2}),
+        workspace_fields("bad", "k-3", **{"rate-per-s": "x"}),
+    ),
+)
+
+
+def test_workspaces_are_listed_by_use(platform, asked):
+    """Guards against a hot workspace that nobody finds among the others."""
+
+    async def scenario(p):
+        for number in range(4):
+            await p.call(request_id=f"r{number}", authorization="Token k-2")
+        async with inspected(p.entries[0]) as node:
+            code, out, _ = await asked("workspace", "list", "--node", node)
+        assert code == Exit.OK
+        lines = [line.split() for line in out.splitlines()]
+        first = lines.index(["hot", "1.0", "2.0", "-", "2", "2"])
+        assert lines[first + 1] == ["quiet", "0.0", "0.0", "1", "0", "0"]
+        assert "can't be read: bad (ValueError)" in out
+
+    platform(scenario, config=KEYED)
+
+
+def test_a_refused_workspace_is_explained(platform, asked):
+    """Guards against a refusal whose reason no operator can find."""
+
+    async def scenario(p):
+        for number in range(4):
+            await p.call(request_id=f"r{number}", authorization="Token k-2")
+        words = ("workspace", "explain", "--node")
+        async with inspected(p.entries[0]) as node:
+            code, out, _ = await asked(*words, node, "hot")
+            assert code == Exit.OK
+            assert "1 requests a second, burst 2" in out
+            assert "2 let in, 2 refused" in out
+            assert "of this node's share, a part in 1" in out
+            code, out, _ = await asked(*words, node, "none")
+            assert code == Exit.NOT_FOUND
+            assert "no such workspace" in out
+
+    platform(scenario, config=KEYED)
--- a/dahliashunt/platform/tests/test_keys.py
+++ b/dahliashunt/platform/tests/test_keys.py
@@ -273,6 +273,8 @@
         texts.append(entry.node.metrics.text())
         texts.append(json.dumps(entry.explainer.explain("a.example", "/a/")))
         texts.append(json.dumps(entry.explainer.routes(0)))
+        texts.append(json.dumps(entry.workspaces.workspaces()))
+        texts.append(json.dumps(entry.workspaces.explain("ours")))
         texts.append(repr(entry.node.catalog))
         return texts
 
