Tables of counts shrink to what is in use

Cause: a table looked only at its two oldest members for each new one; two that stay in use kept all others for good. A meter kept a count for each pause of each entry. Now a member in use goes to the table's end.

--- a/benchmarks/caps.py
+++ b/benchmarks/caps.py
@@ -1,7 +1,7 @@
 """Compare the policies of `CAPS` without a network.
 
 Usage:
-  python -m benchmarks.caps [--seeds=N]
+  benchmarks.caps [--seeds=N]
 
 Options:
   --seeds=N  Plays of each load [default: 8].
--- a/dahliashunt/decisions/meter.py
+++ b/dahliashunt/decisions/meter.py
@@ -18,6 +18,7 @@
 
 from dahliashunt.decisions.meter_messages import Reading
 from dahliashunt.decisions.meter_messages import Report
+from dahliashunt.decisions.rate_limits import forget_old
 from dahliashunt.decisions.rate_limits import KEPT_MS
 from dahliashunt.decisions.rate_limits import Level
 from dahliashunt.decisions.rate_limits import MOST_WAIT_MS
@@ -36,9 +37,6 @@
 MATURE_MS = 5_000
 """A window in which limits are judged: then a meter has seen all of it."""
 
-LOOKED_AT = 2
-"""Old entries looked at for each new one; above 1 the table shrinks."""
-
 
 class HeardEntries:
     """Which entries a process has heard, and when.
@@ -141,7 +139,10 @@
     def _metered(self, now_ms, report):
         metered = self._metered_by_workspace.get(report.workspace)
         if metered is None:
-            self._forget(now_ms)
+            forget_old(
+                self._metered_by_workspace,
+                lambda held: now_ms - held.heard_ms > KEPT_MS,
+            )
             metered = _Metered(now_ms, report.limit)
             self._metered_by_workspace[report.workspace] = metered
         elif report.limit.revision > metered.limit.revision:
@@ -155,11 +156,12 @@
         key = (asker, report.life)
         counted = metered.counted_by_life.get(key)
         if counted is None:
-            lives = metered.counted_by_life
-            for old in list(lives)[:LOOKED_AT]:
-                if now_ms - lives[old].heard_ms > KEPT_MS:
-                    del lives[old]
-            counted = lives[key] = _Counted(report.since)
+            forget_old(
+                metered.counted_by_life,
+                lambda held: now_ms - held.heard_ms > KEPT_MS,
+            )
+            counted = _Counted(report.since)
+            metered.counted_by_life[key] = counted
         counted.heard_ms = now_ms
         return counted
 
@@ -193,12 +195,6 @@
         metered.turn_ms = turn_ms + refused * 1000 / limit.rate
         return int(turn_ms) - now_ms
 
-    def _forget(self, now_ms):
-        metered = self._metered_by_workspace
-        for workspace in list(metered)[:LOOKED_AT]:
-            if now_ms - metered[workspace].heard_ms > KEPT_MS:
-                del metered[workspace]
-
 
 def _newer(held, told):
     return held if held.revision > told.revision else None
--- a/dahliashunt/decisions/metered.py
+++ b/dahliashunt/decisions/metered.py
@@ -30,6 +30,7 @@
 from dahliashunt.decisions.rate_limits import Asked
 from dahliashunt.decisions.rate_limits import CAPS
 from dahliashunt.decisions.rate_limits import EqualShare
+from dahliashunt.decisions.rate_limits import forget_old
 from dahliashunt.decisions.rate_limits import KEPT_MS
 from dahliashunt.decisions.rate_limits import MeterView
 from dahliashunt.decisions.rate_limits import MOST_WAIT_MS
@@ -140,6 +141,10 @@
         counted = [told.counted for told in self.told_by_host.values()]
         return self.total - max(counted, default=0)
 
+    def is_idle(self, now_ms):
+        """Tell whether nothing was asked for in a long while."""
+        return self.question is None and now_ms - self.used_ms > KEPT_MS
+
     def is_told(self):
         """Tell whether more than half of the meters know all."""
         told = self.told_by_host.values()
@@ -257,7 +262,9 @@
     def _use(self, now_ms, workspace, limit):
         use = self._use_by_workspace.get(workspace)
         if use is None:
-            self._forget(now_ms)
+            forget_old(
+                self._use_by_workspace, lambda held: held.is_idle(now_ms)
+            )
             life = self._rng.randrange(LIVES)
             use = _Use(workspace, life, limit)
             self._use_by_workspace[workspace] = use
@@ -277,14 +284,6 @@
             for host in hosts
         }
 
-    def _forget(self, now_ms):
-        uses = self._use_by_workspace
-        for workspace in list(uses)[:2]:
-            use = uses[workspace]
-            if use.question is None and now_ms - use.used_ms > KEPT_MS:
-                del uses[workspace]
-                self._untold.pop(workspace, None)
-
     # Messages.
 
     def outbox(self) -> list[tuple[str, Report]]:
@@ -402,7 +401,7 @@
             if not self._ask_next(now_ms, use):
                 outcomes += self._give_up(now_ms, use)
         for use in list(self._untold.values()):
-            if use.is_told() or now_ms - use.used_ms > KEPT_MS:
+            if use.is_told() or use.is_idle(now_ms):
                 del self._untold[use.workspace]
             else:
                 self._tell(now_ms, use)
--- a/dahliashunt/decisions/rate_limits.py
+++ b/dahliashunt/decisions/rate_limits.py
@@ -38,6 +38,7 @@
     "Refused",
     "UseView",
     "Verdict",
+    "forget_old",
     "wait_ms",
 ]
 
@@ -46,6 +47,9 @@
 KEPT_MS = 10_000
 """A workspace without requests for so long is forgotten."""
 
+LOOKED_AT = 2
+"""Old members looked at for each new one; above 1 a table shrinks."""
+
 MOST_WAIT_MS = 5_000
 """Longest Retry-After: further ahead nobody knows what will be sent."""
 
@@ -174,6 +178,26 @@
     return min(MOST_WAIT_MS, max(1, -int(-1000 * missing // rate)))
 
 
+def forget_old(table: dict, is_old) -> None:
+    """Look at two members and drop those that are old.
+
+    To be called for each new member: the table then shrinks to those that
+    are in use, whatever their order.
+
+    Examples
+    --------
+    >>> table = {"used": 1, "old": 0}
+    >>> forget_old(table, lambda value: value == 0)
+    >>> table
+    {'used': 1}
+    """
+    for _ in range(min(LOOKED_AT, len(table))):
+        key = next(iter(table))
+        value = table.pop(key)
+        if not is_old(value):
+            table[key] = value
+
+
 @dataclass(slots=True)
 class _Share:
     level: Level
@@ -235,19 +259,15 @@
     def _share(self, now_ms, workspace):
         share = self._share_by_workspace.get(workspace)
         if share is None:
-            self._forget(now_ms)
+            forget_old(
+                self._share_by_workspace,
+                lambda held: now_ms - held.used_ms > KEPT_MS,
+            )
             share = _Share(Level(), now_ms)
             self._share_by_workspace[workspace] = share
         share.used_ms = now_ms
         return share
 
-    def _forget(self, now_ms):
-        """Look at two of the oldest for each new one: the table shrinks."""
-        for workspace in list(self._share_by_workspace)[:2]:
-            share = self._share_by_workspace[workspace]
-            if now_ms - share.used_ms > KEPT_MS:
-                del self._share_by_workspace[workspace]
-
     def outbox(self) -> list:
         """Return nothing: this policy sends no messages."""
         return []
--- a/dahliashunt/decisions/tests/test_caps.py
+++ b/dahliashunt/decisions/tests/test_caps.py
@@ -245,3 +245,15 @@
         policy.give_back(play.now_ms, 7, LIMIT)
         play._flush(0)
         play.run(play.now_ms + 10)
+
+
+def test_a_meter_forgets_workspaces_and_counts_that_ended():
+    """Guards against a table that grows with each pause of a workspace."""
+    meter = Meter()
+    for second in range(200):
+        now_ms = second * 1_000
+        meter.report(now_ms, "a", Report(7, 1, second, second, 0, 0, LIMIT))
+        meter.report(now_ms, "b", Report(7, second, 1, 1, 0, 0, LIMIT))
+        meter.report(now_ms, "b", Report(second, 1, 1, 1, 0, 0, LIMIT))
+    assert len(meter) < 30
+    assert len(meter._metered_by_workspace[7].counted_by_life) < 30
--- a/dahliashunt/forwarding/caps.py
+++ b/dahliashunt/forwarding/caps.py
@@ -31,6 +31,9 @@
 """Agents that count at all: choosing among them takes some 60 us, and more
 would not share the load better, since each workspace has three."""
 
+MOST_CHOSEN = 10_000
+"""Workspaces whose meters are remembered: a few MB."""
+
 POOL_NAME = "meters"
 
 WINDOW_MS = 5_000
@@ -63,6 +66,8 @@
         self._refresh()
         chosen = self._chosen.get(workspace)
         if chosen is None:
+            if len(self._chosen) >= MOST_CHOSEN:
+                self._chosen.clear()
             ranked = sorted(
                 self._hosts,
                 key=lambda host: rendezvous_rank(str(workspace), host),
