--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -18,6 +18,7 @@
 from tests.soak.fleet import BUDGET_MS
 from tests.soak.replica import answer_text
 from tests.soak.replica import EVENTS
+from tests.soak.workspaces import authorization_of
 
 __all__ = ["Answered", "Caller", "JobCaller"]
 
@@ -125,6 +126,7 @@
         request_id=request_id,
         budget_ms=BUDGET_MS,
         wait_ms=300,
+        authorization=authorization_of(request_id),
     )
     return await exchange(connection, asked, limit_ms)
 
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -38,6 +38,7 @@
     found = []
     for answered in play.caller.answers:
         found += _of_answer(answered, runs[answered.request_id], play)
+    found += [line for r in play.fleet.replicas for line in r.misnamed]
     found += _of_jobs(play)
     found += _of_processes(play)
     return found
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -20,6 +20,7 @@
 from tests.soak.proxy import Proxy
 from tests.soak.replica import SLOTS
 from tests.soak.replica import SoakReplica
+from tests.soak.workspaces import WORKSPACES
 
 __all__ = ["BUDGET_MS", "GRACE_S", "Fleet", "Machine"]
 
@@ -170,7 +171,11 @@
     def configure(self):
         """Put a new revision of the configuration into force."""
         self.revision += 1
-        self.store.configure(config_fields(ROUTES, self.revision, slots=SLOTS))
+        self.store.configure(
+            config_fields(
+                ROUTES, self.revision, slots=SLOTS, workspaces=WORKSPACES
+            )
+        )
 
     def list_replica(self, number):
         """Write a replica's row."""
--- a/tests/soak/replica.py
+++ b/tests/soak/replica.py
@@ -3,9 +3,12 @@
 import asyncio
 import collections
 
+from dahliashunt.platform.names import AUTHORIZATION
+from dahliashunt.platform.names import WORKSPACE
 from dahliashunt.platform.standins import ReplicaStandin
 from dahliashunt.platform.standins.replica import report_answer
 from dahliashunt.platform.standins.replica import Step
+from tests.soak.workspaces import workspace_of
 
 __all__ = ["EVENTS", "SLOTS", "SoakReplica", "answer_text"]
 
@@ -32,6 +35,9 @@
         What goes wrong, and for which share of requests.
     runs_by_request : Counter
         How often each request began to run here.
+    misnamed : list of str
+        Requests that ran in another name than their caller's, or that came
+        with its key.
     """
 
     def __init__(self, replica_id, rng):
@@ -39,6 +45,7 @@
         self.rng = rng
         self.step_by_chance = []
         self.runs_by_request = collections.Counter()
+        self.misnamed = []
         self._waiting = 0
         self._slots = asyncio.Semaphore(SLOTS)
         self._held = []
@@ -67,6 +74,12 @@
             self._held.remove(request_id)
             self._slots.release()
 
+    def _check_name(self, arrival):
+        name = arrival.headers.get(WORKSPACE)
+        is_right = name == workspace_of(arrival.request_id)
+        if not is_right or AUTHORIZATION in arrival.headers:
+            self.misnamed.append(f"{arrival.request_id} ran as {name}")
+
     def _step(self):
         for chance, step in self.step_by_chance:
             if self.rng.random() < chance:
@@ -76,4 +89,5 @@
     async def _answer(self, arrival, step, writer):
         if not step.not_run:
             self.runs_by_request[arrival.request_id] += 1
+            self._check_name(arrival)
         return await super()._answer(arrival, step, writer)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -64,7 +64,9 @@
 @pytest.fixture
 def play():
     """Return a play without faults, in which all was kept."""
-    replica = SimpleNamespace(runs_by_request=collections.Counter())
+    replica = SimpleNamespace(
+        runs_by_request=collections.Counter(), misnamed=[]
+    )
     fleet = SimpleNamespace(replicas=[replica], exits=[("entry-0", 0)])
     pages = {"job-0": {0: JobResult("a", True, OUTPUT)}}
     return SimpleNamespace(
@@ -110,6 +112,12 @@
     assert len(broken_promises(play)) == 1
 
 
+def test_a_request_in_another_name_is_told(play):
+    """Guards against a soak that does not look at workspaces."""
+    play.fleet.replicas[0].misnamed.append("c1 ran as None")
+    assert broken_promises(play) == ["c1 ran as None"]
+
+
 def test_an_answer_is_excused_only_by_a_fault_of_its_time(play):
     answered(play, 0, status=None, whole=False, late=True)
     play.played = [("entry_paused", 12.0, 13.0), ("store_slow", 10.0, 11.0)]
