--- a/tests/combined.py
+++ b/tests/combined.py
@@ -28,7 +28,7 @@
 from tests.lang import verbs  # noqa: F401  registers the verbs
 from tests.lang.parser import parse
 from tests.lang.run import STEPS
-from tests.lang.steps import expected_answer
+from tests.lang.steps_requests import expected_answer
 from tests.lang.world import World
 
 SEEDS = (1, 2, 3, 4, 5)
--- a/tests/lang/steps_checks.py
+++ b/tests/lang/steps_checks.py
@@ -6,10 +6,10 @@
 from tests.lang.parser import parse
 from tests.lang.probes import evaluate_probe
 from tests.lang.run import STEPS
-from tests.lang.steps import ended_of
-from tests.lang.steps import expected_answer
-from tests.lang.steps import names_of
-from tests.lang.steps import result_lines
+from tests.lang.steps_jobs import result_lines
+from tests.lang.steps_requests import ended_of
+from tests.lang.steps_requests import expected_answer
+from tests.lang.steps_requests import names_of
 
 
 @STEPS.register("note")
--- a/tests/lang/steps_load.py
+++ b/tests/lang/steps_load.py
@@ -6,9 +6,9 @@
 
 from tests.harness.client import NOT_SENT
 from tests.lang.run import STEPS
-from tests.lang.steps import expected_answer
-from tests.lang.steps import request_of
-from tests.lang.steps import send
+from tests.lang.steps_requests import expected_answer
+from tests.lang.steps_requests import request_of
+from tests.lang.steps_requests import send
 
 NEXT_ENTRY_S = 0.02
 
