--- a/dahliashunt/decisions/tests/test_caps.py
+++ b/dahliashunt/decisions/tests/test_caps.py
@@ -38,7 +38,7 @@
     return hot_play(policy, seed, callers, times=0.6)
 
 
-@pytest.mark.parametrize("policy", CAPS)
+@pytest.mark.parametrize("policy", list(CAPS))
 @pytest.mark.parametrize("seed", range(4))
 def test_a_hot_workspace_is_held_to_its_limit(policy, seed):
     """Guards against a limit that each entry grants anew."""
