--- a/dahliashunt/decisions/tests/test_caps.py
+++ b/dahliashunt/decisions/tests/test_caps.py
@@ -257,3 +257,17 @@
         meter.report(now_ms, "b", Report(second, 1, 1, 1, 0, 0, LIMIT))
     assert len(meter) < 30
     assert len(meter._metered_by_workspace[7].counted_by_life) < 30
+
+
+def test_two_halves_of_a_large_fleet_stay_within_the_limit():
+    """Guards against least shares that add up to more than the limit."""
+    rate, entries = 300.0, 500
+    limit = RateLimit(rate, rate + ALLOWANCE, 1)
+    play = CapPlay("metered", entries, 64, limit, seed=1)
+    rng = random.Random(1)
+    for at_ms in arrivals(rng, HOT * rate, 0, 14_000):
+        play.send(at_ms, rng.randrange(entries), 7)
+    near = set(range(entries // 2))
+    split(play, near, set(play._meters_of(7)[:1]), 4_000, 16_000)
+    play.run(16_000)
+    assert overruns(play, 7, limit, rate) <= 0
