--- a/dahliashunt/forwarding/attempt.py
+++ b/dahliashunt/forwarding/attempt.py
@@ -84,6 +84,7 @@
         if left_ms <= 0:
             forwarder.pool.give_back(replica.address, connection)
             return AttemptEnd.TIMED_OUT
+        self._state.sent_budget_ms = left_ms
         request = forwarder.dialect.request(
             self._state.call, replica, left_ms, self._state.last_event
         )
--- a/dahliashunt/forwarding/call_state.py
+++ b/dahliashunt/forwarding/call_state.py
@@ -55,6 +55,8 @@
         Id of the last event that was relayed.
     first_ms : int
         Time from arrival to the response head.
+    sent_budget_ms : int
+        Time that the latest attempt handed on to its replica.
     held : HeldResponse or None
     """
 
@@ -65,6 +67,7 @@
     started: bool = False
     last_event: int = 0
     first_ms: int = 0
+    sent_budget_ms: int = 0
     held: HeldResponse | None = None
 
     @property
--- a/dahliashunt/forwarding/forwarder.py
+++ b/dahliashunt/forwarding/forwarder.py
@@ -281,7 +281,12 @@
             now_ms = self._clock.now_ms()
             self._forwarder.suspicion.failed(replica.incarnation, now_ms)
         self._record(
-            "attempt_ended", replica=replica.replica_id, end=end.value
+            "attempt_ended",
+            replica=replica.replica_id,
+            end=end.value,
+            digest=self._digest,
+            began_ms=began_ms - self._call.arrived_ms,
+            sent_budget_ms=self._state.sent_budget_ms,
         )
 
     def _may_try_again(self, end):
--- a/dahliashunt/forwarding/losses.py
+++ b/dahliashunt/forwarding/losses.py
@@ -74,6 +74,7 @@
     def served(self, digest: Fingerprint) -> None:
         """Clear the losses of a request that was served."""
         if self._counts.served(digest):
+            self._log.info("losses_cleared", digest=digest)
             self._put(digest)
 
     def is_quarantined(self, digest: Fingerprint) -> bool:
@@ -81,8 +82,10 @@
         return self._counts.is_quarantined(digest, self._clock.now_ms())
 
     def _put(self, digest):
-        if not self._queue.full():
-            self._queue.put_nowait(digest)
+        if self._queue.full():
+            self._log.warning("loss_write_dropped", digest=digest)
+            return
+        self._queue.put_nowait(digest)
 
     def replaced(self, rows) -> None:
         """Learn the counts of a whole table."""
@@ -93,7 +96,16 @@
         """Learn one count."""
         if row.value.isdigit():
             digest = Fingerprint(row.key.removeprefix(LOSSES_PREFIX))
-            self._counts.learn(digest, int(row.value), self._clock.now_ms())
+            now_ms = self._clock.now_ms()
+            before = self._counts.losses(digest, now_ms)
+            losses = self._counts.learn(digest, int(row.value), now_ms)
+            if losses > before:
+                self._log.info(
+                    "losses_learned",
+                    digest=digest,
+                    losses=losses,
+                    before=before,
+                )
 
     def removed(self, key: str) -> None:
         """Clear the losses of a request that another entry has served."""
--- a/dahliashunt/jobs/item_run.py
+++ b/dahliashunt/jobs/item_run.py
@@ -74,6 +74,10 @@
         Start of the first attempt on this node.
     revokes : int
         Number of attempts ended by a revoked slot.
+    losses : int
+        Number of lost attempts since the last event.
+    status : int or None
+        Status of the latest answer; None without one.
     last_event : int
         Number of the last event received.
     saved_event : int
@@ -92,7 +96,8 @@
         self.revokes = 0
         self.last_event = 0
         self.saved_event = 0
-        self._losses = 0
+        self.losses = 0
+        self.status: int | None = None
         self._texts: list[str] = []
         self._connection = None
         self._revoked = False
@@ -171,13 +176,13 @@
         if end is ItemEnd.NOT_RUN:
             self.not_before_ms = clock.now_ms() + REFUSED_WAIT_MS
         if end is ItemEnd.LOST:
-            self._losses += 1
-            if self._losses >= CRASH_LOSSES:
+            self.losses += 1
+            if self.losses >= CRASH_LOSSES:
                 self.not_before_ms = clock.now_ms() + CRASHED_WAIT_MS
         return end
 
     async def _relay(self, connection, mailbox, dialect):
-        head = None
+        self.status = head = None
         splitter = EventSplitter()
         while True:
             events = await mailbox.take(SILENCE_MS)
@@ -186,6 +191,7 @@
             for event in events:
                 if isinstance(event, ResponseHead):
                     head = event
+                    self.status = head.status
                 elif isinstance(event, End):
                     return self._classify_end(event, head, splitter, dialect)
                 else:
@@ -205,7 +211,7 @@
                     return False
                 self.last_event = event.number
                 self._texts.append(event.data())
-                self._losses = 0
+                self.losses = 0
         except EventOutOfOrder:
             return False
         return True
--- a/dahliashunt/jobs/job_run.py
+++ b/dahliashunt/jobs/job_run.py
@@ -77,7 +77,14 @@
     def take_finished(self) -> list[Finished]:
         """Remove and return the items that are done but not listed."""
         finished, self._finished = self._finished, []
-        return [each for each in finished if each.outcome is Outcome.DONE]
+        done = [each for each in finished if each.outcome is Outcome.DONE]
+        if len(done) < len(finished):
+            self._worker.log.info(
+                "dead_items_dropped",
+                job_id=self.job.job_id,
+                items=len(finished) - len(done),
+            )
+        return done
 
     def unfinished(self) -> list[ItemRun]:
         """Return the items that are neither done nor listed."""
--- a/dahliashunt/jobs/worker.py
+++ b/dahliashunt/jobs/worker.py
@@ -328,7 +328,9 @@
                 job_id=job_run.job.job_id,
                 replica=reservation.replica.replica_id,
                 end=end.value,
+                status=item.status,
                 failures=item.failures,
+                losses=item.losses,
             )
         self._handle_end(job_run, item, reservation, end)
 
