--- a/dahliashunt/platform/tests/test_jobs.py
+++ b/dahliashunt/platform/tests/test_jobs.py
@@ -436,3 +436,35 @@
         assert job_rows(p) == 0
 
     platform(scenario, ROUTE)
+
+
+async def refuse_writes_after_the_next_run(p, runs_before):
+    """Let one item run, and return once its owner failed to write of it."""
+    replica, trouble = p.replicas[0], p.store.trouble
+    await p.until(lambda: len(replica.arrivals) > runs_before)
+    trouble.refuse_writes_after = 0
+    await p.until(lambda: not replica.running)
+    calls = p.store.calls["/api/rows-tx"]
+    await p.until(
+        lambda: (
+            not replica.running and p.store.calls["/api/rows-tx"] > calls + 1
+        )
+    )
+
+
+def test_restarted_owners_send_a_failing_item_within_its_bound(platform):
+    # Guards against failures that are forgotten at each restart of the
+    # owner, so that an item that always fails is run without end.
+    async def scenario(p):
+        replica = p.replicas[0].then(status=500, body=b"no", head_ms=100)
+        await submit(p, body=job_body("a"))
+        for _ in range(4):
+            await refuse_writes_after_the_next_run(p, len(replica.arrivals))
+            await p.kill(p.entries[0])
+            p.store.trouble.refuse_writes_after = None
+            await p.add_entry()
+        (result,) = await read_all(p)
+        assert result["state"] == "dead"
+        assert len(replica.arrivals) <= 3 * ROUTE["max-attempts"]
+
+    platform(scenario, ROUTE)
