--- a/dahliashunt/jobs/checkpoints.py
+++ b/dahliashunt/jobs/checkpoints.py
@@ -60,6 +60,5 @@
         partials = [partial for partial in made if fits_row(partial)]
         taken = await self._partials.save(partials)
         for saved in taken:
-            item = items_by_name[saved.job_id, saved.index]
-            item.saved_event = max(item.saved_event, saved.last_event)
+            items_by_name[saved.job_id, saved.index].note_saved(saved)
         return len(taken) == len(partials)
--- a/dahliashunt/jobs/item_run.py
+++ b/dahliashunt/jobs/item_run.py
@@ -82,6 +82,8 @@
         Number of the last event received.
     saved_event : int
         Number of the last event in the saved text.
+    saved : bool
+        Whether the store may hold a row of this item.
     """
 
     def __init__(self, index: int, call: Call, due_ms: int, abandon_ms: int):
@@ -96,6 +98,7 @@
         self.revokes = 0
         self.last_event = 0
         self.saved_event = 0
+        self.saved = False
         self.losses = 0
         self.status: int | None = None
         self._texts: list[str] = []
@@ -108,13 +111,22 @@
         return "\n".join(self._texts)
 
     def partial(self, job_id: JobId) -> Partial:
-        """Return the item's text so far, to be saved."""
-        return Partial(job_id, self.index, self.last_event, self.text)
+        """Return the item's text and failures so far, to be saved."""
+        return Partial(
+            job_id, self.index, self.last_event, self.text, self.failures
+        )
 
     def resume(self, partial: Partial) -> None:
-        """Restore a saved text; call it before the first attempt."""
+        """Restore what was saved; call it before the first attempt."""
         self.last_event = self.saved_event = partial.last_event
-        self._texts = [partial.text]
+        self.failures = partial.failures
+        self.saved = True
+        self._texts = [partial.text] if partial.last_event else []
+
+    def note_saved(self, partial: Partial) -> None:
+        """Note that `partial` is in the store."""
+        self.saved = True
+        self.saved_event = max(self.saved_event, partial.last_event)
 
     def is_ready(self, now_ms: int) -> bool:
         """Tell whether the item may be attempted, or is to be given up."""
--- a/dahliashunt/jobs/job_run.py
+++ b/dahliashunt/jobs/job_run.py
@@ -121,8 +121,9 @@
             )
         self._worker.held_characters += len(text)
         self._unfinished_by_index.pop(item.index, None)
-        saved = item.saved_event > 0
-        self._finished.append(Finished(item.index, outcome, text, saved))
+        self._finished.append(
+            Finished(item.index, outcome, text, item.saved)
+        )
         self._changed.set()
 
     async def _run(self):
--- a/dahliashunt/jobs/partials.py
+++ b/dahliashunt/jobs/partials.py
@@ -1,14 +1,19 @@
 """Checkpoints of unfinished items for the next owner of their job.
 
 A replica can resume an item after any event. Without checkpoints all work
-on a lost node's unfinished items would be repeated.
+on a lost node's unfinished items would be repeated, and an item that fails
+at each run would be run anew by each owner.
 
 A row holds an item's whole text up to an event. A row that is outdated, or
 written late by a former owner, is therefore consistent: the item resumes
 after that event. Without a row the item starts from the beginning.
+
+The number of failures is left out of a row while it is 0, so that nodes of
+an earlier version can read the text.
 """
 
 from dataclasses import dataclass
+from dataclasses import replace
 import json
 
 from dahliashunt.errors import PlatformUnavailable
@@ -21,7 +26,7 @@
 from dahliashunt.ports import TableService
 from dahliashunt.ports.table import Write
 
-__all__ = ["Partial", "PartialTexts", "fits_row"]
+__all__ = ["Partial", "PartialTexts", "fits_row", "without_text"]
 
 MAX_ROW_BYTES = 60_000
 """Longest text that is saved; the store's limit is 64 KB per row."""
@@ -46,12 +51,15 @@
     last_event : int
         The text holds the data of the events up to this one.
     text : str
+    failures : int
+        Number of error answers that the item got from replicas.
     """
 
     job_id: JobId
     index: int
     last_event: int
     text: str
+    failures: int = 0
 
 
 class PartialTexts:
@@ -105,10 +113,12 @@
 
     def _decoded(self, job_id, row):
         try:
-            last_event, text = json.loads(row.value)
+            last_event, text, *counted = json.loads(row.value)
+            (failures,) = counted or (0,)
             index = partial_index(row.key)
-            if type(last_event) is int and isinstance(text, str):
-                return Partial(job_id, index, last_event, text)
+            is_valid = type(last_event) is int and type(failures) is int
+            if is_valid and isinstance(text, str):
+                return Partial(job_id, index, last_event, text, failures)
         except (TypeError, ValueError):
             pass
         self._log.error("partial_unreadable", key=row.key)
@@ -120,8 +130,15 @@
     return len(_encoded(partial).encode()) <= MAX_ROW_BYTES
 
 
+def without_text(partial: Partial) -> Partial:
+    """Return `partial` with its failures only."""
+    return replace(partial, last_event=0, text="")
+
+
 def _encoded(partial):
     content = [partial.last_event, partial.text]
+    if partial.failures:
+        content.append(partial.failures)
     return json.dumps(content, ensure_ascii=False)
 
 
--- a/dahliashunt/jobs/worker.py
+++ b/dahliashunt/jobs/worker.py
@@ -28,7 +28,9 @@
 from dahliashunt.jobs.job_run import RETRY_MS
 from dahliashunt.jobs.ledger import JobLedger
 from dahliashunt.jobs.model import Outcome
+from dahliashunt.jobs.partials import fits_row
 from dahliashunt.jobs.partials import PartialTexts
+from dahliashunt.jobs.partials import without_text
 from dahliashunt.jobs.payload import PayloadReader
 from dahliashunt.jobs.view import JobView
 
@@ -356,9 +358,24 @@
             job_run.finish(
                 item, Outcome.DEAD, "all attempts of its route have failed"
             )
+        elif end is ItemEnd.FAILED:
+            job_run.spawn(self._retry_once_counted(job_run, item))
         else:
             self.wait_for_slot(job_run, item)
 
+    async def _retry_once_counted(self, job_run, item):
+        """Queue a failed item again once the store has its failures.
+
+        The next owner would otherwise give it all of its attempts again.
+        """
+        partial = item.partial(job_run.job.job_id)
+        if not fits_row(partial):
+            partial = without_text(partial)
+        while not await self.partials.save([partial]):
+            await self.clock.sleep_ms(self._rng.randint(*RETRY_MS))
+        item.note_saved(partial)
+        self.wait_for_slot(job_run, item)
+
     def _record_done(self, job_run, item, replica):
         now_ms = self.clock.now_ms()
         took_ms = now_ms - item.started_ms
--- a/dahliashunt/platform/tests/test_job_handover.py
+++ b/dahliashunt/platform/tests/test_job_handover.py
@@ -111,7 +111,9 @@
 
 
 @pytest.mark.parametrize(
-    "value", ["{", "[1]", '["1", "x"]', "[2, 3]"], ids=str
+    "value",
+    ["{", "[1]", '["1", "x"]', "[2, 3]", '[1, "x", "2"]', '[1, "x", 2, 3]'],
+    ids=str,
 )
 def test_a_text_that_cannot_be_read_only_costs_a_new_start(platform, value):
     async def scenario(p):
@@ -147,8 +149,10 @@
         assert await partials.save([text]) == []
         p.store.trouble.status = None
         assert await partials.save([text]) == [text]
+        failed = Partial("j9", 1, 0, "", failures=2)
+        assert await partials.save([failed]) == [failed]
         found = await partials.load("j9")
-        assert found == {0: text}
+        assert found == {0: text, 1: failed}
         assert json.loads(
             p.store.value("partials", "j9/00000", str(shard_of("j9")))
         ) == [1, "text"]
