--- a/dahliashunt/jobs/__init__.py
+++ b/dahliashunt/jobs/__init__.py
@@ -10,7 +10,7 @@
 quotas     ``quotas//ROUTE``            tokens of the route's open jobs
 progress   ``progress/SHARD/JOB``       owner, and the listed results
 results    ``results/SHARD/JOB/POS/N``  a listed result's text, in pieces
-partials   ``partials/SHARD/JOB/INDEX`` an unfinished item's text and failures
+partials   ``partials/SHARD/JOB/INDEX`` text and failures of an item
 ========== ============================ ===============================
 
 Acceptance is one transaction over ``jobs`` and ``quotas``; listing is one
--- a/dahliashunt/jobs/job_run.py
+++ b/dahliashunt/jobs/job_run.py
@@ -121,9 +121,7 @@
             )
         self._worker.held_characters += len(text)
         self._unfinished_by_index.pop(item.index, None)
-        self._finished.append(
-            Finished(item.index, outcome, text, item.saved)
-        )
+        self._finished.append(Finished(item.index, outcome, text, item.saved))
         self._changed.set()
 
     async def _run(self):
