--- a/dahliashunt/jobs/item_run.py
+++ b/dahliashunt/jobs/item_run.py
@@ -214,17 +214,17 @@
                         return ItemEnd.LOST
 
     def _append_events(self, splitter, data):
-        """Append the whole events; return False on a gap in their numbers."""
+        """Append the whole events; return False if one is malformed."""
         try:
             for event in splitter.feed(data):
                 if event.number is None:
                     continue
                 if event.number != self.last_event + 1:
                     return False
-                self.last_event = event.number
                 self._texts.append(event.data())
+                self.last_event = event.number
                 self.losses = 0
-        except EventOutOfOrder:
+        except (EventOutOfOrder, UnicodeDecodeError):
             return False
         return True
 
--- a/dahliashunt/jobs/job_run.py
+++ b/dahliashunt/jobs/job_run.py
@@ -25,6 +25,9 @@
     worker : JobWorker
         Starts the items when slots are free.
     job : Job
+    kept : list of Finished, optional
+        Outcomes of an earlier run of this job on this node; given if that
+        run has failed.
 
     Attributes
     ----------
@@ -35,16 +38,19 @@
         Items with an attempt in progress.
     """
 
-    def __init__(self, worker, job: Job):
+    def __init__(self, worker, job: Job, kept: list | None = None):
         self.job = job
         self.stopped = False
         self.item_by_index: dict[int, ItemRun] = {}
         self._listed: frozenset[int] = frozenset()
         self._worker = worker
         self._tasks = set()
-        self._finished: list[Finished] = []
+        self._finished: list[Finished] = list(kept or ())
+        self._is_restart = kept is not None
         self._unfinished_by_index: dict[int, ItemRun] = {}
         self._changed = asyncio.Event()
+        if kept:
+            self._changed.set()
         self.spawn(self._run())
 
     def spawn(self, work) -> None:
@@ -61,9 +67,7 @@
                 job_id=self.job.job_id,
                 reason=repr(task.exception()),
             )
-            # The worker starts the job again at its next view update.
-            self.stop()
-            self._worker.forget(self.job.job_id)
+            self._worker.restart_later(self)
 
     def stop(self) -> None:
         """Cancel all tasks; closed connections stop the replicas."""
@@ -75,16 +79,20 @@
         self._finished.clear()
 
     def take_finished(self) -> list[Finished]:
-        """Remove and return the items that are done but not listed."""
+        """Remove the items that aren't listed; return the decided ones.
+
+        An item that this node gave up for its own view of time and routes
+        is left to the next owner.
+        """
         finished, self._finished = self._finished, []
-        done = [each for each in finished if each.outcome is Outcome.DONE]
-        if len(done) < len(finished):
+        decided = [each for each in finished if each.by_replica]
+        if len(decided) < len(finished):
             self._worker.log.info(
                 "dead_items_dropped",
                 job_id=self.job.job_id,
-                items=len(finished) - len(done),
+                items=len(finished) - len(decided),
             )
-        return done
+        return decided
 
     def unfinished(self) -> list[ItemRun]:
         """Return the items that are neither done nor listed."""
@@ -109,7 +117,17 @@
                 item.revoke()
         self._changed.set()
 
-    def finish(self, item: ItemRun, outcome: Outcome, reason: str) -> None:
+    def abandon(self, item: ItemRun, reason: str) -> None:
+        """Queue an item for listing as dead that no replica has decided."""
+        self.finish(item, Outcome.DEAD, reason, by_replica=False)
+
+    def finish(
+        self,
+        item: ItemRun,
+        outcome: Outcome,
+        reason: str,
+        by_replica: bool = True,
+    ) -> None:
         """Queue an item's outcome for listing."""
         text = item.text if outcome is Outcome.DONE else ""
         if outcome is Outcome.DEAD:
@@ -121,7 +139,9 @@
             )
         self._worker.held_characters += len(text)
         self._unfinished_by_index.pop(item.index, None)
-        self._finished.append(Finished(item.index, outcome, text, item.saved))
+        self._finished.append(
+            Finished(item.index, outcome, text, item.saved, by_replica)
+        )
         self._changed.set()
 
     async def _run(self):
@@ -141,8 +161,9 @@
             age_ms=age_ms,
         )
         partial_by_index = await self._partials()
+        ended = listed | {finished.index for finished in self._finished}
         for index, call in enumerate(calls):
-            if index not in listed:
+            if index not in ended:
                 item = ItemRun(index, call, due_ms, abandon_ms)
                 if index in partial_by_index:
                     item.resume(partial_by_index[index])
@@ -154,7 +175,8 @@
         """Return the partial texts that a former owner has saved."""
         worker = self._worker
         is_new = (
-            self.job.accepted_by == worker.ledger.owner
+            not self._is_restart
+            and self.job.accepted_by == worker.ledger.owner
             and self.job.job_id not in worker.view.progress_by_id
         )
         if is_new:
--- a/dahliashunt/jobs/ledger.py
+++ b/dahliashunt/jobs/ledger.py
@@ -68,12 +68,16 @@
     text : str
     saved : bool
         Whether the store may hold its partial text, to be deleted then.
+    by_replica : bool
+        Whether answers of replicas decided it, so that it holds whoever
+        owns the job.
     """
 
     index: int
     outcome: Outcome
     text: str
     saved: bool = False
+    by_replica: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/dahliashunt/jobs/worker.py
+++ b/dahliashunt/jobs/worker.py
@@ -26,6 +26,7 @@
 from dahliashunt.jobs.item_run import ItemRun
 from dahliashunt.jobs.job_run import JobRun
 from dahliashunt.jobs.job_run import RETRY_MS
+from dahliashunt.jobs.ledger import Finished
 from dahliashunt.jobs.ledger import JobLedger
 from dahliashunt.jobs.model import Outcome
 from dahliashunt.jobs.partials import fits_row
@@ -68,6 +69,13 @@
     partials : PartialTexts
     store_now_ms : callable
         Returns this node's estimate of the store's clock.
+
+    Attributes
+    ----------
+    held_characters : int
+        Size of the results that are not listed yet.
+    restarts : int
+        Number of jobs started again after a failure of one of their tasks.
     """
 
     def __init__(
@@ -95,12 +103,14 @@
         self.log = node.log
         self._rng: random.Random = node.rng
         self._run_by_id: dict[JobId, JobRun] = {}
+        self._kept_by_id: dict[JobId, list[Finished]] = {}
         self._waiting = ItemQueue()
         self._item_queued = asyncio.Event()
         self._running = 0
         self._flush_tasks = set()
         self._leaving = False
         self.held_characters = 0
+        self.restarts = 0
 
     @property
     def owns_jobs(self) -> bool:
@@ -153,8 +163,12 @@
                 self.release_job(job_id)
         for job_id, job in owned.items():
             if job_id not in self._run_by_id:
-                self._run_by_id[job_id] = JobRun(self, job)
+                kept = self._kept_by_id.pop(job_id, None)
+                self._run_by_id[job_id] = JobRun(self, job, kept)
             self._run_by_id[job_id].stop_listed_items()
+        for job_id in list(self._kept_by_id):
+            kept = self._kept_by_id.pop(job_id)
+            self._start_flush(self.view.job(job_id), kept)
 
     def release_job(self, job_id: JobId) -> None:
         """Stop a job that this node doesn't own; list its finished items.
@@ -167,10 +181,14 @@
             return
         finished = run.take_finished()
         run.stop()
-        if finished:
-            task = asyncio.create_task(self._flush(run.job, finished))
-            self._flush_tasks.add(task)
-            task.add_done_callback(self._flush_done)
+        self._start_flush(run.job, finished)
+
+    def _start_flush(self, job, finished):
+        if not finished:
+            return
+        task = asyncio.create_task(self._flush(job, finished))
+        self._flush_tasks.add(task)
+        task.add_done_callback(self._flush_done)
 
     def _flush_done(self, task):
         self._flush_tasks.discard(task)
@@ -208,9 +226,21 @@
         listed = self.view.progress(job).indices
         return [each for each in finished if each.index not in listed]
 
-    def forget(self, job_id: JobId) -> None:
-        """Drop a failed job; the next view update starts it again."""
-        self._run_by_id.pop(job_id, None)
+    def job_run(self, job_id: JobId) -> JobRun | None:
+        """Return the run of a job that this node owns."""
+        return self._run_by_id.get(job_id)
+
+    def restart_later(self, run: JobRun) -> None:
+        """Stop a failed job; the next view update starts it again.
+
+        What its replicas have answered for good stays known.
+        """
+        job_id = run.job.job_id
+        if self._run_by_id.get(job_id) is run:
+            del self._run_by_id[job_id]
+            self._kept_by_id[job_id] = run.take_finished()
+            self.restarts += 1
+        run.stop()
 
     def wait_for_slot(self, job_run, item: ItemRun) -> None:
         """Queue `item` for a slot."""
@@ -280,14 +310,10 @@
             # The route still exists but can't be read: the item waits.
             return None
         if route is None or route.kind is not RouteKind.BATCH:
-            job_run.finish(
-                item, Outcome.DEAD, "the batch route no longer exists"
-            )
+            job_run.abandon(item, "the batch route no longer exists")
             return _NOT_NEEDED
         if now_ms >= item.abandon_ms + ABANDON_MARGIN_MS:
-            job_run.finish(
-                item, Outcome.DEAD, "the time limit of its route has passed"
-            )
+            job_run.abandon(item, "the time limit of its route has passed")
             return _NOT_NEEDED
         service = route.service_for(item.call.request_id)
         parts = item.call.shared_parts
--- a/dahliashunt/platform/job_parts.py
+++ b/dahliashunt/platform/job_parts.py
@@ -44,6 +44,7 @@
     ledger : JobLedger
     partials : PartialTexts
     expiry : Expiry
+    worker : JobWorker
     """
 
     def __init__(
@@ -60,10 +61,8 @@
         self.view = JobView(node.log)
         self.ledger = JobLedger(store, store, self.view, owner, node.log)
         self.partials = PartialTexts(store, node.log)
-        self._worker = self._make_worker(places, pool)
-        self._checkpoints = Checkpoints(
-            self._worker, self.partials, node.clock
-        )
+        self.worker = self._make_worker(places, pool)
+        self._checkpoints = Checkpoints(self.worker, self.partials, node.clock)
         self._reader = BeatReader(store, owner, node.clock, node.log)
         self._takeover = self._make_takeover(owner)
         self.expiry = self._make_expiry(keep_ms)
@@ -91,7 +90,7 @@
         return Takeover(
             self.view,
             self.ledger,
-            self._worker,
+            self.worker,
             BeatWriter(store, owner, node.log),
             self._reader,
             node.clock,
@@ -114,12 +113,12 @@
     @property
     def unfinished(self) -> list:
         """Pairs of job id and unfinished item, of this node's jobs."""
-        return self._worker.unfinished()
+        return self.worker.unfinished()
 
     def loops(self) -> list:
         """Return the coroutines of the background loops."""
         return [
-            self._worker.run(),
+            self.worker.run(),
             self._takeover.renew(),
             self._takeover.watch(),
             self._checkpoints.run(),
@@ -138,5 +137,5 @@
             if clock.now_ms() + HANDOVER_RETRY_MS >= until_ms:
                 break
             await clock.sleep_ms(HANDOVER_RETRY_MS)
-        self._worker.leave()
+        self.worker.leave()
         await self._takeover.leave()
--- a/dahliashunt/platform/tests/test_jobs.py
+++ b/dahliashunt/platform/tests/test_jobs.py
@@ -468,3 +468,59 @@
         assert len(replica.arrivals) <= 3 * ROUTE["max-attempts"]
 
     platform(scenario, ROUTE)
+
+
+def test_a_former_owner_hands_in_what_can_never_be_done(platform):
+    # Guards against an item that each owner of its job sends again, since
+    # the rejection by its replica was dropped with the ownership.
+    async def scenario(p):
+        replica = p.replicas[0].then(status=422, body=b"no", head_ms=200)
+        owner, other = p.entries[0], await p.add_entry()
+        store = owner.jobs.store
+        address = store.address
+        assert (await submit(p, body=job_body("a"))).status == 202
+        await p.until(lambda: replica.arrivals)
+        store.address = ("127.0.0.1", free_port())
+        await p.until(lambda: not replica.running)
+        replica.steps.clear()
+        replica.then(head_ms=60_000)
+        await p.until(lambda: len(replica.arrivals) == 2)
+        store.address = address
+        (result,) = await read_all(p, entry=other)
+        assert result["state"] == "dead"
+        await p.until(lambda: not replica.running)
+
+    platform(scenario, ROUTE)
+
+
+def test_an_item_that_was_rejected_is_not_run_by_a_restarted_job(platform):
+    # Guards against outcomes that are forgotten when a task of the job fails.
+    async def scenario(p):
+        replica = p.replicas[0].then(status=422, body=b"no", head_ms=100)
+        await submit(p, body=job_body("a"))
+        await p.until(lambda: replica.arrivals)
+        p.store.trouble.refuse_writes_after = 0
+        await p.until(lambda: not replica.running)
+        worker = p.entries[0].jobs.worker
+        run = worker.job_run("j1")
+        run.spawn(asyncio.wait_for(asyncio.Event().wait(), 0))
+        await p.until(lambda: worker.job_run("j1") not in (run, None))
+        p.store.trouble.refuse_writes_after = None
+        (result,) = await read_all(p)
+        assert result["state"] == "dead"
+        assert len(replica.arrivals) == 1
+
+    platform(scenario, ROUTE)
+
+
+def test_text_that_is_not_utf_8_costs_one_run_of_its_item(platform):
+    # Guards against a spoiled event that restarts every item of its job.
+    async def scenario(p):
+        replica = p.replicas[0].then(body=b"id: 1\ndata: \xff\n\n")
+        replica.then(events=2)
+        await submit(p, body=job_body("a"))
+        (result,) = await read_all(p)
+        assert result["output"] == output(2)
+        assert p.entries[0].jobs.worker.restarts == 0
+
+    platform(scenario, ROUTE)
