--- a/dahliashunt/decisions/loss_counts.py
+++ b/dahliashunt/decisions/loss_counts.py
@@ -3,7 +3,8 @@
 Load pattern
 ------------
 One request crashes each replica that starts to run it, and its caller sends
-it again, each time to another entry.
+it again, each time to another entry. A batch item does the same without a
+caller, each time its job has another owner.
 
 What goes wrong without it
 --------------------------
@@ -11,45 +12,97 @@
 
 How
 ---
-Lost runs are counted by request digest over all entries. After `MAX_LOSSES`
-in a row the request is refused for a time that doubles with each further
-loss. A served run clears the count, so that a popular request is not
-quarantined for unrelated losses.
+Lost runs are collected by request digest over all entries. After `MAX_LOSSES`
+in a row the request is refused for a time that grows with each further loss.
+Once that time is over, one run in the whole fleet tries it again. A served
+run clears the losses, so that a popular request is not quarantined for
+unrelated ones.
 
 Several runs of a popular request can be lost to one cause, such as a rack
 without power. These started before the first of them was lost, so that a
-run counts only if it started after the last loss counted. In an outage of
-all replicas popular requests are still refused; the first quarantine is
-short, so that they recover soon after the replicas.
+run counts only if it started after the last loss counted. Runs are kept with
+their times, so that entries which could not reach each other count alike
+afterwards, whatever they learn first.
 
-Counts expire some time after the last loss, since a new version may run
+In an outage of all replicas popular requests are still refused; the first
+quarantines are short, so that they recover soon after the replicas.
+
+Losses expire some time after the last one, since a new version may run
 what crashed the old one.
 """
 
 from dataclasses import dataclass
+import enum
 
 from dahliashunt.ids import Fingerprint
 
-__all__ = ["LossCounts"]
+__all__ = ["LossCounts", "LostRun", "Permission", "losses_in_row"]
 
 MAX_LOSSES = 3
 """Losses in a row after which a request is refused."""
 
-INITIAL_QUARANTINE_MS = 5_000
-"""First quarantine in milliseconds; about a replica's restart."""
+QUARANTINES_MS = (5_000, 10_000, 30_000, 600_000)
+"""Milliseconds of refusal after `MAX_LOSSES` losses and after each further
+one. Three runs may follow within a minute, then one in ten minutes."""
+
+EXPIRY_MS = 2 * QUARANTINES_MS[-1]
+"""Time after the last loss until losses are forgotten, in milliseconds;
+longer than a quarantine, so that one more loss starts the next."""
 
-MAX_QUARANTINE_MS = 600_000
-"""Longest quarantine in milliseconds. Counts are kept twice as long, so that
-one more loss after a quarantine starts the next."""
+MAX_RUNS = MAX_LOSSES + len(QUARANTINES_MS)
+"""Lost runs kept of a digest; more don't change its quarantine."""
 
 MAX_DIGESTS = 10_000
 """Digests kept; the oldest are evicted first."""
 
 
-@dataclass(slots=True)
-class _Count:
-    losses: int
-    counted_ms: int
+@dataclass(frozen=True, order=True, slots=True)
+class LostRun:
+    """A run that was lost with its replica.
+
+    Attributes
+    ----------
+    lost_ms, began_ms : int
+        Times of the loss and of the start, on a clock that entries share.
+    """
+
+    lost_ms: int
+    began_ms: int
+
+
+class Permission(enum.Enum):
+    """Whether a request may be sent to a replica."""
+
+    ALLOWED = "allowed"
+    QUARANTINED = "quarantined"
+    TRIAL = "trial"
+    """Its quarantine is over: one run in the fleet may try it."""
+
+
+def losses_in_row(runs) -> tuple[LostRun, ...]:
+    """Return the longest sequence of runs that don't overlap.
+
+    This is interval scheduling by the earliest end [1]_, in O(n log n).
+
+    Parameters
+    ----------
+    runs : iterable of LostRun
+
+    References
+    ----------
+    .. [1] Kleinberg and Tardos, "Algorithm Design", section 4.1, 2006.
+
+    Examples
+    --------
+    >>> first, beside, after = LostRun(5, 0), LostRun(6, 1), LostRun(9, 7)
+    >>> losses_in_row([after, beside, first]) == (first, after)
+    True
+    """
+    in_row = []
+    for run in sorted(runs):
+        if not in_row or run.began_ms > in_row[-1].lost_ms:
+            in_row.append(run)
+    return tuple(in_row[-MAX_RUNS:])
 
 
 class LossCounts:
@@ -65,17 +118,17 @@
     >>> counts = LossCounts()
     >>> [counts.lost("bad", at + 1, at + 2) for at in range(0, 30, 10)]
     [1, 2, 3]
-    >>> counts.is_quarantined("bad", 23)
-    True
+    >>> counts.permission("bad", 23)
+    <Permission.QUARANTINED: 'quarantined'>
     >>> counts.served("bad")
     True
-    >>> counts.is_quarantined("bad", 23)
-    False
+    >>> counts.permission("bad", 23)
+    <Permission.ALLOWED: 'allowed'>
     """
 
     def __init__(self, max_digests: int = MAX_DIGESTS):
         self._max_digests = max_digests
-        self._count_by_digest: dict[Fingerprint, _Count] = {}
+        self._runs_by_digest: dict[Fingerprint, tuple[LostRun, ...]] = {}
 
     def lost(self, digest: Fingerprint, began_ms: int, now_ms: int) -> int:
         """Record a lost run; return the losses in a row.
@@ -87,45 +140,43 @@
             Time at which the run was sent to its replica.
         now_ms : int
         """
-        losses = self.losses(digest, now_ms)
-        if losses and began_ms < self._count_by_digest[digest].counted_ms:
-            return losses
-        self._put(digest, _Count(losses + 1, now_ms))
-        return losses + 1
-
-    def learn(self, digest: Fingerprint, losses: int, now_ms: int) -> int:
-        """Merge a count shared by all entries; return the higher one."""
-        known = self.losses(digest, now_ms)
-        if losses > known:
-            self._put(digest, _Count(losses, now_ms))
-        return max(losses, known)
-
-    def _put(self, digest, count):
-        self._count_by_digest.pop(digest, None)
-        self._count_by_digest[digest] = count
-        while len(self._count_by_digest) > self._max_digests:
-            del self._count_by_digest[next(iter(self._count_by_digest))]
+        return self.learn(digest, (LostRun(now_ms, began_ms),), now_ms)
+
+    def learn(self, digest: Fingerprint, runs, now_ms: int) -> int:
+        """Merge lost runs of all entries; return the losses in a row."""
+        known = self.runs(digest, now_ms)
+        merged = losses_in_row({*known, *runs})
+        if merged != known:
+            self._put(digest, merged)
+        return self.losses(digest, now_ms)
+
+    def _put(self, digest, runs):
+        self._runs_by_digest.pop(digest, None)
+        self._runs_by_digest[digest] = runs
+        while len(self._runs_by_digest) > self._max_digests:
+            del self._runs_by_digest[next(iter(self._runs_by_digest))]
+
+    def runs(self, digest: Fingerprint, now_ms: int) -> tuple[LostRun, ...]:
+        """Return the runs lost in a row, none once they have expired."""
+        runs = self._runs_by_digest.get(digest, ())
+        if runs and now_ms - runs[-1].lost_ms >= EXPIRY_MS:
+            return ()
+        return runs
 
     def losses(self, digest: Fingerprint, now_ms: int) -> int:
-        """Return the losses in a row, 0 once they have expired."""
-        count = self._count_by_digest.get(digest)
-        if count is None or now_ms - count.counted_ms >= 2 * MAX_QUARANTINE_MS:
-            return 0
-        return count.losses
+        """Return the number of losses in a row."""
+        return len(self.runs(digest, now_ms))
 
     def served(self, digest: Fingerprint) -> bool:
-        """Clear `digest`; return whether it had a count."""
-        return self._count_by_digest.pop(digest, None) is not None
-
-    def is_quarantined(self, digest: Fingerprint, now_ms: int) -> bool:
-        """Tell whether the request is quarantined now."""
-        losses = self.losses(digest, now_ms)
-        if losses < MAX_LOSSES:
-            return False
-        doublings = min(losses - MAX_LOSSES, 10)
-        quarantine_ms = min(
-            INITIAL_QUARANTINE_MS << doublings, MAX_QUARANTINE_MS
-        )
-        return (
-            now_ms - self._count_by_digest[digest].counted_ms < quarantine_ms
-        )
+        """Clear `digest`; return whether it had losses."""
+        return self._runs_by_digest.pop(digest, None) is not None
+
+    def permission(self, digest: Fingerprint, now_ms: int) -> Permission:
+        """Return whether the request may be sent now."""
+        runs = self.runs(digest, now_ms)
+        if len(runs) < MAX_LOSSES:
+            return Permission.ALLOWED
+        step = min(len(runs) - MAX_LOSSES, len(QUARANTINES_MS) - 1)
+        if now_ms - runs[-1].lost_ms < QUARANTINES_MS[step]:
+            return Permission.QUARANTINED
+        return Permission.TRIAL
--- a/dahliashunt/decisions/tests/test_loss_counts.py
+++ b/dahliashunt/decisions/tests/test_loss_counts.py
@@ -1,18 +1,30 @@
 """Quarantine of crashing requests, and its limits for popular ones."""
 
-from dahliashunt.decisions.loss_counts import INITIAL_QUARANTINE_MS
+from hypothesis import given
+from hypothesis import strategies as st
+
 from dahliashunt.decisions.loss_counts import LossCounts
+from dahliashunt.decisions.loss_counts import losses_in_row
+from dahliashunt.decisions.loss_counts import LostRun
 from dahliashunt.decisions.loss_counts import MAX_LOSSES
-from dahliashunt.decisions.loss_counts import MAX_QUARANTINE_MS
+from dahliashunt.decisions.loss_counts import Permission
+from dahliashunt.decisions.loss_counts import QUARANTINES_MS
+
+INITIAL_QUARANTINE_MS = QUARANTINES_MS[0]
+MAX_QUARANTINE_MS = QUARANTINES_MS[-1]
+
+
+def is_quarantined(counts, digest, now_ms):
+    return counts.permission(digest, now_ms) is Permission.QUARANTINED
 
 
 def test_a_request_that_takes_replicas_down_is_refused():
     counts = LossCounts()
     for number in range(MAX_LOSSES):
         began_ms = 100 * number
-        assert not counts.is_quarantined("bad", began_ms)
+        assert not is_quarantined(counts, "bad", began_ms)
         counts.lost("bad", began_ms, began_ms + 50)
-    assert counts.is_quarantined("bad", began_ms + 51)
+    assert is_quarantined(counts, "bad", began_ms + 51)
 
 
 def test_a_popular_request_is_not_refused_for_one_cause():
@@ -22,20 +34,22 @@
     for number in range(8):
         counts.lost("popular", 10 * number, 500 + 10 * number)
     assert counts.losses("popular", 600) == 1
-    assert not counts.is_quarantined("popular", 600)
+    assert not is_quarantined(counts, "popular", 600)
 
 
 def test_a_popular_request_comes_back_after_an_outage():
     # Guards against a quarantine that outlasts an outage of all replicas.
     counts = LossCounts()
     now_ms = 0
-    while now_ms < 10_000 and not counts.is_quarantined("popular", now_ms):
+    while now_ms < 10_000 and not is_quarantined(counts, "popular", now_ms):
         counts.lost("popular", now_ms, now_ms + 50)
         now_ms += 200
-    assert counts.is_quarantined("popular", now_ms)
-    assert not counts.is_quarantined("popular", now_ms + INITIAL_QUARANTINE_MS)
+    assert is_quarantined(counts, "popular", now_ms)
+    assert not is_quarantined(
+        counts, "popular", now_ms + INITIAL_QUARANTINE_MS
+    )
     assert counts.served("popular")
-    assert not counts.is_quarantined("popular", now_ms)
+    assert not is_quarantined(counts, "popular", now_ms)
 
 
 def test_a_crashing_request_takes_ever_fewer_replicas():
@@ -43,7 +57,7 @@
     counts = LossCounts()
     taken_ms = []
     for now_ms in range(0, 3_600_000, 1_500):
-        if not counts.is_quarantined("bad", now_ms):
+        if not is_quarantined(counts, "bad", now_ms):
             taken_ms.append(now_ms)
             counts.lost("bad", now_ms, now_ms + 50)
     assert len(taken_ms) <= MAX_LOSSES + 12
@@ -53,10 +67,26 @@
 
 def test_a_count_of_another_entry_counts_here():
     counts = LossCounts()
-    counts.learn("bad", MAX_LOSSES, 0)
-    assert counts.is_quarantined("bad", 1)
-    counts.learn("bad", 1, 2)
-    assert counts.losses("bad", 2) == MAX_LOSSES
+    runs = [LostRun(2 * n + 2, 2 * n + 1) for n in range(MAX_LOSSES)]
+    counts.learn("bad", runs, 8)
+    assert is_quarantined(counts, "bad", 9)
+    counts.learn("bad", runs[:1], 10)
+    assert counts.losses("bad", 10) == MAX_LOSSES
+
+
+@given(st.data())
+def test_losses_count_alike_in_whichever_order_they_are_learned(data):
+    # Guards against entries that count fewer losses after an outage, since
+    # they learn of each other's in another order than they happened.
+    runs = [
+        LostRun(began_ms + data.draw(st.integers(0, 20)), began_ms)
+        for began_ms in data.draw(st.lists(st.integers(0, 60), max_size=7))
+    ]
+    counts = LossCounts()
+    for run in data.draw(st.permutations(runs)):
+        counts.learn("bad", (run,), 100)
+    in_row = losses_in_row(runs)
+    assert abs(counts.losses("bad", 100) - len(in_row)) <= 1
 
 
 def test_the_oldest_digests_go_first_when_there_are_too_many():
--- a/dahliashunt/forwarding/forwarder.py
+++ b/dahliashunt/forwarding/forwarder.py
@@ -160,13 +160,15 @@
 
     async def _serve(self):
         while True:
-            self._refuse_poison()
+            self._refuse_quarantined()
             reservation, self._next_place = self._next_place, None
             if reservation is None:
                 reservation = await self._place()
             self._placed_ms = self._age_ms()
             began_ms = self._clock.now_ms()
             try:
+                if not await self._forwarder.losses.may_run(self._digest):
+                    self._refuse_suspected()
                 end = await self._attempt(reservation.replica)
             finally:
                 reservation.release()
@@ -190,11 +192,14 @@
                 await self._give_up(end)
                 return
 
-    def _refuse_poison(self):
+    def _refuse_quarantined(self):
         """Refuse a request that was lost with each replica that ran it."""
-        if not self._forwarder.losses.is_quarantined(self._digest):
-            return
-        self._record("convicted", digest=self._digest)
+        if self._forwarder.losses.is_quarantined(self._digest):
+            self._refuse_suspected()
+
+    def _refuse_suspected(self):
+        losses = self._forwarder.losses.losses(self._digest)
+        self._record("convicted", digest=self._digest, losses=losses)
         kind = ResponseTruncated if self._state.started else RequestError
         raise kind(
             ErrorKind.OUTCOME_UNKNOWN,
--- a/dahliashunt/forwarding/losses.py
+++ b/dahliashunt/forwarding/losses.py
@@ -1,13 +1,18 @@
-"""Share the counts of lost requests between entries.
+"""Share the lost runs of requests between entries.
 
 There is one row per digest, written at a loss and deleted when the request
-is served. An entry that can't write keeps counting locally.
+is served. An entry that can't write keeps its losses and writes them once
+the store is back.
 """
 
 import asyncio
 import hashlib
+import json
+import random
 
 from dahliashunt.decisions.loss_counts import LossCounts
+from dahliashunt.decisions.loss_counts import LostRun
+from dahliashunt.decisions.loss_counts import Permission
 from dahliashunt.errors import PlatformUnavailable
 from dahliashunt.errors import TransactionConflict
 from dahliashunt.errors import WriteOutcomeUnknown
@@ -23,8 +28,13 @@
 
 LOSSES_PREFIX = "losses//"
 
-MAX_QUEUED_WRITES = 64
-"""Writes that may wait for the store; further counts stay local."""
+MAX_UNWRITTEN = 1_000
+"""Digests whose losses may wait for the store; the oldest are dropped."""
+
+RETRY_MS = (100, 300)
+"""Bounds of the random delay after a failed write."""
+
+_STORE_ERRORS = (PlatformUnavailable, TransactionConflict, WriteOutcomeUnknown)
 
 
 def request_fingerprint(host: str, call: Call) -> Fingerprint:
@@ -35,17 +45,39 @@
 
 
 class SharedLosses:
-    """Loss counts of this entry and of all others.
+    """Lost runs of this entry's requests and of all others'.
 
     Listens to the feed of `LOSSES_PREFIX`.
+
+    Parameters
+    ----------
+    table : TableService
+    clock : Clock
+    store_now_ms : callable
+        Returns this entry's estimate of the store's clock, on which entries
+        compare their runs.
+    rng : random.Random
+    log : structlog logger
     """
 
-    def __init__(self, table: TableService, clock: Clock, log):
+    def __init__(
+        self,
+        table: TableService,
+        clock: Clock,
+        store_now_ms,
+        rng: random.Random,
+        log,
+    ):
         self._table = table
         self._clock = clock
+        self._store_now_ms = store_now_ms
+        self._rng = rng
         self._log = log
         self._counts = LossCounts()
-        self._queue: asyncio.Queue = asyncio.Queue(MAX_QUEUED_WRITES)
+        # True if the request was served here since the last write.
+        self._cleared_by_unwritten: dict[Fingerprint, bool] = {}
+        self._writing: Fingerprint | None = None
+        self._has_unwritten = asyncio.Event()
 
     def lost(
         self, digest: Fingerprint, request_id: str, began_ms: int
@@ -57,92 +89,166 @@
         digest : Fingerprint
         request_id : str
         began_ms : int
-            Time at which the request was sent to the replica.
+            Time by this entry's clock at which the run began.
         """
-        now_ms = self._clock.now_ms()
-        before = self._counts.losses(digest, now_ms)
-        losses = self._counts.lost(digest, began_ms, now_ms)
+        now_ms = self._store_now_ms()
+        age_ms = self._clock.now_ms() - began_ms
+        before = self._counts.runs(digest, now_ms)
+        losses = self._counts.lost(digest, now_ms - age_ms, now_ms)
         self._log.info(
             "request_lost",
             request_id=request_id,
             digest=digest,
             losses=losses,
         )
-        if losses > before:
-            self._put(digest)
+        if self._counts.runs(digest, now_ms) != before:
+            self._write_later(digest, False)
 
     def served(self, digest: Fingerprint) -> None:
         """Clear the losses of a request that was served."""
         if self._counts.served(digest):
             self._log.info("losses_cleared", digest=digest)
-            self._put(digest)
+            self._write_later(digest, True)
+
+    def losses(self, digest: Fingerprint) -> int:
+        """Return the number of losses in a row."""
+        return self._counts.losses(digest, self._store_now_ms())
 
     def is_quarantined(self, digest: Fingerprint) -> bool:
-        """Return whether the request must not be sent again."""
-        return self._counts.is_quarantined(digest, self._clock.now_ms())
+        """Return whether the request must not be sent now."""
+        permission = self._counts.permission(digest, self._store_now_ms())
+        return permission is Permission.QUARANTINED
 
-    def _put(self, digest):
-        if self._queue.full():
-            self._log.warning("loss_write_dropped", digest=digest)
-            return
-        self._queue.put_nowait(digest)
+    async def may_run(self, digest: Fingerprint) -> bool:
+        """Return whether the request may be sent to a replica now.
+
+        After a quarantine this counts a loss before the run, on the
+        condition that no other entry has done so: all entries together try
+        the request once. Without the store it is not tried.
+        """
+        permission = self._counts.permission(digest, self._store_now_ms())
+        if permission is not Permission.TRIAL:
+            return permission is Permission.ALLOWED
+        try:
+            return await self._claim_trial(digest)
+        except _STORE_ERRORS as error:
+            self._log.warning(
+                "trial_claim_failed", digest=digest, reason=str(error)
+            )
+            return False
+
+    async def _claim_trial(self, digest):
+        row = await self._table.read(f"{LOSSES_PREFIX}{digest}")
+        if row is None and not self._is_unwritten(digest):
+            # Another entry has served the request.
+            self._counts.served(digest)
+            return True
+        now_ms = self._store_now_ms()
+        self._counts.learn(digest, _decode(row), now_ms)
+        permission = self._counts.permission(digest, now_ms)
+        if permission is not Permission.TRIAL:
+            return permission is Permission.ALLOWED
+        claimed = (*self._counts.runs(digest, now_ms), LostRun(now_ms, now_ms))
+        await self._put_row(digest, row, claimed)
+        losses = self._counts.learn(digest, claimed, now_ms)
+        self._log.info("trial_claimed", digest=digest, losses=losses)
+        return True
+
+    def _write_later(self, digest, cleared):
+        unwritten = self._cleared_by_unwritten
+        unwritten[digest] = unwritten.pop(digest, False) or cleared
+        if len(unwritten) > MAX_UNWRITTEN:
+            oldest = next(iter(unwritten))
+            del unwritten[oldest]
+            self._log.warning("loss_write_dropped", digest=oldest)
+        self._has_unwritten.set()
 
     def replaced(self, rows) -> None:
-        """Learn the counts of a whole table."""
+        """Learn the losses of a whole table."""
         for row in rows:
             self.changed(row)
 
     def changed(self, row: Row) -> None:
-        """Learn one count."""
-        if row.value.isdigit():
-            digest = Fingerprint(row.key.removeprefix(LOSSES_PREFIX))
-            now_ms = self._clock.now_ms()
-            before = self._counts.losses(digest, now_ms)
-            losses = self._counts.learn(digest, int(row.value), now_ms)
-            if losses > before:
-                self._log.info(
-                    "losses_learned",
-                    digest=digest,
-                    losses=losses,
-                    before=before,
-                )
+        """Learn the losses of one request."""
+        digest = Fingerprint(row.key.removeprefix(LOSSES_PREFIX))
+        if self._cleared_by_unwritten.get(digest):
+            return
+        now_ms = self._store_now_ms()
+        before = self._counts.losses(digest, now_ms)
+        losses = self._counts.learn(digest, _decode(row), now_ms)
+        if losses > before:
+            self._log.info(
+                "losses_learned", digest=digest, losses=losses, before=before
+            )
 
     def removed(self, key: str) -> None:
         """Clear the losses of a request that another entry has served."""
-        self._counts.served(Fingerprint(key.removeprefix(LOSSES_PREFIX)))
+        digest = Fingerprint(key.removeprefix(LOSSES_PREFIX))
+        if not self._is_unwritten(digest):
+            self._counts.served(digest)
+
+    def _is_unwritten(self, digest):
+        return digest in self._cleared_by_unwritten or digest == self._writing
 
     def outage_ended(self) -> None:
         """Do nothing: the feed continues where it stopped."""
 
     async def run(self) -> None:
-        """Write queued counts until cancelled."""
+        """Write losses until cancelled."""
         while True:
-            digest = await self._queue.get()
-            try:
-                await self._write(digest)
-            except (
-                PlatformUnavailable,
-                TransactionConflict,
-                WriteOutcomeUnknown,
-            ) as error:
-                # The local count stays and is written with the next loss.
-                self._log.warning(
-                    "loss_write_failed", digest=digest, reason=str(error)
-                )
-
-    async def _write(self, digest):
-        """Raise the row to this entry's count, or delete it if that is 0.
-
-        Counts are merged by maximum: a replica that is lost with the same
-        request of several entries is one loss.
-        """
-        key = f"{LOSSES_PREFIX}{digest}"
-        row = await self._table.read(key)
-        held = int(row.value) if row and row.value.isdigit() else 0
+            await self._has_unwritten.wait()
+            self._has_unwritten.clear()
+            while self._cleared_by_unwritten:
+                await self._write_oldest()
+
+    async def _write_oldest(self):
+        digest = next(iter(self._cleared_by_unwritten))
+        cleared = self._cleared_by_unwritten.pop(digest)
+        self._writing = digest
+        try:
+            await self._write(digest, cleared)
+        except _STORE_ERRORS as error:
+            self._write_later(digest, cleared)
+            self._log.warning(
+                "loss_write_failed", digest=digest, reason=str(error)
+            )
+            await self._clock.sleep_ms(self._rng.randint(*RETRY_MS))
+        finally:
+            self._writing = None
+
+    async def _write(self, digest, cleared):
+        """Merge this entry's losses into the row, or delete it."""
+        row = await self._table.read(f"{LOSSES_PREFIX}{digest}")
+        stored = _decode(row)
+        now_ms = self._store_now_ms()
+        if not cleared:
+            self._counts.learn(digest, stored, now_ms)
+        runs = self._counts.runs(digest, now_ms)
+        if runs != stored:
+            await self._put_row(digest, row, runs)
+
+    async def _put_row(self, digest, row, runs):
         expect = row.version if row else MustBe.ABSENT
-        losses = self._counts.losses(digest, self._clock.now_ms())
-        if losses == 0:
-            if row is not None:
-                await self._table.transact((Write(key, None, expect),))
-        elif losses > held:
-            await self._table.transact((Write(key, str(losses), expect),))
+        value = _encode(runs) if runs else None
+        write = Write(f"{LOSSES_PREFIX}{digest}", value, expect)
+        await self._table.transact((write,))
+
+
+def _encode(runs):
+    return json.dumps([[run.began_ms, run.lost_ms] for run in runs])
+
+
+def _decode(row):
+    """Return the runs in `row`; none if it can't be decoded.
+
+    Rows of earlier versions hold a number only.
+    """
+    if row is None:
+        return ()
+    try:
+        return tuple(
+            LostRun(int(lost_ms), int(began_ms))
+            for began_ms, lost_ms in json.loads(row.value)
+        )
+    except (TypeError, ValueError):
+        return ()
--- /dev/null
+++ b/dahliashunt/forwarding/tests/test_losses.py
@@ -0,0 +1,168 @@
+"""Lost runs shared by several entries, without a network."""
+
+import asyncio
+import random
+
+import pytest
+import structlog
+
+from dahliashunt.adapters.clock import VirtualClock
+from dahliashunt.adapters.table.memory import MemoryTableService
+from dahliashunt.forwarding.losses import LOSSES_PREFIX
+from dahliashunt.forwarding.losses import SharedLosses
+
+LOG = structlog.get_logger()
+DIGEST = "bad"
+RUN_MS = 20
+FEED_MS = 200
+CONTACT_MS = 4_000
+MAX_RETRIES = 3
+PLAY_MS = 90_000
+
+
+class Fleet:
+    """Entries that share one table, and a caller that never gives up.
+
+    Attributes
+    ----------
+    runs_ms : list of int
+        Begin of each run, while entries and the store were in touch.
+    """
+
+    def __init__(self, rng, entries=8):
+        self.clock = VirtualClock(1_000)
+        self.table = MemoryTableService()
+        self.entries = [self._entry(rng) for _ in range(entries)]
+        self.runs_ms = []
+        self._rng = rng
+
+    def _entry(self, rng):
+        # Clocks of entries differ by the time of one call.
+        error_ms = rng.randint(0, 5)
+        return SharedLosses(
+            self.table,
+            self.clock,
+            lambda: self.clock.now_ms() + error_ms,
+            rng,
+            LOG,
+        )
+
+    async def spread(self):
+        """Deliver the table to all entries, as their feeds do."""
+        key = f"{LOSSES_PREFIX}{DIGEST}"
+        known = None
+        while True:
+            await self.clock.sleep_ms(FEED_MS)
+            if self.table.outage:
+                continue
+            row = await self.table.read(key)
+            for entry in self.entries:
+                if row is not None:
+                    entry.changed(row)
+                elif known is not None:
+                    entry.removed(key)
+            known = row
+
+    async def call(self, entry, ends="lost"):
+        """Send the request to one entry; return whether it ran."""
+        began_ms = self.clock.now_ms()
+        if not await entry.may_run(DIGEST):
+            return False
+        self.runs_ms.append(began_ms)
+        await self.clock.sleep_ms(RUN_MS)
+        if ends == "lost":
+            entry.lost(DIGEST, "r", began_ms)
+        else:
+            entry.served(DIGEST)
+        return True
+
+    async def press(self, until_ms, gaps_ms):
+        """Send the request to any entries until a time."""
+        while self.clock.now_ms() < until_ms:
+            await self.call(self._rng.choice(self.entries))
+            await self.clock.sleep_ms(self._rng.randint(*gaps_ms))
+
+
+@pytest.fixture
+def play():
+    """Return a function that runs a scenario on a `Fleet`."""
+
+    def run(scenario, seed):
+        async def main():
+            fleet = Fleet(random.Random(seed))
+            loops = [fleet.spread(), *(e.run() for e in fleet.entries)]
+            tasks = [asyncio.create_task(loop) for loop in loops]
+            story = asyncio.create_task(scenario(fleet))
+            while not story.done():
+                await fleet.clock.advance(200)
+            for task in tasks:
+                task.cancel()
+            await story
+
+        asyncio.run(main())
+
+    return run
+
+
+def retries(runs_ms, from_ms):
+    """Return the runs that count as retries of a crashing request."""
+    third_ms = runs_ms[2]
+    first_ms = max(from_ms, third_ms) + CONTACT_MS
+    return [run_ms for run_ms in runs_ms[3:] if run_ms > first_ms]
+
+
+@pytest.mark.parametrize("gaps_ms", [(1, 60), (50, 800)], ids=str)
+@pytest.mark.parametrize("seed", range(3))
+def test_all_entries_together_retry_a_crashing_request_thrice(
+    play, seed, gaps_ms
+):
+    # Guards against one retry by each entry after every quarantine.
+    async def scenario(fleet):
+        await fleet.press(PLAY_MS, gaps_ms)
+        assert len(retries(fleet.runs_ms, 0)) <= MAX_RETRIES
+
+    play(scenario, seed)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_losses_of_an_outage_are_shared_after_it(play, seed):
+    # Guards against losses that no other entry learns of, since the write
+    # failed while the store was away.
+    async def scenario(fleet):
+        fleet.table.outage = True
+        await fleet.press(10_000, (100, 500))
+        fleet.table.outage = False
+        await fleet.press(PLAY_MS, (100, 500))
+        assert len(retries(fleet.runs_ms, 10_000)) <= MAX_RETRIES
+
+    play(scenario, seed)
+
+
+def test_a_popular_request_is_tried_by_one_entry_and_then_by_all(play):
+    # Guards against a trial whose success is unknown to the other entries.
+    async def scenario(fleet):
+        while await fleet.call(fleet.entries[0]):
+            pass
+        await fleet.clock.sleep_ms(6_000)
+        tried = [await e.may_run(DIGEST) for e in fleet.entries[1:]]
+        assert tried.count(True) == 1
+        fleet.entries[1 + tried.index(True)].served(DIGEST)
+        await fleet.clock.sleep_ms(3 * FEED_MS)
+        ran = [await fleet.call(e, "served") for e in fleet.entries]
+        assert all(ran)
+
+    play(scenario, 1)
+
+
+def test_a_request_in_quarantine_waits_for_the_store(play):
+    # Guards against an entry that tries on its own while it is cut off.
+    async def scenario(fleet):
+        while await fleet.call(fleet.entries[0]):
+            pass
+        await fleet.clock.sleep_ms(6_000)
+        fleet.table.outage = True
+        assert not await fleet.entries[0].may_run(DIGEST)
+        fleet.table.outage = False
+        assert await fleet.entries[0].may_run(DIGEST)
+
+    play(scenario, 1)
--- a/dahliashunt/platform/serve_entry.py
+++ b/dahliashunt/platform/serve_entry.py
@@ -57,9 +57,12 @@
 SHUTDOWN_MARGIN_MS = 700
 """Time reserved for closing before the platform kills the process."""
 
+NEEDED_TABLES = 3
+"""Number of tables that requests need: the first of the followers."""
+
 FIRST_READ_TIMEOUT_S = 1.0
-"""Maximum time for which the first read of the configuration and replicas
-delays the other tables, which may be readable when these are not."""
+"""Maximum time for which the first read of the needed tables delays the
+others, which may be readable when these are not."""
 
 DEREGISTRATION_DELAY_MS = 3_000
 """Time after SIGTERM for which new connections are accepted: the platform
@@ -147,7 +150,9 @@
         )
         self._slots = SlotClient(self._clock)
         self._suspicion = Suspicion()
-        self._losses = SharedLosses(self._store, self._clock, log)
+        self._losses = SharedLosses(
+            self._store, self._clock, self._store.now_ms, self._rng, log
+        )
         self._known_replicas = self._make_known_replicas()
         self._selector = ReplicaSelector(
             self._known_replicas,
@@ -218,16 +223,16 @@
         )
 
     def _make_followers(self):
-        """Return the followers; those of configuration and replicas first."""
+        """Return the followers; first those that requests need."""
         configs = ConfigListener(self.node, self._log)
         replicas = ReplicaListener(self._registry, self._clock, self._log)
         view = self.jobs.view
         return [
             self._follower((CONFIG_KEY,), FeedUse.CONFIGURATION, configs),
             self._follower((REPLICAS_PREFIX,), FeedUse.REPLICAS, replicas),
+            self._follower((LOSSES_PREFIX,), FeedUse.LOSSES, self._losses),
             self._follower((JOBS_PREFIX,), FeedUse.JOBS, view),
             self._follower(PROGRESS_PREFIXES, FeedUse.PROGRESS, view),
-            self._follower((LOSSES_PREFIX,), FeedUse.LOSSES, self._losses),
         ]
 
     def _follower(self, prefixes, use, listener):
@@ -245,7 +250,7 @@
         """Start the servers."""
         settings = self._settings
         await self._slots.start(settings.ip, settings.last_port)
-        jobs = JobCalls(self.node, self.jobs, self._followers[2:4])
+        jobs = JobCalls(self.node, self.jobs, self._followers[NEEDED_TABLES:])
         self._servers = [
             HttpServer(
                 Ingress(self.node, jobs),
@@ -278,10 +283,11 @@
     async def _follow(self):
         """Follow the tables and work on jobs.
 
-        Reads the configuration and replicas first: requests need them, and
-        decoding all jobs would delay them after a full restart.
+        Reads the configuration, replicas and losses first: requests need
+        them, and decoding all jobs would delay them after a full restart.
         """
-        needed, others = self._followers[:2], self._followers[2:]
+        needed = self._followers[:NEEDED_TABLES]
+        others = self._followers[NEEDED_TABLES:]
         async with asyncio.TaskGroup() as group:
             for follower in needed:
                 group.create_task(follower.run())
