--- a/dahliashunt/jobs/item_run.py
+++ b/dahliashunt/jobs/item_run.py
@@ -11,6 +11,7 @@
 from dahliashunt.forwarding.events import EventSplitter
 from dahliashunt.forwarding.ports import ReplicaDialect
 from dahliashunt.forwarding.reservation import Reservation
+from dahliashunt.ids import Fingerprint
 from dahliashunt.ids import JobId
 from dahliashunt.jobs.partials import Partial
 from dahliashunt.ports import Clock
@@ -20,14 +21,6 @@
 SILENCE_MS = 1_500
 """Silence after which an attempt is given up; the item's text is kept."""
 
-CRASH_LOSSES = 3
-"""Losses in a row without an event after which an item is suspected to
-crash its replicas."""
-
-CRASHED_WAIT_MS = 15_000
-"""Delay before each further attempt of such an item: longer than a
-replica's restart, so that it doesn't take down all replicas in turn."""
-
 REFUSED_WAIT_MS = 100
 """Delay before the next attempt after a refusal; prevents a busy loop."""
 
@@ -42,6 +35,9 @@
     REVOKED = "revoked"
     """The slot was revoked for an online request."""
 
+    QUARANTINED = "quarantined"
+    """Not sent, since its runs were lost with their replicas."""
+
     NOT_RUN = "not_run"
     LOST = "lost"
     FAILED = "failed"
@@ -59,6 +55,8 @@
     index : int
         Index of the item in its job.
     call : Call
+    digest : Fingerprint
+        Identifies the item's request among all that were lost.
     due_ms, abandon_ms : int
         Monotonic times at which the item is due, and is given up.
 
@@ -74,8 +72,6 @@
         Start of the first attempt on this node.
     revokes : int
         Number of attempts ended by a revoked slot.
-    losses : int
-        Number of lost attempts since the last event.
     status : int or None
         Status of the latest answer; None without one.
     last_event : int
@@ -86,9 +82,17 @@
         Whether the store may hold a row of this item.
     """
 
-    def __init__(self, index: int, call: Call, due_ms: int, abandon_ms: int):
+    def __init__(
+        self,
+        index: int,
+        call: Call,
+        digest: Fingerprint,
+        due_ms: int,
+        abandon_ms: int,
+    ):
         self.index = index
         self.call = call
+        self.digest = digest
         self.due_ms = due_ms
         self.abandon_ms = abandon_ms
         self.failures = 0
@@ -99,7 +103,6 @@
         self.last_event = 0
         self.saved_event = 0
         self.saved = False
-        self.losses = 0
         self.status: int | None = None
         self._texts: list[str] = []
         self._connection = None
@@ -186,13 +189,13 @@
         if end is ItemEnd.FAILED:
             self.failures += 1
         if end is ItemEnd.NOT_RUN:
-            self.not_before_ms = clock.now_ms() + REFUSED_WAIT_MS
-        if end is ItemEnd.LOST:
-            self.losses += 1
-            if self.losses >= CRASH_LOSSES:
-                self.not_before_ms = clock.now_ms() + CRASHED_WAIT_MS
+            self.wait_after_refusal(clock)
         return end
 
+    def wait_after_refusal(self, clock: Clock) -> None:
+        """Delay the next attempt."""
+        self.not_before_ms = clock.now_ms() + REFUSED_WAIT_MS
+
     async def _relay(self, connection, mailbox, dialect):
         self.status = head = None
         splitter = EventSplitter()
@@ -223,7 +226,6 @@
                     return False
                 self._texts.append(event.data())
                 self.last_event = event.number
-                self.losses = 0
         except (EventOutOfOrder, UnicodeDecodeError):
             return False
         return True
--- a/dahliashunt/jobs/job_run.py
+++ b/dahliashunt/jobs/job_run.py
@@ -4,6 +4,7 @@
 
 from dahliashunt.errors import PlatformUnavailable
 from dahliashunt.errors import RequestError
+from dahliashunt.forwarding.losses import request_fingerprint
 from dahliashunt.jobs.item_run import ItemRun
 from dahliashunt.jobs.ledger import Finished
 from dahliashunt.jobs.ledger import OwnershipLost
@@ -164,7 +165,8 @@
         ended = listed | {finished.index for finished in self._finished}
         for index, call in enumerate(calls):
             if index not in ended:
-                item = ItemRun(index, call, due_ms, abandon_ms)
+                digest = request_fingerprint(self.job.host, call)
+                item = ItemRun(index, call, digest, due_ms, abandon_ms)
                 if index in partial_by_index:
                     item.resume(partial_by_index[index])
                 self._unfinished_by_index[index] = item
--- a/dahliashunt/jobs/worker.py
+++ b/dahliashunt/jobs/worker.py
@@ -293,7 +293,7 @@
             job_run, item = entry.work
             if job_run.stopped or job_run.is_listed(item):
                 continue
-            if item.is_ready(now_ms):
+            if item.is_ready(now_ms) and not self._is_held_back(item):
                 found = entry
             else:
                 later.append(entry)
@@ -301,6 +301,13 @@
             self._waiting.put(entry)
         return found
 
+    def _is_held_back(self, item):
+        """Return whether an item may neither run nor be given up yet."""
+        return (
+            self.node.forwarder.losses.is_quarantined(item.digest)
+            and self.clock.now_ms() < item.abandon_ms
+        )
+
     async def _reserve(self, entry):
         """Return a reservation, None without a slot, or `_NOT_NEEDED`."""
         job_run, item = entry.work
@@ -341,15 +348,13 @@
         end = ItemEnd.LOST
         job_run.item_by_index[item.index] = item
         try:
-            end = await item.attempt(
-                reservation, self.pool, self.dialect, self.clock
-            )
+            end = await self._run_item(item, reservation)
         finally:
             del job_run.item_by_index[item.index]
             reservation.release()
             self._running -= 1
         self.node.metrics.count("item_attempts", end=end.value)
-        if end not in (ItemEnd.DONE, ItemEnd.REVOKED):
+        if end not in _UNLOGGED_ENDS:
             self.log.info(
                 "item_attempt_ended",
                 request_id=item.call.request_id,
@@ -358,10 +363,27 @@
                 end=end.value,
                 status=item.status,
                 failures=item.failures,
-                losses=item.losses,
+                losses=self.node.forwarder.losses.losses(item.digest),
             )
         self._handle_end(job_run, item, reservation, end)
 
+    async def _run_item(self, item, reservation):
+        """Attempt the item, and count a run that was lost with no event."""
+        losses = self.node.forwarder.losses
+        began_ms = self.clock.now_ms()
+        if not await losses.may_run(item.digest):
+            item.wait_after_refusal(self.clock)
+            return ItemEnd.QUARANTINED
+        events_before = item.last_event
+        end = await item.attempt(
+            reservation, self.pool, self.dialect, self.clock
+        )
+        if end is ItemEnd.DONE:
+            losses.served(item.digest)
+        elif end is ItemEnd.LOST and item.last_event == events_before:
+            losses.lost(item.digest, item.call.request_id, began_ms)
+        return end
+
     def _handle_end(self, job_run, item, reservation, end):
         suspicion = self.node.forwarder.suspicion
         incarnation = reservation.replica.incarnation
@@ -419,5 +441,8 @@
         )
 
 
+_UNLOGGED_ENDS = (ItemEnd.DONE, ItemEnd.REVOKED, ItemEnd.QUARANTINED)
+"""Ends that have another log line, or none as they are usual."""
+
 _NOT_NEEDED = object()
 """Sentinel: the item has ended and needs no reservation."""
--- a/dahliashunt/platform/tests/test_jobs.py
+++ b/dahliashunt/platform/tests/test_jobs.py
@@ -1,11 +1,13 @@
 """Batch jobs on entries between a stand-in store and stand-in replicas."""
 
 import asyncio
+import json
 
 import pytest
 
 from dahliashunt.decisions.job_expiry import ORPHAN_GRACE_MS
 from dahliashunt.decisions.job_expiry import RETENTION_MARGIN_MS
+from dahliashunt.decisions.loss_counts import QUARANTINES_MS
 from dahliashunt.errors import PlatformUnavailable
 from dahliashunt.jobs import JobState
 from dahliashunt.jobs.item_run import REFUSED_WAIT_MS
@@ -524,3 +526,36 @@
         assert p.entries[0].jobs.worker.restarts == 0
 
     platform(scenario, ROUTE)
+
+
+def test_an_item_that_crashes_replicas_is_held_back_by_its_next_owner(
+    platform,
+):
+    # Guards against losses that are forgotten at a restart, so that an item
+    # takes down three more replicas at each new owner.
+    async def scenario(p):
+        replica = p.replicas[0].then(reset_unanswered=True)
+        await submit(p, body=job_body("a"))
+        await p.until(lambda: len(replica.arrivals) == 3)
+        await p.until(lambda: counted_losses(p) == 3)
+        await p.kill(p.entries[0])
+        await p.add_entry()
+        await p.until(lambda: p.entries[0].jobs.unfinished)
+        replica.steps.clear()
+        replica.then(events=2)
+        clock = p.entries[0].node.clock
+        began_ms = clock.now_ms()
+        (result,) = await read_all(p)
+        assert result["output"] == output(2)
+        assert len(replica.arrivals) == 4
+        assert clock.now_ms() - began_ms > QUARANTINES_MS[0] // 2
+
+    platform(scenario, ROUTE)
+
+
+def counted_losses(p):
+    """Return the number of losses in the store's only row of them."""
+    for table, part, key in p.store.names():
+        if table == "losses":
+            return len(json.loads(p.store.value(table, key, part)))
+    return 0
