--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -9,6 +9,9 @@
   --seeds N     How many [default: 50].
   --for S       Seconds of faults for each seed [default: 10].
   --jobs N      Seeds played side by side [default: 3].
+  --size N      Entries, and replicas with an agent each [default: 3].
+  --calm        Play no faults, but two changes of the configuration: a
+                request that crashes replicas is sent all the while.
   --logs DIR    Where settings and logs of each seed go [default: soak-logs].
   -h --help     Print this.
 
@@ -31,14 +34,14 @@
     return own
 
 
-async def _play_all(seeds, folder, for_s, at_once):
+async def _play_all(seeds, folder, for_s, at_once, **how):
     gate = asyncio.Semaphore(at_once)
     broken_by_seed = {}
 
     async def play(seed):
         async with gate:
             broken_by_seed[seed] = await play_seed(
-                seed, _own(folder, seed), for_s
+                seed, _own(folder, seed), for_s, **how
             )
         broken = broken_by_seed[seed]
         print(f"seed {seed}: {len(broken)} broken", flush=True)
@@ -56,12 +59,16 @@
     arguments = docopt(__doc__, argv)
     first, count = int(arguments["--first"]), int(arguments["--seeds"])
     folder = pathlib.Path(arguments["--logs"])
+    for_s = float(arguments["--for"])
+    calm = [(0.0, "configured"), (for_s, "configured")]
     broken = asyncio.run(
         _play_all(
             range(first, first + count),
             folder,
-            float(arguments["--for"]),
+            for_s,
             int(arguments["--jobs"]),
+            plan=calm if arguments["--calm"] else None,
+            size=int(arguments["--size"]),
         )
     )
     failed = [seed for seed, lines in broken.items() if lines]
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -17,7 +17,9 @@
 from dahliashunt.platform.standins.caller import results_target
 from tests.soak.fleet import BUDGET_MS
 from tests.soak.replica import answer_text
+from tests.soak.replica import CRASH_PATH
 from tests.soak.replica import EVENTS
+from tests.soak.replica import STATUS_BY_ENDING
 from tests.soak.workspaces import authorization_of
 
 __all__ = ["Answered", "Caller", "JobCaller"]
@@ -41,6 +43,8 @@
         The answer ended as a whole one does.
     late : bool
         Nothing at all came within the time and its slack.
+    kept : bool
+        Sent on a connection that had carried a request before.
     """
 
     request_id: str
@@ -51,6 +55,7 @@
     status: int | None = None
     whole: bool = False
     late: bool = False
+    kept: bool = False
     body: bytes = b""
     retry_after: str | None = None
 
@@ -79,6 +84,41 @@
                 gap_s = self._rng.expovariate(1_000 / gap_ms)
                 await asyncio.sleep(gap_s)
 
+    async def resend_crash(self, stop, gap_ms):
+        """Send the request that crashes replicas again and again."""
+        loop = asyncio.get_running_loop()
+        while not stop.is_set():
+            await self.call_once(loop, CRASH_PATH)
+            await asyncio.sleep(self._rng.uniform(0.2, 2) * gap_ms / 1_000)
+
+    async def reuse_connections(self, stop):
+        """Send requests one after another, as long as a connection lasts."""
+        while not stop.is_set():
+            entry = self._rng.randrange(len(self._fleet.caller_links))
+            address = self._fleet.caller_links[entry].address
+            try:
+                connection = await open_connection(*address, BUDGET_MS)
+            except ConnectFailed:
+                await asyncio.sleep(0.1)
+                continue
+            while connection.usable and not stop.is_set():
+                await self._call_on(connection, entry)
+            connection.abort()
+
+    async def _call_on(self, connection, entry):
+        loop = asyncio.get_running_loop()
+        path = self._rng.choice(("/a/x", "/once/x"))
+        request_id = f"{self._name}{next(self._numbers)}"
+        answered = Answered(request_id, entry, path, loop.time())
+        answered.kept = connection.used > 0
+        self.answers.append(answered)
+        asked = _request("POST", path, request_id, b"{}")
+        events = await exchange(
+            connection, asked, BUDGET_MS + SLACK_MS, keep=True
+        )
+        answered.ended_s = loop.time()
+        _note(answered, events)
+
     async def call_once(self, loop, path=None, entry=None):
         """Send one request and note the answer."""
         if path is None:
@@ -119,7 +159,12 @@
         connection = await open_connection(*address, limit_ms)
     except ConnectFailed:
         return [End.BROKEN]
-    asked = caller_request(
+    asked = _request(method, path, request_id, body)
+    return await exchange(connection, asked, limit_ms)
+
+
+def _request(method, path, request_id, body):
+    return caller_request(
         method,
         path,
         body,
@@ -128,7 +173,6 @@
         wait_ms=300,
         authorization=authorization_of(request_id),
     )
-    return await exchange(connection, asked, limit_ms)
 
 
 def stream_text(body):
@@ -168,9 +212,16 @@
         self._rng = rng
 
     async def submit(self, job, items):
-        """Send a job again and again until an entry has accepted it."""
+        """Send a job again and again until an entry has accepted it.
+
+        One item of each ending in `STATUS_BY_ENDING` fails at each run.
+        """
+        endings = [*STATUS_BY_ENDING, *[""] * (items - len(STATUS_BY_ENDING))]
         body = encode_job(
-            [JobItem(f"{job}-{n}", f"/j/{job}", EVENTS) for n in range(items)]
+            [
+                JobItem(f"{job}-{n}{ending}", f"/j/{job}", EVENTS)
+                for n, ending in enumerate(endings)
+            ]
         )
         while job not in self.accepted:
             events = await self._call("POST", f"/j/{job}", job, body)
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -4,19 +4,39 @@
 
 from tests.soak.callers import is_right
 from tests.soak.callers import NOT_RUN
+from tests.soak.fleet import BUDGET_MS
+from tests.soak.fleet import JOB_RUNS
+from tests.soak.replica import CRASH_PATH
 from tests.soak.replica import EVENTS
+from tests.soak.replica import STATUS_BY_ENDING
 
 __all__ = ["broken_promises"]
 
-MOST_RUNS = {"/a/x": 3, "/once/x": 1}
+MOST_RUNS = {"/a/x": 3, CRASH_PATH: 3, "/once/x": 1}
+
+MOST_ANSWERS = {500: 3 * JOB_RUNS, 422: 3}
+"""Most answers of a status to an item that fails at each run."""
+
+CONTACT_S = 4.0
+MOST_RETRIES = 3
+"""Most runs of a request later than `CONTACT_S` after its third crash."""
+
+MOST_LATE_BUDGETS = 20
+LATE_SHARE = 0.2
+BUDGET_SLACK_S = 0.5
+"""More requests than these, and a larger share, may not get more time than
+is left."""
 
 HELD_UP = {"entry_paused", "callers_slow", "all_killed"}
 """Faults during which a caller may hear nothing in time."""
 
 CUT_OFF = {
     "callers_cut",
+    "entries_killed_in_series",
+    "entries_leave_in_series",
     "entry_killed",
     "entry_leaves",
+    "entry_leaves_and_is_killed",
     "all_killed",
     *HELD_UP,
 }
@@ -36,9 +56,12 @@
     for replica in play.fleet.replicas:
         runs.update(replica.runs_by_request)
     found = []
-    for answered in play.caller.answers:
+    for answered in play.answers():
         found += _of_answer(answered, runs[answered.request_id], play)
     found += [line for r in play.fleet.replicas for line in r.misnamed]
+    found += _of_failing_items(play)
+    found += _of_crashes(play)
+    found += _of_budgets(play)
     found += _of_jobs(play)
     found += _of_processes(play)
     return found
@@ -49,7 +72,7 @@
     if answered.late and not _during(play, answered, HELD_UP):
         found.append("no answer in its time")
     broken = answered.status is None and not answered.late
-    if broken and not _during(play, answered, CUT_OFF):
+    if broken and not _may_break(play, answered, runs):
         found.append("connection broken without an answer")
     if runs > MOST_RUNS[answered.path]:
         found.append(f"ran {runs} times")
@@ -63,6 +86,66 @@
     return [f"{answered.request_id} {answered.path}: {f}" for f in found]
 
 
+def _may_break(play, answered, runs):
+    """Tell whether a connection may end without an answer.
+
+    A request on a connection that was open before may cross its close, but
+    an entry that leaves answers what it has passed on.
+    """
+    if not answered.kept:
+        return _during(play, answered, CUT_OFF)
+    names = CUT_OFF - {"entry_leaves", "entries_leave_in_series"}
+    return _during(play, answered, CUT_OFF if not runs else names)
+
+
+def _of_failing_items(play):
+    statuses_by_item = collections.defaultdict(collections.Counter)
+    for replica in play.fleet.replicas:
+        for item, statuses in replica.statuses_by_item.items():
+            statuses_by_item[item] += statuses
+    return [
+        f"{item}: answered {status} {count} times"
+        for item, statuses in statuses_by_item.items()
+        for status, count in statuses.items()
+        if count > MOST_ANSWERS[status]
+    ]
+
+
+def _of_crashes(play):
+    crashes = sorted(c for r in play.fleet.replicas for c in r.crashes)
+    if len(crashes) <= 3:
+        return []
+    late = [c for c in crashes[3:] if c[0] > crashes[2][0] + CONTACT_S]
+    if len(late) <= MOST_RETRIES:
+        return []
+    return [f"a crashing request was tried again by {[c[1] for c in late]}"]
+
+
+def _of_budgets(play):
+    """Compare what replicas were handed with what callers had left."""
+    until_s = {
+        a.request_id: a.began_s + BUDGET_MS / 1_000 for a in play.answers()
+    }
+    sent = collections.defaultdict(list)
+    for replica in play.fleet.replicas:
+        for request, budgets in replica.budgets_by_request.items():
+            sent[request] += budgets
+    counted = late = 0
+    for request in sent.keys() & until_s.keys():
+        (first_s, first_ms), *again = sorted(sent[request])
+        limit_s = max(first_s + first_ms / 1_000, until_s[request])
+        again = [each for each in again if each[0] > first_s + BUDGET_SLACK_S]
+        counted += 1 + len(again)
+        late += not 0 <= first_ms <= BUDGET_MS + 1_000 * BUDGET_SLACK_S
+        late += sum(
+            at_s + left_ms / 1_000 > limit_s + BUDGET_SLACK_S
+            for at_s, left_ms in again
+        )
+    if late > MOST_LATE_BUDGETS and late > LATE_SHARE * counted:
+        return [f"{late} of {counted} sends with more time than was left"]
+    return []
+
+
 def _during(play, answered, names):
     """Tell whether one of the faults overlaps the request's time."""
     from_s = answered.began_s - STARTED_S
@@ -84,7 +167,10 @@
         if doubled or missing:
             found.append(f"{job}: missing {missing}, doubled {doubled}")
         for result in results:
-            if not result.done:
+            if result.item_id[-4:] in STATUS_BY_ENDING:
+                if result.done:
+                    found.append(f"{result.item_id}: done, but cannot be")
+            elif not result.done:
                 if "replica_fails" not in names:
                     found.append(f"{result.item_id}: not done")
             elif result.text != OUTPUT:
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -28,11 +28,13 @@
 BUDGET_MS = 4_000
 GRACE_S = 8
 JUMP_MS = 5_000
+JOB_RUNS = 4
+"""Answers of 500 after which an item may be given up."""
 
 ROUTES = (
     stream_route("/a/", BUDGET_MS, most_runs=3),
     at_most_once_route("/once/", BUDGET_MS),
-    job_route("/j/", due_ms=10_000, most_runs=4),
+    job_route("/j/", due_ms=10_000, most_runs=JOB_RUNS),
 )
 
 
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -15,7 +15,13 @@
 
 __all__ = ["FAULTS", "draw"]
 
-OFTEN = {"replica_fails", "replica_cut", "entry_killed", "store_lands_late"}
+OFTEN = {
+    "entries_killed_in_series",
+    "entry_killed",
+    "replica_cut",
+    "replica_fails",
+    "store_lands_late",
+}
 """Drawn twice as often as the others: what they break shows in few of the
 requests that they meet."""
 
@@ -43,13 +49,45 @@
     await _killed(rng.choice(fleet.agents), rng)
 
 
-async def _killed(machine, rng):
+async def _killed(machine, rng, least_ms=300, most_ms=2_500):
     await machine.kill()
-    await _last(rng)
+    await _last(rng, least_ms, most_ms)
     if not machine.is_up:
         await machine.start()
 
 
+@FAULTS.register("entries_killed_in_series")
+async def _entries_killed_in_series(fleet, rng):
+    """Kill each owner of a job soon after it has taken the job over."""
+    for _ in range(rng.randint(2, 5)):
+        await _killed(rng.choice(fleet.entries), rng, 100, 1_500)
+
+
+@FAULTS.register("entries_leave_in_series")
+async def _entries_leave_in_series(fleet, rng):
+    """Replace the entries one after another, each before the last is gone."""
+    async with asyncio.TaskGroup() as group:
+        for machine in rng.sample(fleet.entries, len(fleet.entries)):
+            group.create_task(_leaves(fleet, machine))
+            await _last(rng, 200, 1_500)
+
+
+@FAULTS.register("entry_leaves_and_is_killed")
+async def _entry_leaves_and_is_killed(fleet, rng):
+    machine = rng.choice(fleet.entries)
+    machine.send(signal.SIGTERM)
+    await _last(rng, 0, 3_000)
+    await _killed(machine, rng)
+
+
+@FAULTS.register("settings_changed_in_series")
+async def _settings_changed_in_series(fleet, rng):
+    for _ in range(rng.randint(2, 6)):
+        rng.choice([*fleet.entries, *fleet.agents]).send(signal.SIGHUP)
+        fleet.configure()
+        await _last(rng, 20, 400)
+
+
 @FAULTS.register("all_killed")
 async def _all_killed(fleet, rng):
     machines = [*fleet.entries, *fleet.agents]
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -16,6 +16,9 @@
 
 FAULTS_PER_S = 1.5
 GAP_MS = 20
+CRASH_GAP_MS = 300
+CRASH_CALLERS = 2
+KEPT_CONNECTIONS = 6
 JOBS = 4
 ITEMS = 25
 RECOVER_S = 15
@@ -27,7 +30,7 @@
 
     Parameters
     ----------
-    seed, folder, for_s, plan
+    seed, folder, for_s, plan, size
         As for `play_seed`.
 
     Attributes
@@ -39,11 +42,16 @@
     recovered : bool
     """
 
-    def __init__(self, seed, folder, for_s, plan=None):
+    def __init__(self, seed, folder, for_s, plan=None, size=3):
         self.rng = random.Random(seed)
-        self.fleet = Fleet(folder, random.Random(seed + 1))
+        self.fleet = Fleet(folder, random.Random(seed + 1), size, size)
         self.caller = Caller(self.fleet, random.Random(seed + 2))
         self.jobs = JobCaller(self.fleet, random.Random(seed + 3))
+        self.others = [
+            Caller(self.fleet, random.Random(seed + 4 + n), f"k{n}-")
+            for n in range(KEPT_CONNECTIONS)
+        ]
+        self.crasher = Caller(self.fleet, random.Random(seed + 3_000), "w")
         self.played = []
         self.died = []
         self.recovered = False
@@ -72,6 +80,11 @@
         stop = asyncio.Event()
         async with asyncio.TaskGroup() as group:
             group.create_task(self.caller.keep_calling(stop, GAP_MS))
+            for _ in range(CRASH_CALLERS):
+                resent = self.crasher.resend_crash(stop, CRASH_GAP_MS)
+                group.create_task(resent)
+            for other in self.others:
+                group.create_task(other.reuse_connections(stop))
             for number in range(JOBS):
                 group.create_task(self._submit(number, stop))
             faults = [
@@ -133,13 +146,18 @@
             # What is missing is told by the check of the jobs.
             return
 
+    def answers(self):
+        """Return what all callers saw."""
+        callers = (self.caller, self.crasher, *self.others)
+        return [each for caller in callers for each in caller.answers]
+
     def tracebacks(self):
         """Return the machines whose log holds a traceback."""
         machines = (*self.fleet.entries, *self.fleet.agents)
         return [m.name for m in machines if "Traceback" in m.log_text()]
 
 
-async def play_seed(seed, folder, for_s, plan=None):
+async def play_seed(seed, folder, for_s, plan=None, size=3):
     """Play `seed` for `for_s` seconds of faults; return broken promises.
 
     Parameters
@@ -150,5 +168,7 @@
     for_s : float
     plan : list of (float, str), optional
         Times and names of faults instead of those that the seed draws.
+    size : int
+        Numbers of entries and of replicas, each with an agent.
     """
-    return await Play(seed, folder, for_s, plan).run()
+    return await Play(seed, folder, for_s, plan, size).run()
--- a/tests/soak/replica.py
+++ b/tests/soak/replica.py
@@ -4,13 +4,21 @@
 import collections
 
 from dahliashunt.platform.names import AUTHORIZATION
+from dahliashunt.platform.names import BUDGET
 from dahliashunt.platform.names import WORKSPACE
 from dahliashunt.platform.standins import ReplicaStandin
 from dahliashunt.platform.standins.replica import report_answer
 from dahliashunt.platform.standins.replica import Step
 from tests.soak.workspaces import workspace_of
 
-__all__ = ["EVENTS", "SLOTS", "SoakReplica", "answer_text"]
+__all__ = [
+    "CRASH_PATH",
+    "EVENTS",
+    "SLOTS",
+    "STATUS_BY_ENDING",
+    "SoakReplica",
+    "answer_text",
+]
 
 EVENTS = 12
 GAP_MS = 12
@@ -20,6 +28,17 @@
 
 REFUSED = Step(status=503, not_run=True, body=b"")
 
+CRASH_PATH = "/a/crash"
+"""Requests to this path take down each replica that runs them."""
+
+STATUS_BY_ENDING = {"-500": 500, "-422": 422}
+"""Items whose ids end so are always answered with the status."""
+
+FAIL_MS = 700
+"""Time of a run that fails: long enough for faults between two of them."""
+
+DOWN_S = (0.3, 1.5)
+
 
 def answer_text(first=1):
     """Return the whole stream's text from event `first` on."""
@@ -29,6 +48,9 @@
 class SoakReplica(ReplicaStandin):
     """Streams `EVENTS` events; refuses beyond its slots and its queue.
 
+    A request to `CRASH_PATH` resets all of its connections and keeps it down
+    for `DOWN_S`.
+
     Attributes
     ----------
     step_by_chance : list of (float, Step)
@@ -38,6 +60,12 @@
     misnamed : list of str
         Requests that ran in another name than their caller's, or that came
         with its key.
+    statuses_by_item : defaultdict of Counter
+        Answers to items that fail at each run.
+    crashes : list of (float, str)
+        Time and request of each crash.
+    budgets_by_request : defaultdict of list
+        Time of arrival, and the time handed on in milliseconds.
     """
 
     def __init__(self, replica_id, rng):
@@ -46,6 +74,11 @@
         self.step_by_chance = []
         self.runs_by_request = collections.Counter()
         self.misnamed = []
+        self.statuses_by_item = collections.defaultdict(collections.Counter)
+        self.crashes = []
+        self.budgets_by_request = collections.defaultdict(list)
+        self._down_until_s = 0.0
+        self._writers = set()
         self._waiting = 0
         self._slots = asyncio.Semaphore(SLOTS)
         self._held = []
@@ -54,6 +87,29 @@
         """Listen at an address of its own."""
         self._server = await asyncio.start_server(self._connected, host, port)
 
+    async def _connected(self, reader, writer):
+        if asyncio.get_running_loop().time() < self._down_until_s:
+            writer.transport.abort()
+            return
+        self._writers.add(writer)
+        try:
+            await super()._connected(reader, writer)
+        finally:
+            self._writers.discard(writer)
+
+    def _crash(self, request_id):
+        now_s = asyncio.get_running_loop().time()
+        self.crashes.append((now_s, request_id))
+        self._down_until_s = now_s + self.rng.uniform(*DOWN_S)
+        for writer in self._writers:
+            writer.transport.abort()
+
+    def _note_budget(self, arrival):
+        now_s = asyncio.get_running_loop().time()
+        self.budgets_by_request[arrival.request_id].append(
+            (now_s, int(arrival.headers.get(BUDGET, "-1")))
+        )
+
     async def _run(self, arrival, reader, writer):
         if arrival.asks_report:
             writer.write(report_answer(self._held, self._waiting))
@@ -90,4 +146,16 @@
         if not step.not_run:
             self.runs_by_request[arrival.request_id] += 1
             self._check_name(arrival)
+            self._note_budget(arrival)
+            if arrival.target == CRASH_PATH:
+                self._crash(arrival.request_id)
+            status = STATUS_BY_ENDING.get(arrival.request_id[-4:])
+            if status is not None:
+                return await self._fail(arrival, status, writer)
         return await super()._answer(arrival, step, writer)
+
+    async def _fail(self, arrival, status, writer):
+        step = Step(status=status, body=b"no", head_ms=FAIL_MS)
+        keeps = await super()._answer(arrival, step, writer)
+        self.statuses_by_item[arrival.request_id][status] += 1
+        return keeps
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -16,8 +16,8 @@
 from tests.soak.play import play_seed
 from tests.soak.replica import EVENTS
 
-CI_SEEDS = (1, 2)
-CI_S = 4
+CI_SEEDS = (1, 2, 3)
+CI_S = 5
 
 CASES = {
     # Another fault had started an entry 0.3 s before this one asked it to
@@ -33,6 +33,19 @@
             (3.48, "store_silent"),
         ],
     ),
+    # Owners of failing items are killed one after another while the store
+    # refuses writes; failures were counted by each owner alone.
+    "owners killed in series": (
+        1,
+        [
+            (1.0, "entries_killed_in_series"),
+            (2.2, "entries_killed_in_series"),
+            (2.3, "store_refuses"),
+            (3.4, "entries_killed_in_series"),
+            (4.6, "entries_killed_in_series"),
+            (4.7, "store_refuses"),
+        ],
+    ),
     # All callers ask the same; runs that were lost together counted one by
     # one, and the request was refused everywhere for ten minutes.
     "popular request refused": (
@@ -65,13 +78,18 @@
 def play():
     """Return a play without faults, in which all was kept."""
     replica = SimpleNamespace(
-        runs_by_request=collections.Counter(), misnamed=[]
+        runs_by_request=collections.Counter(),
+        misnamed=[],
+        statuses_by_item={},
+        crashes=[],
+        budgets_by_request={},
     )
     fleet = SimpleNamespace(replicas=[replica], exits=[("entry-0", 0)])
     pages = {"job-0": {0: JobResult("a", True, OUTPUT)}}
+    answers = []
     return SimpleNamespace(
         fleet=fleet,
-        caller=SimpleNamespace(answers=[]),
+        answers=lambda: answers,
         jobs=SimpleNamespace(
             changed=[], pages=pages, total_by_job={"job-0": 1}
         ),
@@ -85,7 +103,7 @@
 def answered(play, runs=1, path="/a/x", **seen):
     """Add an answer to `play`; it ran `runs` times."""
     fields = {"status": 200, "whole": True, "body": WHOLE.encode(), **seen}
-    play.caller.answers.append(Answered("c1", 0, path, 10.0, 11.0, **fields))
+    play.answers().append(Answered("c1", 0, path, 10.0, 11.0, **fields))
     play.fleet.replicas[0].runs_by_request["c1"] = runs
 
 
@@ -157,6 +175,48 @@
     assert len(broken_promises(play)) == 1
 
 
+@pytest.mark.parametrize(("status", "most"), [(500, 12), (422, 3)])
+def test_an_item_that_is_sent_too_often_is_told(play, status, most):
+    counts = collections.Counter({status: most})
+    play.fleet.replicas[0].statuses_by_item = {"job-0-1": counts}
+    assert broken_promises(play) == []
+    counts[status] += 1
+    assert len(broken_promises(play)) == 1
+
+
+def test_a_crashing_request_that_is_tried_too_often_is_told(play):
+    crashes = [(at_s, f"w{at_s}") for at_s in (1.0, 2.0, 3.0, 6.9, 8, 9, 10)]
+    play.fleet.replicas[0].crashes = crashes
+    assert broken_promises(play) == []
+    crashes.append((40.0, "w40"))
+    assert len(broken_promises(play)) == 1
+
+
+@pytest.mark.parametrize(
+    "budgets",
+    [[(10.1, -1)], [(10.1, 4_600)], [(10.1, 3_900), (11.0, 3_700)]],
+    ids=["none", "longer", "again"],
+)
+def test_more_time_than_is_left_is_told(play, budgets):
+    replica = play.fleet.replicas[0]
+    for number in range(21):
+        answered(play)
+        play.answers()[-1].request_id = f"c{number}"
+        replica.budgets_by_request[f"c{number}"] = budgets
+    assert len(broken_promises(play)) == 1
+    replica.budgets_by_request.pop("c0")
+    assert broken_promises(play) == []
+
+
+def test_a_leaving_entry_may_not_cut_what_it_has_passed_on(play):
+    # Guards against a soak that excuses each cut by a graceful shutdown.
+    answered(play, 1, status=None, whole=False, kept=True)
+    play.played = [("entry_leaves", 10.5, 12.0)]
+    assert len(broken_promises(play)) == 1
+    play.fleet.replicas[0].runs_by_request.clear()
+    assert broken_promises(play) == []
+
+
 def test_a_process_that_does_not_leave_in_order_is_told(play):
     play.fleet.exits = [("entry-0", 1), ("entry-1", None), ("agent-0", -9)]
     assert len(broken_promises(play)) == 2
