--- a/dahliashunt/jobs/item_run.py
+++ b/dahliashunt/jobs/item_run.py
@@ -202,7 +202,7 @@
         while True:
             events = await mailbox.take(SILENCE_MS)
             if not events:
-                return ItemEnd.LOST
+                return self._classify_end(End.BROKEN, head, splitter, dialect)
             for event in events:
                 if isinstance(event, ResponseHead):
                     head = event
@@ -233,7 +233,7 @@
     def _classify_end(self, end, head, splitter, dialect):
         if end is End.UNSENT:
             return ItemEnd.NOT_RUN
-        if end is End.BROKEN or head is None:
+        if head is None:
             return ItemEnd.LOST
         if dialect.proves_not_run(head):
             return ItemEnd.NOT_RUN
@@ -241,6 +241,7 @@
             return ItemEnd.IMPOSSIBLE
         if head.status >= 300:
             return ItemEnd.FAILED
-        if splitter.rest or not dialect.is_signed(head):
+        is_whole = end is not End.BROKEN and not splitter.rest
+        if not is_whole or not dialect.is_signed(head):
             return ItemEnd.LOST
         return ItemEnd.DONE
--- a/dahliashunt/platform/tests/test_jobs.py
+++ b/dahliashunt/platform/tests/test_jobs.py
@@ -559,3 +559,18 @@
         if table == "losses":
             return len(json.loads(p.store.value(table, key, part))["runs"])
     return 0
+
+
+@pytest.mark.parametrize(("status", "runs"), [(422, 1), (500, 2)])
+def test_an_error_that_breaks_off_counts_as_one(platform, status, runs):
+    # Guards against an item that is run without end, since the body of its
+    # error answers is cut.
+    async def scenario(p):
+        step = {"status": status, "body": b"error", "cut_body_at": 2}
+        p.replicas[0].then(head_ms=20, **step)
+        await submit(p, body=job_body("a"))
+        (result,) = await read_all(p)
+        assert result["state"] == "dead"
+        assert len(p.replicas[0].arrivals) == runs
+
+    platform(scenario, ROUTE)
