--- a/dahliashunt/decisions/metered.py
+++ b/dahliashunt/decisions/metered.py
@@ -117,6 +117,7 @@
     reported_ms: int = -REPORT_INTERVAL_MS
     used_ms: int = 0
     meter_by_host: dict[str, _MeterState] = field(default_factory=dict)
+    on_share: bool = False
     question: _Question | None = None
     queue: list[int] = field(default_factory=list)
 
@@ -217,6 +218,7 @@
         use = self._use(now_ms, workspace, limit)
         if not use.is_metered(now_ms):
             return self._take_from_share(now_ms, use)
+        use.on_share = False
         if not self._may_admit_locally(now_ms, use):
             return self._ask(now_ms, use)
         use.total += 1
@@ -241,6 +243,7 @@
 
     def _take_from_share(self, now_ms, use):
         """Decide by this entry's share, and report to the meters."""
+        self._fall_back(now_ms, use)
         answer = self._share.take(now_ms, use.workspace, use.limit)
         if answer is RateLimitVerdict.ADMITTED:
             use.total += 1
@@ -248,6 +251,13 @@
         self._report_to_all(now_ms, use)
         return answer
 
+    def _fall_back(self, now_ms, use):
+        """Start the share at the level that the fleet had when last heard."""
+        if not use.on_share:
+            use.on_share = True
+            fullness = use.level(now_ms) / use.limit.room
+            self._share.fill(now_ms, use.workspace, use.limit, fullness)
+
     def give_back(self, now_ms: int, workspace: int, limit: RateLimit) -> None:
         """Refund a request that did not run."""
         self._share.give_back(now_ms, workspace, limit)
@@ -431,6 +441,7 @@
     def _give_up(self, now_ms, use):
         """Decide by the share, since no meter has answered."""
         outcomes = []
+        self._fall_back(now_ms, use)
         for number in use.question.numbers:
             answer = self._share.take(now_ms, use.workspace, use.limit)
             use.total += answer is RateLimitVerdict.ADMITTED
--- a/dahliashunt/decisions/rate_limits.py
+++ b/dahliashunt/decisions/rate_limits.py
@@ -257,6 +257,19 @@
         level.add(now_ms, rate)
         level.lower_to(room)
 
+    def fill(
+        self, now_ms: int, workspace: int, limit: RateLimit, fullness: float
+    ) -> None:
+        """Raise the share's level to a part of its room, 0 to 1.
+
+        An entry that falls back to its share has no more room than the whole
+        fleet had.
+        """
+        rate, room = self._entry_limit(limit)
+        level = self._share(now_ms, workspace).level
+        missing = min(1.0, fullness) * room - level.at(now_ms, rate)
+        level.add(now_ms, rate, max(0.0, missing))
+
     def give_back(self, now_ms, workspace, limit) -> None:
         """Refund a request that did not run."""
         share = self._share_by_workspace.get(workspace)
