--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -102,9 +102,14 @@
             os.close(log)
 
     def send(self, number):
-        """Send a signal if the process runs."""
+        """Send a signal if the process runs.
+
+        `Process.send_signal` would reap a process that has just ended, and
+        its exit code would be lost to `wait`.
+        """
         if self.is_up:
-            self.process.send_signal(number)
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self.process.pid, number)
 
     async def kill(self):
         """Kill the process and wait for its end."""
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -75,8 +75,11 @@
 @FAULTS.register("entry_leaves_and_is_killed")
 async def _entry_leaves_and_is_killed(fleet, rng):
     machine = rng.choice(fleet.entries)
-    machine.send(signal.SIGTERM)
-    await _last(rng, 0, 3_000)
+    if not machine.is_leaving:
+        machine.is_leaving = True
+        machine.send(signal.SIGTERM)
+        await _last(rng, 0, 3_000)
+        machine.is_leaving = False
     await _killed(machine, rng)
 
 
