--- a/dahliashunt/forwarding/losses.py
+++ b/dahliashunt/forwarding/losses.py
@@ -35,6 +35,10 @@
 RETRY_MS = (100, 300)
 """Bounds of the random delay after a failed write."""
 
+CLAIM_PAUSE_MS = 1_000
+"""Time after a failed claim without another one: a request that waits for
+the store holds a slot."""
+
 _STORE_ERRORS = (PlatformUnavailable, TransactionConflict, WriteOutcomeUnknown)
 
 
@@ -79,6 +83,7 @@
         self._cleared_by_unwritten: dict[Fingerprint, bool] = {}
         self._writing: Fingerprint | None = None
         self._has_unwritten = asyncio.Event()
+        self._claim_from_ms = clock.now_ms()
 
     def lost(
         self, digest: Fingerprint, request_id: str, began_ms: int
@@ -130,9 +135,12 @@
         permission = self._counts.permission(digest, self._store_now_ms())
         if permission is not Permission.TRIAL:
             return permission is Permission.ALLOWED
+        if self._clock.now_ms() < self._claim_from_ms:
+            return False
         try:
             return await self._claim_trial(digest)
         except _STORE_ERRORS as error:
+            self._claim_from_ms = self._clock.now_ms() + CLAIM_PAUSE_MS
             self._log.warning(
                 "trial_claim_failed", digest=digest, reason=str(error)
             )
