--- a/dahliashunt/agent/main.py
+++ b/dahliashunt/agent/main.py
@@ -13,7 +13,7 @@
   -h --help          Print this.
 
 Signals: the first SIGTERM or SIGINT lets requests in progress end and
-refuses new ones as not run; a second one stops at once.
+refuses new ones as not run; a SIGINT after it stops at once.
 
 Exit codes: 0 shut down gracefully, 1 failed, 2 settings are wrong,
 3 stopped at once.
--- a/dahliashunt/platform/__main__.py
+++ b/dahliashunt/platform/__main__.py
@@ -22,7 +22,7 @@
 a change of the file without it, reads the settings again.
 
 Exit codes: 0 stopped in order, 1 failed, 2 settings are wrong, 3 stopped
-at once by a second signal.
+at once by a SIGINT after the signal.
 """
 
 import asyncio
--- a/dahliashunt/process.py
+++ b/dahliashunt/process.py
@@ -19,12 +19,15 @@
 class Signals:
     """SIGTERM and SIGINT: the first asks for a graceful shutdown.
 
+    A repeated SIGTERM changes nothing, since a platform may send it again;
+    whoever is at a terminal can interrupt the shutdown.
+
     Attributes
     ----------
     leave : asyncio.Event
         Set by the first signal.
     stop : asyncio.Event
-        Set by the second: stop at once.
+        Set by a SIGINT after it: stop at once.
     """
 
     def __init__(self):
@@ -34,17 +37,17 @@
     def install(self) -> None:
         """Listen for signals on the running loop."""
         loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._arrived)
+        loop.add_signal_handler(signal.SIGTERM, self.leave.set)
+        loop.add_signal_handler(signal.SIGINT, self._interrupted)
 
-    def _arrived(self):
+    def _interrupted(self):
         if self.leave.is_set():
             self.stop.set()
         self.leave.set()
 
 
 async def run_served(settings, serve, log) -> ExitCode:
-    """Run `serve` until it ends, or a second signal stops it at once."""
+    """Run `serve` until it ends, or an interrupt stops it at once."""
     signals = Signals()
     signals.install()
     served = asyncio.create_task(serve(settings, signals, log))
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -51,7 +51,6 @@
         self._skew_ms = skew_ms
         self._starting = asyncio.Lock()
         self._log_from = 0
-        self.is_leaving = False
 
     def write_settings(self, fields):
         """Write the settings that the next start reads."""
@@ -118,20 +117,13 @@
             await self.process.wait()
 
     async def leave(self):
-        """Ask the process to leave; return its exit code, None if late.
-
-        One that leaves already is not to be asked again: a second signal
-        means to stop at once, which cuts callers by design.
-        """
-        self.is_leaving = True
+        """Ask the process to leave; return its exit code, None if late."""
         self.send(signal.SIGTERM)
         try:
             async with asyncio.timeout(GRACE_S):
                 return await self.process.wait()
         except TimeoutError:
             return None
-        finally:
-            self.is_leaving = False
 
 
 class Fleet:
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -75,11 +75,8 @@
 @FAULTS.register("entry_leaves_and_is_killed")
 async def _entry_leaves_and_is_killed(fleet, rng):
     machine = rng.choice(fleet.entries)
-    if not machine.is_leaving:
-        machine.is_leaving = True
-        machine.send(signal.SIGTERM)
-        await _last(rng, 0, 3_000)
-        machine.is_leaving = False
+    machine.send(signal.SIGTERM)
+    await _last(rng, 0, 3_000)
     await _killed(machine, rng)
 
 
@@ -129,7 +126,7 @@
 
 async def _leaves(fleet, machine):
     process = machine.process
-    if not machine.is_up or machine.is_leaving:
+    if not machine.is_up:
         return
     code = await machine.leave()
     if machine.process is not process:
