--- a/dahliashunt/platform/__main__.py
+++ b/dahliashunt/platform/__main__.py
@@ -27,6 +27,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 
 from docopt import docopt
@@ -51,6 +52,8 @@
 
 def main(argv=None) -> int:
     """Run the program; return its exit code."""
+    # Until the settings are watched; the default action ends the process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     arguments = docopt(__doc__, argv)
     path = os.environ.get(SETTINGS_VARIABLE, "")
     try:
--- a/dahliashunt/process.py
+++ b/dahliashunt/process.py
@@ -45,6 +45,11 @@
             self.stop.set()
         self.leave.set()
 
+    def ignore(self) -> None:
+        """Ignore SIGTERM from now on, also once the loop is closed."""
+        asyncio.get_running_loop().remove_signal_handler(signal.SIGTERM)
+        signal.signal(signal.SIGTERM, signal.SIG_IGN)
+
 
 async def run_served(settings, serve, log) -> ExitCode:
     """Run `serve` until it ends, or an interrupt stops it at once."""
@@ -54,6 +59,7 @@
     stopped = asyncio.create_task(signals.stop.wait())
     await asyncio.wait({served, stopped}, return_when=asyncio.FIRST_COMPLETED)
     stopped.cancel()
+    signals.ignore()
     if served.done():
         served.result()
         return ExitCode.OK
