--- a/dahliashunt/forwarding/forwarder.py
+++ b/dahliashunt/forwarding/forwarder.py
@@ -169,7 +169,7 @@
             began_ms = self._clock.now_ms()
             try:
                 if not await self._forwarder.losses.may_run(self._digest):
-                    self._refuse_suspected()
+                    self._refuse_for_losses()
                 end = await self._attempt(reservation.replica)
             finally:
                 reservation.release()
@@ -196,9 +196,9 @@
     def _refuse_quarantined(self):
         """Refuse a request that was lost with each replica that ran it."""
         if self._forwarder.losses.is_quarantined(self._digest):
-            self._refuse_suspected()
+            self._refuse_for_losses()
 
-    def _refuse_suspected(self):
+    def _refuse_for_losses(self):
         losses = self._forwarder.losses.losses(self._digest)
         self._record("convicted", digest=self._digest, losses=losses)
         kind = ResponseTruncated if self._state.started else RequestError
--- a/dahliashunt/forwarding/losses.py
+++ b/dahliashunt/forwarding/losses.py
@@ -79,8 +79,9 @@
         self._rng = rng
         self._log = log
         self._counts = LossCounts()
-        # True if the request was served here since the last write.
-        self._cleared_by_unwritten: dict[Fingerprint, bool] = {}
+        # Digests to write; True if the row's losses are to be dropped, since
+        # the request was served here.
+        self._drops_row_by_digest: dict[Fingerprint, bool] = {}
         self._writing: Fingerprint | None = None
         self._has_unwritten = asyncio.Event()
         self._claim_from_ms = clock.now_ms()
@@ -170,11 +171,11 @@
         return losses
 
     def _write_later(self, digest, cleared):
-        unwritten = self._cleared_by_unwritten
-        unwritten[digest] = unwritten.pop(digest, False) or cleared
-        if len(unwritten) > MAX_UNWRITTEN:
-            oldest = next(iter(unwritten))
-            del unwritten[oldest]
+        drops_row = self._drops_row_by_digest
+        drops_row[digest] = drops_row.pop(digest, False) or cleared
+        if len(drops_row) > MAX_UNWRITTEN:
+            oldest = next(iter(drops_row))
+            del drops_row[oldest]
             self._log.warning("loss_write_dropped", digest=oldest)
         self._has_unwritten.set()
 
@@ -186,7 +187,7 @@
     def changed(self, row: Row) -> None:
         """Learn the losses of one request."""
         digest = Fingerprint(row.key.removeprefix(LOSSES_PREFIX))
-        if self._cleared_by_unwritten.get(digest):
+        if self._drops_row_by_digest.get(digest):
             return
         now_ms = self._store_now_ms()
         before = self._counts.losses(digest, now_ms)
@@ -203,7 +204,7 @@
             self._counts.served(digest)
 
     def _is_unwritten(self, digest):
-        return digest in self._cleared_by_unwritten or digest == self._writing
+        return digest in self._drops_row_by_digest or digest == self._writing
 
     def outage_ended(self) -> None:
         """Do nothing: the feed continues where it stopped."""
@@ -213,12 +214,12 @@
         while True:
             await self._has_unwritten.wait()
             self._has_unwritten.clear()
-            while self._cleared_by_unwritten:
+            while self._drops_row_by_digest:
                 await self._write_oldest()
 
     async def _write_oldest(self):
-        digest = next(iter(self._cleared_by_unwritten))
-        cleared = self._cleared_by_unwritten.pop(digest)
+        digest = next(iter(self._drops_row_by_digest))
+        cleared = self._drops_row_by_digest.pop(digest)
         self._writing = digest
         try:
             await self._write(digest, cleared)
--- a/dahliashunt/forwarding/tests/test_losses.py
+++ b/dahliashunt/forwarding/tests/test_losses.py
@@ -8,6 +8,7 @@
 
 from dahliashunt.adapters.clock import VirtualClock
 from dahliashunt.adapters.table.memory import MemoryTableService
+from dahliashunt.decisions.loss_counts import QUARANTINES_MS
 from dahliashunt.forwarding.losses import CLAIM_PAUSE_MS
 from dahliashunt.forwarding.losses import LOSSES_PREFIX
 from dahliashunt.forwarding.losses import SharedLosses
@@ -77,6 +78,12 @@
             entry.served(DIGEST)
         return True
 
+    async def pass_first_quarantine(self):
+        """Lose the request until it is refused; wait for its first trial."""
+        while await self.call(self.entries[0]):
+            pass
+        await self.clock.sleep_ms(QUARANTINES_MS[0] + FEED_MS)
+
     async def press(self, until_ms, gaps_ms):
         """Send the request to any entries until a time."""
         while self.clock.now_ms() < until_ms:
@@ -93,12 +100,12 @@
             fleet = Fleet(random.Random(seed))
             loops = [fleet.spread(), *(e.run() for e in fleet.entries)]
             tasks = [asyncio.create_task(loop) for loop in loops]
-            story = asyncio.create_task(scenario(fleet))
-            while not story.done():
+            played = asyncio.create_task(scenario(fleet))
+            while not played.done():
                 await fleet.clock.advance(200)
             for task in tasks:
                 task.cancel()
-            await story
+            await played
 
         asyncio.run(main())
 
@@ -148,7 +155,7 @@
             while await fleet.call(entry):
                 pass
         fleet.table.outage = False
-        await fleet.clock.sleep_ms(6_000)
+        await fleet.clock.sleep_ms(QUARANTINES_MS[0] + FEED_MS)
         assert await fleet.call(fleet.entries[0], "served")
 
     play(scenario, 1)
@@ -157,9 +164,7 @@
 def test_a_popular_request_is_tried_by_one_entry_and_then_by_all(play):
     # Guards against a trial whose success is unknown to the other entries.
     async def scenario(fleet):
-        while await fleet.call(fleet.entries[0]):
-            pass
-        await fleet.clock.sleep_ms(6_000)
+        await fleet.pass_first_quarantine()
         tried = [await e.may_run(DIGEST) for e in fleet.entries[1:]]
         assert tried.count(True) == 1
         fleet.entries[1 + tried.index(True)].served(DIGEST)
@@ -173,9 +178,7 @@
 def test_a_request_in_quarantine_waits_for_the_store(play):
     # Guards against an entry that tries on its own while it is cut off.
     async def scenario(fleet):
-        while await fleet.call(fleet.entries[0]):
-            pass
-        await fleet.clock.sleep_ms(6_000)
+        await fleet.pass_first_quarantine()
         fleet.table.outage = True
         entry = fleet.entries[0]
         assert not await entry.may_run(DIGEST)
--- a/dahliashunt/jobs/job_run.py
+++ b/dahliashunt/jobs/job_run.py
@@ -26,9 +26,9 @@
     worker : JobWorker
         Starts the items when slots are free.
     job : Job
-    kept : list of Finished, optional
-        Outcomes of an earlier run of this job on this node; given if that
-        run has failed.
+    decided : list of Finished, optional
+        Unlisted outcomes of an earlier run of this job on this node; given
+        if that run has failed.
 
     Attributes
     ----------
@@ -39,18 +39,18 @@
         Items with an attempt in progress.
     """
 
-    def __init__(self, worker, job: Job, kept: list | None = None):
+    def __init__(self, worker, job: Job, decided: list | None = None):
         self.job = job
         self.stopped = False
         self.item_by_index: dict[int, ItemRun] = {}
         self._listed: frozenset[int] = frozenset()
         self._worker = worker
         self._tasks = set()
-        self._finished: list[Finished] = list(kept or ())
-        self._is_restart = kept is not None
+        self._finished: list[Finished] = list(decided or ())
+        self._is_restart = decided is not None
         self._unfinished_by_index: dict[int, ItemRun] = {}
         self._changed = asyncio.Event()
-        if kept:
+        if decided:
             self._changed.set()
         self.spawn(self._run())
 
--- a/dahliashunt/jobs/worker.py
+++ b/dahliashunt/jobs/worker.py
@@ -105,7 +105,7 @@
         self.log = node.log
         self._rng: random.Random = node.rng
         self._run_by_id: dict[JobId, JobRun] = {}
-        self._kept_by_id: dict[JobId, list[Finished]] = {}
+        self._decided_by_id: dict[JobId, list[Finished]] = {}
         self._waiting = ItemQueue()
         self._item_queued = asyncio.Event()
         self._running = 0
@@ -165,12 +165,12 @@
                 self.release_job(job_id)
         for job_id, job in owned.items():
             if job_id not in self._run_by_id:
-                kept = self._kept_by_id.pop(job_id, None)
-                self._run_by_id[job_id] = JobRun(self, job, kept)
+                decided = self._decided_by_id.pop(job_id, None)
+                self._run_by_id[job_id] = JobRun(self, job, decided)
             self._run_by_id[job_id].stop_listed_items()
-        for job_id in list(self._kept_by_id):
-            kept = self._kept_by_id.pop(job_id)
-            self._start_flush(self.view.job(job_id), kept)
+        for job_id in list(self._decided_by_id):
+            decided = self._decided_by_id.pop(job_id)
+            self._start_flush(self.view.job(job_id), decided)
 
     def release_job(self, job_id: JobId) -> None:
         """Stop a job that this node doesn't own; list its finished items.
@@ -240,7 +240,7 @@
         job_id = run.job.job_id
         if self._run_by_id.get(job_id) is run:
             del self._run_by_id[job_id]
-            self._kept_by_id[job_id] = run.take_finished()
+            self._decided_by_id[job_id] = run.take_finished()
             self.restarts += 1
         run.stop()
 
--- a/dahliashunt/tests/test_process.py
+++ b/dahliashunt/tests/test_process.py
@@ -25,15 +25,17 @@
     # Guards against requests that are cut since the platform sent SIGTERM
     # again to a process that leaves already.
     async def main():
-        signals = Signals()
+        loop = asyncio.get_running_loop()
+        signals, handled = Signals(), asyncio.Event()
         signals.install()
-        for number in numbers:
+        # Signals are handled in their order: the last one ends the wait.
+        loop.add_signal_handler(signal.SIGUSR1, handled.set)
+        for number in (*numbers, signal.SIGUSR1):
             os.kill(os.getpid(), number)
-            await asyncio.sleep(0)
-            await signals.leave.wait()
-        await asyncio.sleep(0.05)
-        for number in (signal.SIGTERM, signal.SIGINT):
-            asyncio.get_running_loop().remove_signal_handler(number)
+        await handled.wait()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1):
+            loop.remove_signal_handler(number)
+        assert signals.leave.is_set()
         return signals.stop.is_set()
 
     assert asyncio.run(main()) is stops
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -129,8 +129,8 @@
         caller = Caller(self.fleet, self.rng, "again-")
         in_row = dict.fromkeys(range(len(self.fleet.entries)), 0)
         while min(in_row.values()) < 3 and loop.time() < until_s:
-            for entry in in_row:
-                answered = await caller.call_once(loop, "/a/x", entry)
+            calls = [caller.call_once(loop, "/a/x", e) for e in in_row]
+            for entry, answered in enumerate(await asyncio.gather(*calls)):
                 served = answered.status == 200 and answered.whole
                 in_row[entry] = in_row[entry] + 1 if served else 0
             await asyncio.sleep(0.1)
