--- a/dahliashunt/standins/__init__.py
+++ b/dahliashunt/standins/__init__.py
@@ -11,6 +11,7 @@
 from dahliashunt.standins.serving import serve
 from dahliashunt.standins.serving import serve_role
 from dahliashunt.standins.serving import ServedRole
+from dahliashunt.standins.steady_loop import run_steadily
 from dahliashunt.standins.table import create_table
 from dahliashunt.standins.text import answer_tokens
 from dahliashunt.standins.text import expected_text
@@ -30,6 +31,7 @@
     "create_weights",
     "expected_answer",
     "expected_text",
+    "run_steadily",
     "serve",
     "serve_role",
 ]
