--- a/dahliashunt/jobs/job_run.py
+++ b/dahliashunt/jobs/job_run.py
@@ -183,7 +183,12 @@
         )
         if is_new:
             return {}
-        found = await worker.partials.load(self.job.job_id)
+        items = len(self.job.items)
+        while True:
+            found = await worker.partials.load(self.job.job_id, items)
+            if found is not None:
+                break
+            await self._retry_pause()
         worker.log.info(
             "items_resumed", job_id=self.job.job_id, items=len(found)
         )
--- a/dahliashunt/jobs/partials.py
+++ b/dahliashunt/jobs/partials.py
@@ -6,7 +6,8 @@
 
 A row holds an item's whole text up to an event. A row that is outdated, or
 written late by a former owner, is therefore consistent: the item resumes
-after that event. Without a row the item starts from the beginning.
+after that event. Without a row the item starts from the beginning; an owner
+that can't read the rows waits, since it would forget the failures.
 
 The number of failures is left out of a row while it is 0, so that nodes of
 an earlier version can read the text.
@@ -35,9 +36,6 @@
 MAX_TRANSACTION_ROWS = 90
 """Limits of a transaction, below the store's 1 MB and hundred rows."""
 
-MAX_ITEMS = 1_000
-"""Most rows that are read of one job."""
-
 
 @dataclass(frozen=True, slots=True)
 class Partial:
@@ -94,20 +92,30 @@
             saved += [partial for partial, _ in group]
         return saved
 
-    async def load(self, job_id: JobId) -> dict[int, Partial]:
+    async def load(
+        self, job_id: JobId, max_items: int
+    ) -> dict[int, Partial] | None:
         """Return a job's partial texts by the index of their items.
 
-        The result is empty if the store is unavailable: the items then
-        start from the beginning.
+        Parameters
+        ----------
+        job_id : JobId
+        max_items : int
+            Most rows to read, of which there is one an item.
+
+        Returns
+        -------
+        dict or None
+            None if the store is unavailable.
         """
         start, end = partials_range(job_id)
         try:
-            rows = await self._table.read_range(start, end, MAX_ITEMS)
+            rows = await self._table.read_range(start, end, max_items)
         except PlatformUnavailable as error:
             self._log.warning(
                 "partial_read_failed", job_id=job_id, reason=str(error)
             )
-            return {}
+            return None
         found = [self._decoded(job_id, row) for row in rows]
         return {each.index: each for each in found if each is not None}
 
--- a/dahliashunt/platform/standins/store.py
+++ b/dahliashunt/platform/standins/store.py
@@ -37,6 +37,10 @@
     late_ms : int
     delay_ms : int
         Delay before each answer.
+    refuse_reads_of : str
+        Refuse ranges of this table with 503.
+    refused_reads : int
+        Number of ranges refused so.
     """
 
     status: int | None = None
@@ -46,6 +50,8 @@
     late_writes: int = 0
     late_ms: int = 0
     delay_ms: int = 0
+    refuse_reads_of: str = ""
+    refused_reads: int = 0
 
 
 @dataclass
@@ -236,6 +242,9 @@
         return json.dumps(fields).encode()
 
     def _handle_get(self, fields):
+        if fields["table"] == self.trouble.refuse_reads_of:
+            self.trouble.refused_reads += 1
+            return 503, b""
         first, last = fields.get("from", ""), fields.get("to")
         found = sorted(
             (name, stored)
--- a/dahliashunt/platform/tests/test_job_handover.py
+++ b/dahliashunt/platform/tests/test_job_handover.py
@@ -151,7 +151,7 @@
         assert await partials.save([text]) == [text]
         failed = Partial("j9", 1, 0, "", failures=2)
         assert await partials.save([failed]) == [failed]
-        found = await partials.load("j9")
+        found = await partials.load("j9", 2)
         assert found == {0: text, 1: failed}
         assert json.loads(
             p.store.value("partials", "j9/00000", str(shard_of("j9")))
--- a/dahliashunt/platform/tests/test_jobs.py
+++ b/dahliashunt/platform/tests/test_jobs.py
@@ -472,6 +472,25 @@
     platform(scenario, ROUTE)
 
 
+def test_an_owner_that_cannot_read_the_failures_waits_for_them(platform):
+    # Guards against failures that are forgotten, since the store did not
+    # answer when a new owner asked for them.
+    async def scenario(p):
+        replica = p.replicas[0].then(status=500, body=b"no", head_ms=100)
+        await submit(p, body=job_body("a"))
+        await p.until(lambda: len(replica.arrivals) == 2)
+        await p.kill(p.entries[0])
+        p.store.trouble.refuse_reads_of = "partials"
+        await p.add_entry()
+        await p.until(lambda: p.store.trouble.refused_reads)
+        p.store.trouble.refuse_reads_of = ""
+        (result,) = await read_all(p)
+        assert result["state"] == "dead"
+        assert len(replica.arrivals) == 3
+
+    platform(scenario, ROUTE)
+
+
 def test_a_former_owner_hands_in_what_can_never_be_done(platform):
     # Guards against an item that each owner of its job sends again, since
     # the rejection by its replica was dropped with the ownership.
