--- a/dahliashunt/jobs/ledger.py
+++ b/dahliashunt/jobs/ledger.py
@@ -39,12 +39,19 @@
 CONFLICT_TRIES = 8
 """Most tries of a transaction that conflicts with another node's."""
 
-PIECE_CHARACTERS = 12_000
-"""Characters per row of a result: in UTF-8 below the store's 64 KB a row."""
+PIECE_CHARACTERS = 10_000
+"""Characters per row of a result: below the store's 64 KB a row, also if
+each takes the six bytes of a JSON escape."""
 
 PAGE_CHARACTERS = 600_000
-"""Characters per read or listing of results: with JSON escapes below the
-store's 1 MB per response or transaction."""
+"""Characters per read of results."""
+
+LISTING_BYTES = 600_000
+"""Size of the results that are listed together: in base64 below the store's
+1 MB per transaction."""
+
+MAX_LISTING_ROWS = 90
+"""Rows that are written together; the store's limit is a hundred."""
 
 MAX_DELETES = 90
 """Rows removed per transaction; the store's limit is a hundred."""
@@ -399,16 +406,15 @@
         if not todo:
             return len(finished)
         entries, writes = [], []
-        for position, each in enumerate(todo, len(progress.listed)):
-            pieces = _pieces(each.text)
+        for position, (each, values) in enumerate(todo, len(progress.listed)):
             entries.append(
                 ListedResult(
-                    each.index, each.outcome, len(pieces), len(each.text)
+                    each.index, each.outcome, len(values), len(each.text)
                 )
             )
             writes += [
-                Write(result_key(job.job_id, position, n), json.dumps(piece))
-                for n, piece in enumerate(pieces)
+                Write(result_key(job.job_id, position, n), value)
+                for n, value in enumerate(values)
             ]
             if each.saved:
                 writes.append(Write(partial_key(job.job_id, each.index), None))
@@ -463,20 +469,25 @@
     return Write(_quota_key(job), value, expect)
 
 
-def _pieces(text):
+def _values(text):
+    """Return the values of the rows of a result."""
     return [
-        text[at : at + PIECE_CHARACTERS]
+        json.dumps(text[at : at + PIECE_CHARACTERS], ensure_ascii=False)
         for at in range(0, max(1, len(text)), PIECE_CHARACTERS)
     ]
 
 
 def _page(finished):
-    """Return the first of `finished` that fit into one transaction."""
-    page, size = [], 0
+    """Return the first of `finished` that fit into one transaction.
+
+    Each is paired with the values of its rows.
+    """
+    page, size, rows = [], 0, 1
     for each in finished:
-        size += len(each.text)
-        rows = size // PIECE_CHARACTERS + 3 * len(page) + 3
-        if page and (size > PAGE_CHARACTERS or rows > 90):
+        values = _values(each.text)
+        size += sum(len(value.encode()) for value in values)
+        rows += len(values) + each.saved
+        if page and (size > LISTING_BYTES or rows > MAX_LISTING_ROWS):
             break
-        page.append(each)
+        page.append((each, values))
     return page
--- a/dahliashunt/jobs/tests/test_ledger.py
+++ b/dahliashunt/jobs/tests/test_ledger.py
@@ -22,6 +22,10 @@
 from dahliashunt.jobs.ledger import Finished
 from dahliashunt.jobs.ledger import OwnershipLost
 
+MAX_ROW_BYTES = 65_536
+MAX_TRANSACTION_BYTES = 1_000_000
+"""Limits of the store; rows are sent in base64."""
+
 LOG = structlog.get_logger()
 FIRST = Owner(NodeId("a"), "1")
 SECOND = Owner(NodeId("b"), "1")
@@ -139,6 +143,30 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize("character", ["a", "\u0101", "\x01", "\U0001f33a"])
+def test_results_fit_the_stores_limits(make_ledger, table, character):
+    """Guards against results that the store refuses, so that no owner can
+    list them."""
+
+    def check(writes):
+        sizes = [len((write.value or "").encode()) for write in writes]
+        assert max(sizes) <= MAX_ROW_BYTES
+        assert sum(sizes) * 4 / 3 <= MAX_TRANSACTION_BYTES
+
+    async def main():
+        ledger = make_ledger(FIRST)
+        await ledger.accept(JOB, b"payload", 0)
+        table.before_transact = check
+        text = character * 100_000
+        finished = [done(0, text), done(1, text)]
+        listed = await ledger.list_results(JOB, finished)
+        if listed < len(finished):
+            await ledger.list_results(JOB, finished)
+        assert await results(ledger) == [("x", text), ("y", text)]
+
+    asyncio.run(main())
+
+
 def test_an_acceptance_without_trace_is_never_called_not_run(
     make_ledger, table
 ):
