--- a/dahliashunt/decisions/loss_counts.py
+++ b/dahliashunt/decisions/loss_counts.py
@@ -50,7 +50,8 @@
 one. Three trials may follow within half a minute, then one in ten minutes."""
 
 TRIAL_MS = 5_000
-"""Milliseconds for which all other entries wait for the end of a trial."""
+"""Milliseconds for which all other entries wait for the end of a trial,
+beyond the time that the longest lost run took."""
 
 EXPIRY_MS = 2 * QUARANTINES_MS[-1]
 """Time after the last loss until losses are forgotten, in milliseconds;
@@ -122,6 +123,10 @@
     return QUARANTINES_MS[min(losses - MAX_LOSSES, len(QUARANTINES_MS) - 1)]
 
 
+def _longest_ms(runs):
+    return max(run.lost_ms - run.began_ms for run in runs)
+
+
 class LossCounts:
     """Losses in a row by request digest.
 
@@ -207,7 +212,7 @@
             return Permission.ALLOWED
         until_ms = max(
             runs[-1].lost_ms + _quarantine_ms(len(runs)),
-            self.trial_ms(digest) + TRIAL_MS,
+            self.trial_ms(digest) + TRIAL_MS + _longest_ms(runs),
         )
         if now_ms < until_ms:
             return Permission.QUARANTINED
--- a/dahliashunt/decisions/tests/test_loss_counts.py
+++ b/dahliashunt/decisions/tests/test_loss_counts.py
@@ -9,6 +9,7 @@
 from dahliashunt.decisions.loss_counts import MAX_LOSSES
 from dahliashunt.decisions.loss_counts import Permission
 from dahliashunt.decisions.loss_counts import QUARANTINES_MS
+from dahliashunt.decisions.loss_counts import TRIAL_MS
 
 INITIAL_QUARANTINE_MS = QUARANTINES_MS[0]
 MAX_QUARANTINE_MS = QUARANTINES_MS[-1]
@@ -65,6 +66,24 @@
     assert last[1] - last[0] >= MAX_QUARANTINE_MS
 
 
+def test_a_request_that_crashes_late_is_tried_by_one_run_at_a_time():
+    """Guards against trials that overlap, since a run outlasts the wait for
+    the end of the one before."""
+    counts = LossCounts()
+    run_ms = 2 * TRIAL_MS
+    for number in range(MAX_LOSSES):
+        counts.lost("bad", number * run_ms, (number + 1) * run_ms)
+    from_ms = MAX_LOSSES * run_ms
+    ends_ms = []
+    for now_ms in range(from_ms, from_ms + MAX_QUARANTINE_MS, 200):
+        if now_ms in ends_ms:
+            counts.lost("bad", now_ms - run_ms, now_ms)
+        if counts.permission("bad", now_ms) is Permission.TRIAL:
+            counts.learn_trial("bad", now_ms)
+            ends_ms.append(now_ms + run_ms)
+    assert len(ends_ms) == len(QUARANTINES_MS) - 1
+
+
 def test_a_count_of_another_entry_counts_here():
     counts = LossCounts()
     runs = [LostRun(2 * n + 2, 2 * n + 1) for n in range(MAX_LOSSES)]
