--- a/dahliashunt/decisions/loss_counts.py
+++ b/dahliashunt/decisions/loss_counts.py
@@ -190,6 +190,14 @@
         """Return the number of losses in a row."""
         return len(self.runs(digest, now_ms))
 
+    def expired(self, now_ms: int) -> list[Fingerprint]:
+        """Return the digests whose losses have expired."""
+        return [
+            digest
+            for digest in self._runs_by_digest
+            if not self.runs(digest, now_ms)
+        ]
+
     def served(self, digest: Fingerprint) -> bool:
         """Clear `digest`; return whether it had losses."""
         self._trial_ms_by_digest.pop(digest, None)
--- a/dahliashunt/forwarding/losses.py
+++ b/dahliashunt/forwarding/losses.py
@@ -1,8 +1,8 @@
 """Share the lost runs of requests between entries.
 
 There is one row per digest, written at a loss and deleted when the request
-is served. An entry that can't write keeps its losses and writes them once
-the store is back.
+is served, or once its losses have expired. An entry that can't write keeps
+its losses and writes them once the store is back.
 """
 
 import asyncio
@@ -39,6 +39,12 @@
 """Time after a failed claim without another one: a request that waits for
 the store holds a slot."""
 
+SWEEP_MS = (300_000, 900_000)
+"""Bounds of the random time between removals of expired rows."""
+
+MAX_REMOVALS = 20
+"""Rows that one entry removes in a sweep."""
+
 _STORE_ERRORS = (PlatformUnavailable, TransactionConflict, WriteOutcomeUnknown)
 
 
@@ -217,6 +223,18 @@
             while self._drops_row_by_digest:
                 await self._write_oldest()
 
+    async def sweep(self) -> None:
+        """Remove rows of expired losses until cancelled.
+
+        Each entry takes others at random, since all know the same rows.
+        """
+        while True:
+            await self._clock.sleep_ms(self._rng.randint(*SWEEP_MS))
+            expired = self._counts.expired(self._store_now_ms())
+            removals = min(MAX_REMOVALS, len(expired))
+            for digest in self._rng.sample(expired, removals):
+                self._write_later(digest, False)
+
     async def _write_oldest(self):
         digest = next(iter(self._drops_row_by_digest))
         cleared = self._drops_row_by_digest.pop(digest)
--- a/dahliashunt/forwarding/tests/test_losses.py
+++ b/dahliashunt/forwarding/tests/test_losses.py
@@ -8,10 +8,12 @@
 
 from dahliashunt.adapters.clock import VirtualClock
 from dahliashunt.adapters.table.memory import MemoryTableService
+from dahliashunt.decisions.loss_counts import EXPIRY_MS
 from dahliashunt.decisions.loss_counts import QUARANTINES_MS
 from dahliashunt.forwarding.losses import CLAIM_PAUSE_MS
 from dahliashunt.forwarding.losses import LOSSES_PREFIX
 from dahliashunt.forwarding.losses import SharedLosses
+from dahliashunt.forwarding.losses import SWEEP_MS
 
 LOG = structlog.get_logger()
 DIGEST = "bad"
@@ -175,6 +177,24 @@
     play(scenario, 1)
 
 
+def test_rows_of_expired_losses_are_removed(play):
+    """Guards against a table that grows with each request that was lost and
+    never came again."""
+
+    async def scenario(fleet):
+        key = f"{LOSSES_PREFIX}{DIGEST}"
+        await fleet.call(fleet.entries[0])
+        sweeps = [asyncio.create_task(e.sweep()) for e in fleet.entries[1:]]
+        await fleet.clock.sleep_ms(EXPIRY_MS - FEED_MS)
+        assert await fleet.table.read(key) is not None
+        await fleet.clock.sleep_ms(SWEEP_MS[1] + FEED_MS)
+        assert await fleet.table.read(key) is None
+        for sweep in sweeps:
+            sweep.cancel()
+
+    play(scenario, 1)
+
+
 def test_a_request_in_quarantine_waits_for_the_store(play):
     # Guards against an entry that tries on its own while it is cut off.
     async def scenario(fleet):
--- a/dahliashunt/platform/serve_entry.py
+++ b/dahliashunt/platform/serve_entry.py
@@ -276,6 +276,7 @@
             self._follow(),
             self._selector.refresh_states(RENEW_MS),
             self._losses.run(),
+            self._losses.sweep(),
             self.node.caps.run(),
             self._sweep(),
         ]
