--- a/dahliashunt/tests/test_process.py
+++ b/dahliashunt/tests/test_process.py
@@ -60,8 +60,25 @@
 os.kill(os.getpid(), signal.SIGHUP)
 """
 
+IMPORTS = """
+import os, runpy, signal, sys
 
-@pytest.mark.parametrize("program", [ENDS, STARTS], ids=["ends", "starts"])
+class Interrupt:
+    def find_spec(self, name, path=None, target=None):
+        if name == "asyncio":
+            os.kill(os.getpid(), signal.SIGHUP)
+
+sys.meta_path.insert(0, Interrupt())
+sys.argv = ["dahliashunt-platform", "entry", "--help"]
+runpy.run_module("dahliashunt.platform", run_name="__main__")
+"""
+
+
+@pytest.mark.parametrize(
+    "program",
+    [ENDS, STARTS, IMPORTS],
+    ids=["ends", "starts", "imports"],
+)
 def test_a_signal_beside_the_loop_does_not_end_the_program(program):
     # Guards against exit codes of a signal, before the event loop listens
     # for signals and after it.
