--- a/dahliashunt/adapters/engine/dialects.py
+++ b/dahliashunt/adapters/engine/dialects.py
@@ -25,7 +25,8 @@
     connections=0,
 )
 """Defaults for a model engine. A limit on connections would delay cancels,
-and a queued request may send nothing for long, hence `idle_ms`."""
+and a queued request may send nothing for long, hence `idle_ms`. `total_ms` is
+for management calls; a call of a model or service brings its own limit."""
 
 SERVICE_LIMITS = replace(ENGINE_LIMITS, idle_ms=60_000)
 """Defaults for a plain service, which sends nothing while it works on a call
