--- a/dahliashunt/decisions/loss_counts.py
+++ b/dahliashunt/decisions/loss_counts.py
@@ -23,10 +23,12 @@
 store, in which entries count alone, doesn't lengthen it.
 
 Several runs of a popular request can be lost to one cause, such as a rack
-without power. These started before the first of them was lost, so that a
-run counts only if it started after the last loss counted. Runs are kept with
-their times, so that entries which could not reach each other count alike
-afterwards, whatever they learn first.
+without power. These are lost at about the same time, and started before that.
+So a run counts if it started after the last loss counted, or was lost
+`ONE_CAUSE_MS` after it: a request that crashes its replicas after seconds is
+sent again while earlier runs last. Runs are kept with their times, so that
+entries which could not reach each other count alike afterwards, whatever they
+learn first.
 
 In an outage of all replicas popular requests are still refused; the first
 quarantines are short, so that they recover soon after the replicas.
@@ -45,6 +47,10 @@
 MAX_LOSSES = 3
 """Losses in a row after which a request is refused."""
 
+ONE_CAUSE_MS = 750
+"""Milliseconds within which entries learn of all losses of one cause. Three
+losses in a row are known twice as long after the first of them."""
+
 QUARANTINES_MS = (5_000, 10_000, 15_000, 600_000)
 """Milliseconds of refusal after `MAX_LOSSES` losses and after each further
 one. Three trials may follow within half a minute, then one in ten minutes."""
@@ -90,10 +96,10 @@
 def losses_in_row(runs) -> tuple[LostRun, ...]:
     """Return the runs that count as losses one after another.
 
-    Each begins at the end of the one before or later, and from the first
-    quarantine on after half of it, which leaves room for the error of the
-    shared clock. This is interval scheduling by the earliest end [1]_, in
-    O(n log n).
+    Each begins at the end of the one before or later, or ends
+    `ONE_CAUSE_MS` later. From the first quarantine on each begins after half
+    of it, which leaves room for the error of the shared clock. This is
+    interval scheduling by the earliest end [1]_, in O(n log n).
 
     Parameters
     ----------
@@ -111,12 +117,21 @@
     """
     in_row = []
     for run in sorted(runs):
-        wait_ms = _quarantine_ms(len(in_row)) // 2
-        if not in_row or run.began_ms >= in_row[-1].lost_ms + wait_ms:
+        if not in_row or _has_other_cause(run, in_row):
             in_row.append(run)
     return tuple(in_row[-MAX_RUNS:])
 
 
+def _has_other_cause(run, in_row):
+    """Tell whether a run was lost to another cause than the last in a row."""
+    last_ms = in_row[-1].lost_ms
+    quarantine_ms = _quarantine_ms(len(in_row))
+    if quarantine_ms:
+        return run.began_ms >= last_ms + quarantine_ms // 2
+    is_later = run.lost_ms >= last_ms + ONE_CAUSE_MS
+    return is_later or run.began_ms >= last_ms
+
+
 def _quarantine_ms(losses):
     if losses < MAX_LOSSES:
         return 0
--- a/dahliashunt/decisions/tests/test_loss_counts.py
+++ b/dahliashunt/decisions/tests/test_loss_counts.py
@@ -2,6 +2,7 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
+import pytest
 
 from dahliashunt.decisions.loss_counts import LossCounts
 from dahliashunt.decisions.loss_counts import losses_in_row
@@ -11,6 +12,10 @@
 from dahliashunt.decisions.loss_counts import QUARANTINES_MS
 from dahliashunt.decisions.loss_counts import TRIAL_MS
 
+CONTACT_MS = 3_000
+MAX_RETRIES = 3
+"""Most runs that begin later than `CONTACT_MS` after the third crash."""
+
 INITIAL_QUARANTINE_MS = QUARANTINES_MS[0]
 MAX_QUARANTINE_MS = QUARANTINES_MS[-1]
 
@@ -66,6 +71,26 @@
     assert last[1] - last[0] >= MAX_QUARANTINE_MS
 
 
+@pytest.mark.parametrize("run_ms", [50, 1_000, 2_000, 4_000])
+def test_a_request_that_crashes_late_is_refused_while_its_runs_overlap(run_ms):
+    """Guards against losses that count as one, since callers send the request
+    again while earlier runs last."""
+    counts = LossCounts()
+    begun_ms = []
+    for now_ms in range(0, 60_000, 50):
+        if now_ms - run_ms in begun_ms:
+            counts.lost("bad", now_ms - run_ms, now_ms)
+        permission = counts.permission("bad", now_ms)
+        if permission is Permission.TRIAL:
+            counts.learn_trial("bad", now_ms)
+        is_due = now_ms % 200 == 0 or permission is Permission.TRIAL
+        if is_due and permission is not Permission.QUARANTINED:
+            begun_ms.append(now_ms)
+    third_ms = begun_ms[MAX_LOSSES - 1] + run_ms
+    late_ms = [ms for ms in begun_ms if ms > third_ms + CONTACT_MS]
+    assert len(late_ms) <= MAX_RETRIES
+
+
 def test_a_request_that_crashes_late_is_tried_by_one_run_at_a_time():
     """Guards against trials that overlap, since a run outlasts the wait for
     the end of the one before."""
@@ -93,19 +118,24 @@
     assert counts.losses("bad", 10) == MAX_LOSSES
 
 
-@given(st.data())
-def test_losses_count_alike_in_whichever_order_they_are_learned(data):
+@pytest.mark.parametrize("longest_ms", [20, 2_000])
+@given(data=st.data())
+def test_losses_count_alike_in_whichever_order_they_are_learned(
+    longest_ms, data
+):
     # Guards against entries that count fewer losses after an outage, since
     # they learn of each other's in another order than they happened.
     runs = [
-        LostRun(began_ms + data.draw(st.integers(1, 20)), began_ms)
-        for began_ms in data.draw(st.lists(st.integers(0, 60), max_size=7))
+        LostRun(began_ms + data.draw(st.integers(1, longest_ms)), began_ms)
+        for began_ms in data.draw(
+            st.lists(st.integers(0, 3 * longest_ms), max_size=7)
+        )
     ]
     counts = LossCounts()
     for run in data.draw(st.permutations(runs)):
-        counts.learn("bad", (run,), 100)
+        counts.learn("bad", (run,), 4 * longest_ms)
     in_row = losses_in_row(runs)
-    assert abs(counts.losses("bad", 100) - len(in_row)) <= 1
+    assert abs(counts.losses("bad", 4 * longest_ms) - len(in_row)) <= 1
 
 
 def test_the_oldest_digests_go_first_when_there_are_too_many():
