--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -112,13 +112,16 @@
 
 
 def _of_crashes(play):
-    crashes = sorted(c for r in play.fleet.replicas for c in r.crashes)
-    if len(crashes) <= 3:
+    """Count the runs that began long after the third crash."""
+    replicas = play.fleet.replicas
+    crashes = sorted(at_s for r in replicas for at_s in r.crashes)
+    if len(crashes) < 3:
         return []
-    late = [c for c in crashes[3:] if c[0] > crashes[2][0] + CONTACT_S]
+    runs = sorted(run for r in replicas for run in r.crashing_runs)
+    late = [run for run in runs if run[0] > crashes[2] + CONTACT_S]
     if len(late) <= MOST_RETRIES:
         return []
-    return [f"a crashing request was tried again by {[c[1] for c in late]}"]
+    return [f"a crashing request was tried again by {late}"]
 
 
 def _of_budgets(play):
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -17,7 +17,10 @@
 FAULTS_PER_S = 1.5
 GAP_MS = 20
 CRASH_GAP_MS = 300
-CRASH_CALLERS = 2
+CRASH_CALLERS = 4
+CRASH_AFTER_S = (0.0, 0.0, 0.5, 3.0)
+"""Times from the begin of a run to the crash, of which a seed draws one."""
+
 KEPT_CONNECTIONS = 6
 JOBS = 4
 ITEMS = 25
@@ -51,7 +54,9 @@
             Caller(self.fleet, random.Random(seed + 4 + n), f"k{n}-")
             for n in range(KEPT_CONNECTIONS)
         ]
-        self.crasher = Caller(self.fleet, random.Random(seed + 3_000), "w")
+        crash_rng = random.Random(seed + 3_000)
+        self.crasher = Caller(self.fleet, crash_rng, "w")
+        self._crash_after_s = crash_rng.choice(CRASH_AFTER_S)
         self.played = []
         self.died = []
         self.recovered = False
@@ -63,6 +68,8 @@
         """Run it; return the promises that were broken."""
         try:
             await self.fleet.start()
+            for replica in self.fleet.replicas:
+                replica.crash_after_s = self._crash_after_s
             self.recovered = await self._serves_again()
             if not self.recovered:
                 return ["the fleet did not start"]
--- a/tests/soak/replica.py
+++ b/tests/soak/replica.py
@@ -48,8 +48,8 @@
 class SoakReplica(ReplicaStandin):
     """Streams `EVENTS` events; refuses beyond its slots and its queue.
 
-    A request to `CRASH_PATH` resets all of its connections and keeps it down
-    for `DOWN_S`.
+    A request to `CRASH_PATH` resets all of its connections, `crash_after_s`
+    after it began to run, and keeps it down for `DOWN_S`.
 
     Attributes
     ----------
@@ -62,8 +62,11 @@
         with its key.
     statuses_by_item : defaultdict of Counter
         Answers to items that fail at each run.
-    crashes : list of (float, str)
-        Time and request of each crash.
+    crash_after_s : float
+    crashes : list of float
+        Time of each crash.
+    crashing_runs : list of (float, str)
+        Time and request of each run that was to crash it.
     budgets_by_request : defaultdict of list
         Time of arrival, and the time handed on in milliseconds.
     """
@@ -75,7 +78,9 @@
         self.runs_by_request = collections.Counter()
         self.misnamed = []
         self.statuses_by_item = collections.defaultdict(collections.Counter)
+        self.crash_after_s = 0.0
         self.crashes = []
+        self.crashing_runs = []
         self.budgets_by_request = collections.defaultdict(list)
         self._down_until_s = 0.0
         self._writers = set()
@@ -97,9 +102,16 @@
         finally:
             self._writers.discard(writer)
 
-    def _crash(self, request_id):
-        now_s = asyncio.get_running_loop().time()
-        self.crashes.append((now_s, request_id))
+    async def _crash(self, request_id):
+        loop = asyncio.get_running_loop()
+        self.crashing_runs.append((loop.time(), request_id))
+        crashes = len(self.crashes)
+        await asyncio.sleep(self.crash_after_s)
+        if len(self.crashes) > crashes:
+            # Another run has crashed it meanwhile.
+            return
+        now_s = loop.time()
+        self.crashes.append(now_s)
         self._down_until_s = now_s + self.rng.uniform(*DOWN_S)
         for writer in self._writers:
             writer.transport.abort()
@@ -148,7 +160,7 @@
             self._check_name(arrival)
             self._note_budget(arrival)
             if arrival.target == CRASH_PATH:
-                self._crash(arrival.request_id)
+                await self._crash(arrival.request_id)
             status = STATUS_BY_ENDING.get(arrival.request_id[-4:])
             if status is not None:
                 return await self._fail(arrival, status, writer)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -82,6 +82,7 @@
         misnamed=[],
         statuses_by_item={},
         crashes=[],
+        crashing_runs=[],
         budgets_by_request={},
     )
     fleet = SimpleNamespace(replicas=[replica], exits=[("entry-0", 0)])
@@ -185,10 +186,12 @@
 
 
 def test_a_crashing_request_that_is_tried_too_often_is_told(play):
-    crashes = [(at_s, f"w{at_s}") for at_s in (1.0, 2.0, 3.0, 6.9, 8, 9, 10)]
-    play.fleet.replicas[0].crashes = crashes
+    began_s = (0.5, 1.5, 2.5, 7.0, 8, 9, 10)
+    runs = [(at_s, f"w{at_s}") for at_s in began_s]
+    play.fleet.replicas[0].crashing_runs = runs
+    play.fleet.replicas[0].crashes = [at_s + 0.5 for at_s in began_s]
     assert broken_promises(play) == []
-    crashes.append((40.0, "w40"))
+    runs.append((40.0, "w40"))
     assert len(broken_promises(play)) == 1
 
 
