--- a/dahliashunt/decisions/tests/test_loss_counts.py
+++ b/dahliashunt/decisions/tests/test_loss_counts.py
@@ -73,8 +73,7 @@
 
 @pytest.mark.parametrize("run_ms", [50, 1_000, 2_000, 4_000])
 def test_a_request_that_crashes_late_is_refused_while_its_runs_overlap(run_ms):
-    """Guards against losses that count as one, since callers send the request
-    again while earlier runs last."""
+    """Guards against losses that count as one, since their runs overlap."""
     counts = LossCounts()
     begun_ms = []
     for now_ms in range(0, 60_000, 50):
@@ -92,8 +91,7 @@
 
 
 def test_a_request_that_crashes_late_is_tried_by_one_run_at_a_time():
-    """Guards against trials that overlap, since a run outlasts the wait for
-    the end of the one before."""
+    """Guards against a trial that begins before the last one has ended."""
     counts = LossCounts()
     run_ms = 2 * TRIAL_MS
     for number in range(MAX_LOSSES):
--- a/dahliashunt/forwarding/tests/test_losses.py
+++ b/dahliashunt/forwarding/tests/test_losses.py
@@ -178,8 +178,7 @@
 
 
 def test_rows_of_expired_losses_are_removed(play):
-    """Guards against a table that grows with each request that was lost and
-    never came again."""
+    """Guards against a table that grows with each request lost for good."""
 
     async def scenario(fleet):
         key = f"{LOSSES_PREFIX}{DIGEST}"
--- a/dahliashunt/jobs/tests/test_ledger.py
+++ b/dahliashunt/jobs/tests/test_ledger.py
@@ -145,8 +145,7 @@
 
 @pytest.mark.parametrize("character", ["a", "\u0101", "\x01", "\U0001f33a"])
 def test_results_fit_the_stores_limits(make_ledger, table, character):
-    """Guards against results that the store refuses, so that no owner can
-    list them."""
+    """Guards against results that the store refuses and nobody can list."""
 
     def check(writes):
         sizes = [len((write.value or "").encode()) for write in writes]
