--- a/dahliashunt/process.py
+++ b/dahliashunt/process.py
@@ -46,9 +46,18 @@
         self.leave.set()
 
     def ignore(self) -> None:
-        """Ignore SIGTERM from now on, also once the loop is closed."""
-        asyncio.get_running_loop().remove_signal_handler(signal.SIGTERM)
-        signal.signal(signal.SIGTERM, signal.SIG_IGN)
+        """Ignore SIGTERM and SIGHUP, also once the loop is closed.
+
+        A loop that closes, or forgets a signal, restores the action that ends
+        the process.
+        """
+        loop = asyncio.get_running_loop()
+        numbers = {signal.SIGTERM, signal.SIGHUP}
+        blocked = signal.pthread_sigmask(signal.SIG_BLOCK, numbers)
+        for number in numbers:
+            loop.remove_signal_handler(number)
+            signal.signal(number, signal.SIG_IGN)
+        signal.pthread_sigmask(signal.SIG_SETMASK, blocked)
 
 
 async def run_served(settings, serve, log) -> ExitCode:
--- a/dahliashunt/tests/test_process.py
+++ b/dahliashunt/tests/test_process.py
@@ -46,10 +46,12 @@
 from dahliashunt.process import run_served
 
 async def serve(settings, signals, log):
-    return None
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGHUP, print)
 
 asyncio.run(run_served(None, serve, structlog.get_logger()))
 os.kill(os.getpid(), signal.SIGTERM)
+os.kill(os.getpid(), signal.SIGHUP)
 """
 
 STARTS = """
