--- a/dahliashunt/platform/tests/test_online.py
+++ b/dahliashunt/platform/tests/test_online.py
@@ -7,6 +7,7 @@
 from dahliashunt.adapters.http1 import ConnectionPool
 from dahliashunt.adapters.http1 import End
 from dahliashunt.adapters.http1 import open_connection
+from dahliashunt.decisions.loss_counts import MAX_LOSSES
 from dahliashunt.forwarding.replicas import OUTAGE_GRACE_MS
 from dahliashunt.platform import serve_entry
 from dahliashunt.platform.standins.caller import caller_request
@@ -435,3 +436,32 @@
         assert registry.get(replica.replica_id) is not None
 
     platform(scenario)
+
+
+async def crash_replicas(p):
+    """Crash all replicas; each comes back under another id."""
+    for replica in p.replicas:
+        replica.cut_all()
+        p.store.unlist_replica(replica.replica_id)
+        replica.replica_id += "-again"
+        fields = replica_fields(replica.address, slots=2)
+        p.store.list_replica(replica.replica_id, fields)
+    ids = {replica.replica_id for replica in p.replicas}
+    registry = p.entries[0].node.registry
+    await p.until(lambda: {r.replica_id for r in registry.all()} == ids)
+
+
+def test_a_request_given_up_before_it_crashes_replicas_is_held_back(platform):
+    """Guards against crashes that no entry counts, since it left before."""
+
+    async def scenario(p):
+        for replica in p.replicas:
+            replica.then(head_ms=60_000)
+        for _ in range(MAX_LOSSES):
+            await p.call(budget_ms=1_000)
+            await crash_replicas(p)
+        runs = sum(len(replica.arrivals) for replica in p.replicas)
+        await p.call(budget_ms=1_000)
+        assert sum(len(replica.arrivals) for replica in p.replicas) == runs
+
+    platform(scenario, replicas=3)
