--- a/dahliashunt/platform/standins/replica.py
+++ b/dahliashunt/platform/standins/replica.py
@@ -87,6 +87,8 @@
     Attributes
     ----------
     replica_id : str
+    version : str or None
+        Version of its software, as its row states it.
     steps : deque of Step
         Consumed in order, one per request; the last one is reused.
     arrivals : list of Arrival
@@ -97,6 +99,7 @@
     """
 
     replica_id: str = "i-1"
+    version: str | None = "v1"
     steps: collections.deque = field(default_factory=collections.deque)
     arrivals: list = field(default_factory=list)
     running: int = 0
--- a/dahliashunt/platform/tests/conftest.py
+++ b/dahliashunt/platform/tests/conftest.py
@@ -75,22 +75,30 @@
         self._store_address = None
 
     async def open(
-        self, routes, replicas=1, engine=False, config=None, slots=2
+        self,
+        routes,
+        replicas=1,
+        engine=False,
+        config=None,
+        slots=2,
+        versions=(),
     ):
         self._store_address = await self.store.start()
         self._slots = slots
-        for _ in range(replicas):
-            await self.add_replica()
+        for version in versions or ("v1",) * replicas:
+            await self.add_replica(version)
         if config is None:
             config = config_fields(routes, engine=engine)
         self.store.configure(config)
         return await self.add_entry()
 
-    async def add_replica(self):
-        replica = ReplicaStandin(f"i-{len(self.replicas)}")
+    async def add_replica(self, version="v1"):
+        replica = ReplicaStandin(f"i-{len(self.replicas)}", version)
         await replica.start()
         self.replicas.append(replica)
-        fields = replica_fields(replica.address, slots=self._slots)
+        fields = replica_fields(
+            replica.address, slots=self._slots, version=version
+        )
         self.store.list_replica(replica.replica_id, fields)
         return replica
 
@@ -129,6 +137,9 @@
             await replica.stop()
         await self.store.stop()
 
+    def now_s(self):
+        return asyncio.get_running_loop().time()
+
     async def until(self, condition):
         """Wait until `condition` holds."""
         async with asyncio.timeout(TIMEOUT_S):
