A broken stream goes on at a replica of its software version only

After a loss or a silence the entry reserved any replica of the service; no code read a replica's version.

The first relayed event fixes the version of the answer, and each later reservation of the call admits replicas of that version alone: a retry after a loss, the second reservation for silence, outsiders and direct sends. A version that a row does not state fits no other. Where no such replica is listed the answer is broken off at once.

Before: the first test saw a stream of v1 and v2; two streams of replicas without a version were joined, and one went on at another version instead of ending. After: the three tests pass, and streams whose version has another replica still go on.

--- a/dahliashunt/forwarding/attempt.py
+++ b/dahliashunt/forwarding/attempt.py
@@ -264,6 +264,7 @@
             connection.taken(len(event))
             whole += self._in_order(splitter.feed(event))
         if whole:
+            self._state.version = self._replica.version
             await self._start_response(head, None)
             await self._sink.send(b"".join(whole))
         if end is None:
--- a/dahliashunt/forwarding/call_state.py
+++ b/dahliashunt/forwarding/call_state.py
@@ -6,6 +6,7 @@
 from dahliashunt.adapters.http1 import ResponseHead
 from dahliashunt.forwarding.call import Call
 from dahliashunt.forwarding.catalog import Route
+from dahliashunt.ids import SoftwareVersion
 
 __all__ = ["AttemptEnd", "CallState", "HeldResponse"]
 
@@ -53,6 +54,9 @@
         Whether the response head was sent to the caller.
     last_event : int
         Id of the last event that was relayed.
+    version : SoftwareVersion or None
+        Software version that the stream's events come from; None before its
+        first event.
     first_ms : int
         Time from arrival to the response head.
     sent_budget_ms : int
@@ -66,6 +70,7 @@
     ran: int = 0
     started: bool = False
     last_event: int = 0
+    version: SoftwareVersion | None = None
     first_ms: int = 0
     sent_budget_ms: int = 0
     held: HeldResponse | None = None
--- a/dahliashunt/forwarding/forwarder.py
+++ b/dahliashunt/forwarding/forwarder.py
@@ -6,9 +6,9 @@
   one, an error that says "not run";
 - sent and lost: another replica if the request is repeatable and attempts
   are left, else "outcome unknown";
-- a stream that broke off after events: resumes at another replica after
-  the last complete event, within the same response; else the response is
-  truncated so that it can't look complete.
+- a stream that broke off after events: resumes at another replica of the
+  same software version after the last complete event, within the same
+  response; else the response is truncated so that it can't look complete.
 """
 
 from dataclasses import dataclass
@@ -229,6 +229,7 @@
             avoid=frozenset(avoid),
             on_revoke=lambda: None,
             rank=self._rank,
+            version=self._state.version,
         )
         return await self._forwarder.places.find(
             requirements, self._call.request_id, self._keeps
--- a/dahliashunt/forwarding/replica_selector.py
+++ b/dahliashunt/forwarding/replica_selector.py
@@ -98,7 +98,7 @@
         ordered = self._known.ordered(replicas, requirements.affinity)
         if not with_agents:
             return self._direct(ordered[0])
-        if self._has_no_agents(replicas):
+        if self._has_no_agents(replicas, requirements):
             return self._direct_within_slots(ordered, requirements)
         chosen = self._with_outsiders(ordered, requirements)
         replies = await self._slot_requester.request_slot(
@@ -112,21 +112,19 @@
         return await self._fall_back(replies, requirements, request_id)
 
     def _untried(self, requirements):
-        """Return the untried partners, or the other untried replicas."""
+        """Return the admitted partners, or the other admitted replicas."""
         for listed in (
             self._known.partners(requirements.service),
             self._known.listed(requirements.service),
         ):
-            untried = [
-                one
-                for one in listed
-                if one.incarnation not in requirements.avoid
-            ]
+            untried = list(filter(requirements.admits, listed))
             if untried:
                 return untried
+        wanted = requirements.version
+        suffix = "" if wanted is None else f" at version {wanted or 'unknown'}"
         raise RequestError(
             ErrorKind.NO_ENDPOINT,
-            f"no replica of {requirements.service} is listed",
+            f"no replica of {requirements.service}{suffix} is listed",
             retry_after_ms=NO_REPLICA_RETRY_MS,
         )
 
@@ -140,11 +138,14 @@
         outsiders = [
             replica
             for replica in sample_non_partners(listed, ids, self._rng)
-            if replica.incarnation not in requirements.avoid
+            if requirements.admits(replica)
         ]
         return ordered[:MAX_ASKED] + outsiders
 
-    def _has_no_agents(self, replicas):
+    def _has_no_agents(self, replicas, requirements):
+        if requirements.version is not None:
+            # Only partners send their loads, and none may have the version.
+            replicas = self._known.partners(requirements.service)
         waited_ms = self._clock.now_ms() - self._started_ms
         return waited_ms > NO_AGENTS_MS and not any(
             self._known.load(replica) for replica in replicas
--- a/dahliashunt/forwarding/reservation.py
+++ b/dahliashunt/forwarding/reservation.py
@@ -4,6 +4,7 @@
 
 from dahliashunt.decisions.slot_messages import Use
 from dahliashunt.forwarding.replicas import Replica
+from dahliashunt.ids import SoftwareVersion
 
 __all__ = ["Reservation", "SlotRequirements"]
 
@@ -29,6 +30,9 @@
         Called when a granted slot is revoked.
     rank : int
         0 is the most urgent.
+    version : SoftwareVersion or None
+        Software version that must serve; None for any. An empty one is
+        unknown, so that no replica is known to have it.
     """
 
     service: str
@@ -39,6 +43,15 @@
     avoid: frozenset
     on_revoke: object
     rank: int = 0
+    version: SoftwareVersion | None = None
+
+    def admits(self, replica: Replica) -> bool:
+        """Return whether `replica` is untried and of a fitting version."""
+        if replica.incarnation in self.avoid:
+            return False
+        if self.version is None:
+            return True
+        return bool(self.version) and replica.version == self.version
 
 
 class Reservation:
--- a/dahliashunt/platform/tests/test_versions.py
+++ b/dahliashunt/platform/tests/test_versions.py
@@ -49,3 +49,27 @@
         raise AssertionError(f"streams began at {set(went_on)} only")
 
     platform(scenario, versions=("v1", "v2", "v1"))
+
+
+def test_a_broken_stream_ends_at_once_without_its_version(platform):
+    # Guards against waiting for a replica that does not exist.
+    async def scenario(p):
+        cut_each_stream(p.replicas)
+        began_s = p.now_s()
+        answer = await p.call(budget_ms=5_000)
+        assert not answer.whole
+        assert events(answer) == [1, 2, 3]
+        assert p.now_s() - began_s < 1
+
+    platform(scenario, versions=("v1", "v2"))
+
+
+def test_streams_of_replicas_without_a_version_are_not_joined(platform):
+    # Guards against taking two unknown versions for the same one.
+    async def scenario(p):
+        cut_each_stream(p.replicas)
+        answer = await p.call()
+        assert not answer.whole
+        assert events(answer) == [1, 2, 3]
+
+    platform(scenario, versions=(None, None))
