A caller goes on with its stream at the version that began it, or not at all

A caller whose entry was killed takes its stream up at another entry with Last-Event-Id and Resumes. That entry knew nothing of the first attempt and took any replica, so that the caller joined texts of two versions.

An entry now notes a stream's origin (digest of service and software version) when it relays the first event of an answer: in its own table and at two agents that consistent hashing of the first request's id selects. Notes are not confirmed: a lost one is no permission. Without a note a stream goes on only if this entry has followed the list longer than the stream can have lasted and a single, known version was there all the while. Else the caller gets 503 at once (new kind not_continuable), which is not run.

The test of Last-Event-Id alone began no stream; it now names one.

--- a/dahliashunt/adapters/slots/client.py
+++ b/dahliashunt/adapters/slots/client.py
@@ -12,6 +12,8 @@
 from dahliashunt.adapters.wire.gen.link.ttypes import SlotRelease
 from dahliashunt.adapters.wire.gen.link.ttypes import SlotUse
 from dahliashunt.adapters.wire.gen.link.ttypes import SlotVerdict
+from dahliashunt.adapters.wire.gen.link.ttypes import StreamNote
+from dahliashunt.adapters.wire.gen.link.ttypes import StreamQuery
 from dahliashunt.decisions.meter_messages import UsageReport
 from dahliashunt.decisions.slot_messages import AllocatorState
 from dahliashunt.decisions.slot_messages import SlotDecision
@@ -105,6 +107,8 @@
         Last `KnownState` of each agent.
     on_reading : callable
         Called with an agent's host and each `UsageReading` from it.
+    on_stream_reply : callable
+        Called with an agent's host, a stream and its origin there or None.
     """
 
     def __init__(self, clock: Clock):
@@ -114,6 +118,7 @@
         self.known_by_address: dict[tuple[str, int], KnownState] = {}
         self._unanswered_by_address: dict[tuple[str, int], _Unanswered] = {}
         self.on_reading = lambda host, reading: None
+        self.on_stream_reply = lambda host, stream, origin: None
 
     async def start(self, host: str, port: int) -> None:
         """Open the socket."""
@@ -224,6 +229,18 @@
         frame = SlotFrame(use_report=encode_report(report))
         self._datagrams.send(frame, address)
 
+    def note_stream(
+        self, address: tuple[str, int], stream: int, origin: int
+    ) -> None:
+        """Send the origin of a stream to the agent at `address`."""
+        frame = SlotFrame(stream_note=StreamNote(stream, origin))
+        self._datagrams.send(frame, address)
+
+    def query_stream(self, address: tuple[str, int], stream: int) -> None:
+        """Ask the agent at `address` for the origin of a stream."""
+        frame = SlotFrame(stream_query=StreamQuery(stream))
+        self._datagrams.send(frame, address)
+
     def probe(self) -> None:
         """Request the states of silent agents again.
 
@@ -242,6 +259,9 @@
         self._unanswered_by_address.pop(address, None)
         if frame.use_reading is not None:
             self.on_reading(address[0], decode_reading(frame.use_reading))
+        elif frame.stream_reply is not None:
+            reply = frame.stream_reply
+            self.on_stream_reply(address[0], reply.stream, reply.origin)
         elif frame.answer is not None:
             self._record_state(frame.answer.state, address)
             self._on_answer(frame.answer, address)
--- a/dahliashunt/adapters/slots/server.py
+++ b/dahliashunt/adapters/slots/server.py
@@ -9,12 +9,14 @@
 from dahliashunt.adapters.wire.gen.link.ttypes import SlotState
 from dahliashunt.adapters.wire.gen.link.ttypes import SlotUse
 from dahliashunt.adapters.wire.gen.link.ttypes import SlotVerdict
+from dahliashunt.adapters.wire.gen.link.ttypes import StreamReply
 from dahliashunt.decisions.meter import Meter
 from dahliashunt.decisions.slot_allocator import SlotAllocator
 from dahliashunt.decisions.slot_messages import SlotDecision
 from dahliashunt.decisions.slot_messages import SlotReply
 from dahliashunt.decisions.slot_messages import SlotRequest
 from dahliashunt.decisions.slot_messages import Use
+from dahliashunt.decisions.stream_origins import OriginTable
 from dahliashunt.metrics import Metrics
 from dahliashunt.ports import Clock
 
@@ -34,7 +36,7 @@
 
 
 class SlotServer:
-    """Serves one `SlotAllocator` and one `Meter` over datagrams.
+    """Serves a `SlotAllocator`, a `Meter` and an `OriginTable`.
 
     Parameters
     ----------
@@ -52,6 +54,7 @@
         self._metrics = metrics
         self._log = log
         self.meter = Meter()
+        self.origins = OriginTable()
         self._datagrams = None
         self._heard_ms_by_requester: dict[tuple[str, int], int] = {}
         self._last_state = None
@@ -77,6 +80,9 @@
         if frame.use_report is not None:
             self._on_usage_report(now_ms, frame.use_report, requester)
             return
+        if frame.stream_note is not None or frame.stream_query is not None:
+            self._on_stream(now_ms, frame, requester)
+            return
         self._heard_ms_by_requester[requester] = now_ms
         if frame.ask is not None:
             self._send_all(
@@ -99,6 +105,17 @@
         frame = SlotFrame(use_reading=encode_reading(reading))
         self._datagrams.send(frame, requester)
 
+    def _on_stream(self, now_ms, frame, requester):
+        note = frame.stream_note
+        if note is not None:
+            if None not in (note.stream, note.origin):
+                self.origins.note(now_ms, note.stream, note.origin)
+            return
+        stream = frame.stream_query.stream
+        origin = self.origins.get(now_ms, stream)
+        reply = SlotFrame(stream_reply=StreamReply(stream, origin))
+        self._datagrams.send(reply, requester)
+
     def report(self, running: frozenset, waiting: int) -> None:
         """Pass the replica's load report to the allocator."""
         now_ms = self._clock.now_ms()
--- a/dahliashunt/adapters/wire/gen/link/ttypes.py
+++ b/dahliashunt/adapters/wire/gen/link/ttypes.py
@@ -3403,6 +3403,234 @@
         return not (self == other)
 
 
+class StreamNote(object):
+    """
+    Attributes:
+     - stream
+     - origin
+
+    """
+
+    __slots__ = (
+        'stream',
+        'origin',
+    )
+
+
+    def __init__(self, stream=None, origin=None,):
+        self.stream = stream
+        self.origin = origin
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.stream = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.origin = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StreamNote')
+        if self.stream is not None:
+            oprot.writeFieldBegin('stream', TType.I64, 1)
+            oprot.writeI64(self.stream)
+            oprot.writeFieldEnd()
+        if self.origin is not None:
+            oprot.writeFieldBegin('origin', TType.I32, 2)
+            oprot.writeI32(self.origin)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class StreamQuery(object):
+    """
+    Attributes:
+     - stream
+
+    """
+
+    __slots__ = (
+        'stream',
+    )
+
+
+    def __init__(self, stream=None,):
+        self.stream = stream
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.stream = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StreamQuery')
+        if self.stream is not None:
+            oprot.writeFieldBegin('stream', TType.I64, 1)
+            oprot.writeI64(self.stream)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class StreamReply(object):
+    """
+    Attributes:
+     - stream
+     - origin
+
+    """
+
+    __slots__ = (
+        'stream',
+        'origin',
+    )
+
+
+    def __init__(self, stream=None, origin=None,):
+        self.stream = stream
+        self.origin = origin
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.stream = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.origin = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StreamReply')
+        if self.stream is not None:
+            oprot.writeFieldBegin('stream', TType.I64, 1)
+            oprot.writeI64(self.stream)
+            oprot.writeFieldEnd()
+        if self.origin is not None:
+            oprot.writeFieldBegin('origin', TType.I32, 2)
+            oprot.writeI32(self.origin)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class SlotFrame(object):
     """
     Attributes:
@@ -3414,6 +3642,9 @@
      - state
      - use_report
      - use_reading
+     - stream_note
+     - stream_query
+     - stream_reply
 
     """
 
@@ -3426,10 +3657,13 @@
         'state',
         'use_report',
         'use_reading',
+        'stream_note',
+        'stream_query',
+        'stream_reply',
     )
 
 
-    def __init__(self, ask=None, answer=None, held=None, release=None, revoke=None, state=None, use_report=None, use_reading=None,):
+    def __init__(self, ask=None, answer=None, held=None, release=None, revoke=None, state=None, use_report=None, use_reading=None, stream_note=None, stream_query=None, stream_reply=None,):
         self.ask = ask
         self.answer = answer
         self.held = held
@@ -3438,6 +3672,9 @@
         self.state = state
         self.use_report = use_report
         self.use_reading = use_reading
+        self.stream_note = stream_note
+        self.stream_query = stream_query
+        self.stream_reply = stream_reply
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3496,6 +3733,24 @@
                     self.use_reading.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.STRUCT:
+                    self.stream_note = StreamNote()
+                    self.stream_note.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.STRUCT:
+                    self.stream_query = StreamQuery()
+                    self.stream_query.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.STRUCT:
+                    self.stream_reply = StreamReply()
+                    self.stream_reply.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3538,6 +3793,18 @@
             oprot.writeFieldBegin('use_reading', TType.STRUCT, 8)
             self.use_reading.write(oprot)
             oprot.writeFieldEnd()
+        if self.stream_note is not None:
+            oprot.writeFieldBegin('stream_note', TType.STRUCT, 9)
+            self.stream_note.write(oprot)
+            oprot.writeFieldEnd()
+        if self.stream_query is not None:
+            oprot.writeFieldBegin('stream_query', TType.STRUCT, 10)
+            self.stream_query.write(oprot)
+            oprot.writeFieldEnd()
+        if self.stream_reply is not None:
+            oprot.writeFieldBegin('stream_reply', TType.STRUCT, 11)
+            self.stream_reply.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3810,6 +4077,23 @@
     (9, TType.I32, 'entries', None, None, ),  # 9
     (10, TType.STRUCT, 'newer', [UseLimit, None], None, ),  # 10
 )
+all_structs.append(StreamNote)
+StreamNote.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'stream', None, None, ),  # 1
+    (2, TType.I32, 'origin', None, None, ),  # 2
+)
+all_structs.append(StreamQuery)
+StreamQuery.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'stream', None, None, ),  # 1
+)
+all_structs.append(StreamReply)
+StreamReply.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'stream', None, None, ),  # 1
+    (2, TType.I32, 'origin', None, None, ),  # 2
+)
 all_structs.append(SlotFrame)
 SlotFrame.thrift_spec = (
     None,  # 0
@@ -3821,6 +4105,9 @@
     (6, TType.STRUCT, 'state', [SlotState, None], None, ),  # 6
     (7, TType.STRUCT, 'use_report', [UseReport, None], None, ),  # 7
     (8, TType.STRUCT, 'use_reading', [UseReading, None], None, ),  # 8
+    (9, TType.STRUCT, 'stream_note', [StreamNote, None], None, ),  # 9
+    (10, TType.STRUCT, 'stream_query', [StreamQuery, None], None, ),  # 10
+    (11, TType.STRUCT, 'stream_reply', [StreamReply, None], None, ),  # 11
 )
 fix_spec(all_structs)
 del all_structs
--- a/dahliashunt/adapters/wire/link.thrift
+++ b/dahliashunt/adapters/wire/link.thrift
@@ -219,6 +219,21 @@
   10: optional UseLimit newer;  // the report's limit was an older one
 }
 
+// Where streams began, told to the agents whose hosts a hash of the stream
+// selects, and asked of them by an entry that takes a stream up.
+
+struct StreamNote {
+  1: i64 stream;            // digest of the request that began it
+  2: i32 origin;            // digest of service and software version
+}
+
+struct StreamQuery { 1: i64 stream; }
+
+struct StreamReply {
+  1: i64 stream;
+  2: optional i32 origin;   // missing: the agent has no note of the stream
+}
+
 struct SlotFrame {
   1: optional SlotAsk ask;
   2: optional SlotAnswer answer;
@@ -228,4 +243,7 @@
   6: optional SlotState state;
   7: optional UseReport use_report;
   8: optional UseReading use_reading;
+  9: optional StreamNote stream_note;
+  10: optional StreamQuery stream_query;
+  11: optional StreamReply stream_reply;
 }
--- a/dahliashunt/errors.py
+++ b/dahliashunt/errors.py
@@ -56,6 +56,7 @@
     OVER_LIMIT = "over_limit"
     OVERLOADED = "overloaded"
     NO_ENDPOINT = "no_endpoint"
+    NOT_CONTINUABLE = "not_continuable"
     LEAVING = "leaving"
     CONVICTED = "convicted"
     ENDPOINT_LOST = "endpoint_lost"
@@ -103,6 +104,7 @@
     ErrorKind.OVER_LIMIT: Answer(429, _RATE, True),
     ErrorKind.OVERLOADED: Answer(503, _SERVER, True),
     ErrorKind.NO_ENDPOINT: Answer(503, _SERVER, True),
+    ErrorKind.NOT_CONTINUABLE: Answer(503, _SERVER, False),
     ErrorKind.LEAVING: Answer(503, _SERVER, True),
     ErrorKind.CONVICTED: Answer(422, _INVALID, False),
     ErrorKind.ENDPOINT_LOST: Answer(502, _SERVER, True),
--- a/dahliashunt/forwarding/attempt.py
+++ b/dahliashunt/forwarding/attempt.py
@@ -264,7 +264,7 @@
             connection.taken(len(event))
             whole += self._in_order(splitter.feed(event))
         if whole:
-            self._state.version = self._replica.version
+            self._note_version()
             await self._start_response(head, None)
             await self._sink.send(b"".join(whole))
         if end is None:
@@ -275,6 +275,13 @@
         await self._sink.end()
         return AttemptEnd.SERVED
 
+    def _note_version(self):
+        if not self._state.started:
+            self._state.version = self._replica.version
+            self._forwarder.origins.note(
+                self._state.call, self._route, self._replica
+            )
+
     def _in_order(self, events):
         """Return the events' bytes; their ids must be consecutive."""
         raw = []
--- a/dahliashunt/forwarding/call.py
+++ b/dahliashunt/forwarding/call.py
@@ -27,6 +27,9 @@
         Time that the caller waits from `arrived_ms`; None if not stated.
     last_event : int
         Id of the last stream event that the caller has; 0 for none.
+    resumes : RequestId
+        The caller's attempt that brought the stream's first event; empty if
+        not stated.
     shared_parts : tuple of str
         Ids of the prompt parts shared with other requests, in order.
     tokens : int
@@ -45,6 +48,7 @@
     arrived_ms: int
     budget_ms: int | None = None
     last_event: int = 0
+    resumes: RequestId = RequestId("")
     shared_parts: tuple[str, ...] = ()
     tokens: int = 0
     workspace: WorkspaceId = WorkspaceId("")
--- a/dahliashunt/forwarding/forwarder.py
+++ b/dahliashunt/forwarding/forwarder.py
@@ -32,6 +32,8 @@
 from dahliashunt.forwarding.ports import ResponseSink
 from dahliashunt.forwarding.replica_selector import ReplicaSelector
 from dahliashunt.forwarding.reservation import SlotRequirements
+from dahliashunt.forwarding.stream_origins import StreamOrigin
+from dahliashunt.forwarding.stream_origins import StreamOrigins
 from dahliashunt.metrics import Metrics
 from dahliashunt.ports import Clock
 
@@ -68,6 +70,7 @@
     dialect : ReplicaDialect
     suspicion : Suspicion
     losses : SharedLosses
+    origins : StreamOrigins
     clock : Clock
     metrics : Metrics
     log : structlog logger
@@ -80,6 +83,7 @@
         dialect: ReplicaDialect,
         suspicion: Suspicion,
         losses: SharedLosses,
+        origins: StreamOrigins,
         clock: Clock,
         metrics: Metrics,
         log,
@@ -89,13 +93,19 @@
         self.dialect = dialect
         self.suspicion = suspicion
         self.losses = losses
+        self.origins = origins
         self.clock = clock
         self.metrics = metrics
         self.log = log
         self.waits = CallerWaits()
 
     async def serve(
-        self, call: Call, route: Route, with_agents: bool, sink: ResponseSink
+        self,
+        call: Call,
+        route: Route,
+        origin: StreamOrigin,
+        with_agents: bool,
+        sink: ResponseSink,
     ) -> None:
         """Forward `call` and relay the response to `sink`.
 
@@ -108,7 +118,10 @@
         ResponseTruncated
             The response broke off.
         """
-        await _ForwardedCall(self, call, route, with_agents, sink).serve()
+        forwarded = _ForwardedCall(
+            self, call, route, origin, with_agents, sink
+        )
+        await forwarded.serve()
 
 
 @dataclass(frozen=True, slots=True)
@@ -125,7 +138,7 @@
 class _ForwardedCall:
     """One call over all its attempts."""
 
-    def __init__(self, forwarder, call, route, with_agents, sink):
+    def __init__(self, forwarder, call, route, origin, with_agents, sink):
         self._forwarder = forwarder
         self._clock = forwarder.clock
         self._call = call
@@ -140,11 +153,12 @@
             route=route,
             deadline_ms=call.arrived_ms + budget_ms,
             last_event=call.last_event,
+            version=origin.version,
         )
         self._waited_ms = forwarder.waits.waited_ms(
             route.name, budget_ms, route.timeout_ms
         )
-        self._service = route.service_for(call.request_id)
+        self._service = origin.service
         self._rank = route.rank if call.rank is None else call.rank
         self._tried = set()
         self._not_run_count = 0
--- a/dahliashunt/forwarding/node.py
+++ b/dahliashunt/forwarding/node.py
@@ -22,7 +22,7 @@
 from dahliashunt.metrics import Metrics
 from dahliashunt.ports import Clock
 
-__all__ = ["Node"]
+__all__ = ["STALE_MS", "Node"]
 
 STALE_MS = 2_000
 """Age of the last configuration read from which a node counts as cut off
@@ -264,10 +264,10 @@
         revision = self.catalog.revision
         if workspace is not None and self.caps is not None:
             await self.caps.admit(workspace, revision, call.request_id)
-        service = route.service_for(call.request_id)
-        with_agents = self.has_agents(service)
         try:
-            await self.forwarder.serve(call, route, with_agents, sink)
+            origin = await self.forwarder.origins.find(call, route)
+            with_agents = self.has_agents(origin.service)
+            await self.forwarder.serve(call, route, origin, with_agents, sink)
         except ResponseTruncated:
             raise
         except RequestError as error:
--- a/dahliashunt/forwarding/replicas.py
+++ b/dahliashunt/forwarding/replicas.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from dahliashunt.decisions.listed_versions import ListedVersions
 from dahliashunt.ids import DataCentreId
 from dahliashunt.ids import SoftwareVersion
 
@@ -62,9 +63,15 @@
     Rows that lapse in an outage of the list are kept for `OUTAGE_GRACE_MS`:
     the first list after an outage may be nearly empty although the replicas
     are alive.
+
+    Attributes
+    ----------
+    changes : int
+        Number of changes of the list; heartbeats are none.
     """
 
     def __init__(self):
+        self.changes = 0
         self._replica_by_id: dict[str, Replica] = {}
         self._version_by_id: dict[str, int] = {}
         self._ids_by_address: dict[tuple[str, int], set[str]] = {}
@@ -73,6 +80,7 @@
         self._lapsed_until_ms_by_id: dict[str, int] = {}
         self._warm_at_ms_by_id: dict[str, int] = {}
         self._outage_ended_ms: int | None = None
+        self._versions = ListedVersions()
 
     def outage_ended(self, now_ms: int) -> None:
         """Record the end of an outage of the list."""
@@ -95,14 +103,16 @@
             self._warm_at_ms_by_id.pop(replica_id, None)
         self._lapsed_until_ms_by_id.pop(replica_id, None)
         if held != replica:
-            if held is not None and held.address != replica.address:
-                self._remove_from_address(held)
+            if held is not None:
+                self._versions.note_gone(now_ms, held.service, held.version)
+                if held.address != replica.address:
+                    self._remove_from_address(held)
             self._replica_by_id[replica_id] = replica
             at_address = self._ids_by_address.setdefault(
                 replica.address, set()
             )
             at_address.add(replica_id)
-            self._usable_by_service.clear()
+            self._note_change()
         self._update_current(replica.address)
 
     def _remove_from_address(self, replica):
@@ -117,12 +127,16 @@
         newest = max(at_address, key=self._version_by_id.get, default=None)
         if newest == self._current_by_address.get(address):
             return
-        self._usable_by_service.clear()
+        self._note_change()
         if newest is None:
             del self._current_by_address[address]
         else:
             self._current_by_address[address] = newest
 
+    def _note_change(self):
+        self.changes += 1
+        self._usable_by_service.clear()
+
     def remove(self, replica_id: str, now_ms: int) -> None:
         """Remove a row, or mark it as lapsed shortly after an outage."""
         if replica_id not in self._replica_by_id:
@@ -132,10 +146,11 @@
             until_ms = ended_ms + OUTAGE_GRACE_MS
             self._lapsed_until_ms_by_id.setdefault(replica_id, until_ms)
         else:
-            self._forget(replica_id)
+            self._forget(replica_id, now_ms)
 
     def replace_all(self, replicas, now_ms: int) -> None:
         """Replace all rows; `replicas` holds pairs of replica and version."""
+        self._versions.restart(now_ms)
         listed = {replica.replica_id for replica, _ in replicas}
         for replica_id in list(self._replica_by_id):
             if replica_id not in listed:
@@ -147,13 +162,14 @@
         """Remove lapsed rows that were not renewed in time."""
         for replica_id, until_ms in list(self._lapsed_until_ms_by_id.items()):
             if now_ms >= until_ms:
-                self._forget(replica_id)
+                self._forget(replica_id, now_ms)
 
-    def _forget(self, replica_id):
+    def _forget(self, replica_id, now_ms):
         replica = self._replica_by_id.pop(replica_id, None)
         self._lapsed_until_ms_by_id.pop(replica_id, None)
         if replica is not None:
-            self._usable_by_service.clear()
+            self._versions.note_gone(now_ms, replica.service, replica.version)
+            self._note_change()
             self._remove_from_address(replica)
         self._version_by_id.pop(replica_id, None)
         self._warm_at_ms_by_id.pop(replica_id, None)
@@ -189,6 +205,21 @@
         current = self._current_by_address[replica.address]
         return not replica.leaving and current == replica.replica_id
 
+    def sole_version(
+        self, service: str, now_ms: int, window_ms: int
+    ) -> SoftwareVersion | None:
+        """Return the one version listed all through the last `window_ms`.
+
+        None if several were listed, or one that is unknown, or if the list
+        was not followed for so long.
+        """
+        listed = {
+            replica.version
+            for replica in self._replica_by_id.values()
+            if replica.service == service
+        }
+        return self._versions.sole(now_ms, service, listed, window_ms)
+
     def services(self) -> set[str]:
         """Return the services of all listed replicas."""
         return {replica.service for replica in self._replica_by_id.values()}
--- a/dahliashunt/platform/ingress.py
+++ b/dahliashunt/platform/ingress.py
@@ -26,6 +26,7 @@
 from dahliashunt.platform.names import LAST_EVENT
 from dahliashunt.platform.names import PROMPT_PARTS
 from dahliashunt.platform.names import REQUEST_ID
+from dahliashunt.platform.names import RESUMES
 from dahliashunt.platform.names import TOKENS
 from dahliashunt.platform.prompts import shared_parts
 from dahliashunt.platform.prompts import token_sum
@@ -272,6 +273,7 @@
         arrived_ms=arrived_ms,
         budget_ms=int(budget) if budget.isdigit() else None,
         last_event=int(last_event) if last_event.isdigit() else 0,
+        resumes=RequestId(headers.get(RESUMES, "")),
         shared_parts=shared_parts(headers.get(PROMPT_PARTS, "")),
         tokens=token_sum(headers.get(TOKENS, "")),
     )
--- a/dahliashunt/platform/serve_entry.py
+++ b/dahliashunt/platform/serve_entry.py
@@ -12,6 +12,7 @@
 from dahliashunt.decisions.feed_pace import FeedUse
 from dahliashunt.decisions.rate_limits import RATE_LIMIT_POLICIES
 from dahliashunt.decisions.suspicion import Suspicion
+from dahliashunt.forwarding.agent_ring import AgentRing
 from dahliashunt.forwarding.explain import Explainer
 from dahliashunt.forwarding.explain_workspaces import WorkspaceExplainer
 from dahliashunt.forwarding.follower import TableFollower
@@ -20,11 +21,13 @@
 from dahliashunt.forwarding.losses import LOSSES_PREFIX
 from dahliashunt.forwarding.losses import SharedLosses
 from dahliashunt.forwarding.node import Node
+from dahliashunt.forwarding.node import STALE_MS
 from dahliashunt.forwarding.partners import Partners
 from dahliashunt.forwarding.rate_limiter import MeterSelector
 from dahliashunt.forwarding.rate_limiter import RateLimiter
 from dahliashunt.forwarding.replica_selector import ReplicaSelector
 from dahliashunt.forwarding.replicas import ReplicaRegistry
+from dahliashunt.forwarding.stream_origins import StreamOrigins
 from dahliashunt.jobs.keys import JOBS_PREFIX
 from dahliashunt.jobs.keys import PROGRESS_PREFIXES
 from dahliashunt.metrics import Metrics
@@ -203,11 +206,30 @@
             PlatformDialect(),
             self._suspicion,
             self._losses,
+            self._make_stream_origins(),
             self._clock,
             self.node.metrics,
             self._log,
         )
 
+    def _make_stream_origins(self):
+        return StreamOrigins(
+            self._registry,
+            AgentRing(self._registry, self.node.has_agents),
+            self._slots,
+            self._settings.first_port,
+            self._is_replica_list_fresh,
+            self._clock,
+            self.node.metrics,
+            self._log,
+        )
+
+    def _is_replica_list_fresh(self):
+        _, replicas, *_ = self._followers
+        heard_ms = replicas.heard_ms
+        now_ms = self._clock.now_ms()
+        return heard_ms is not None and now_ms - heard_ms <= STALE_MS
+
     def _make_rate_limiter(self, name):
         choice = MeterSelector(self._registry, self.node.has_agents)
         policy = RATE_LIMIT_POLICIES.get(name)(
--- a/dahliashunt/platform/tests/test_online.py
+++ b/dahliashunt/platform/tests/test_online.py
@@ -86,7 +86,8 @@
 def test_the_callers_last_event_is_where_a_stream_starts(platform):
     async def scenario(p):
         p.replicas[0].then(events=4)
-        answer = await p.call(last_event=2)
+        await p.call(request_id="r1")
+        answer = await p.call(request_id="r2", last_event=2, resumes="r1")
         assert data_lines(answer.body) == ["data: text 3", "data: text 4"]
 
     platform(scenario)
--- a/dahliashunt/platform/tests/test_versions.py
+++ b/dahliashunt/platform/tests/test_versions.py
@@ -134,3 +134,39 @@
                 assert reached[second] == reached[first]
 
     platform(scenario, engine=True, versions=("v1", "v2", "v1", "v2"))
+
+
+def test_a_stream_of_an_unknown_version_is_refused_at_once(platform):
+    # Guards against guessing the version, and against keeping callers
+    # waiting for an answer that cannot come.
+    async def scenario(p):
+        async with p.agent():
+            await hear_agents(p, p.entries[0])
+            began_s = p.now_s()
+            answer = await go_on(p, p.entries[0], "s", "never-begun")
+            assert p.now_s() - began_s < 1
+        assert answer.status == 503
+        assert answer.head.get("retry-after") is None
+        assert b"not known" in answer.body
+        assert versions_by_request(p.replicas) == {}
+
+    platform(scenario, engine=True, versions=("v1", "v2"))
+
+
+def test_a_stream_is_refused_once_its_version_is_gone(platform):
+    # Guards against going on at the version that has replaced it.
+    async def scenario(p):
+        async with p.agent():
+            await hear_agents(p, p.entries[0])
+            connection = await read_first_events(p, p.entries[0], "r")
+            connection.abort()
+            (version,) = versions_by_request(p.replicas)["r"]
+            (old,) = (r for r in p.replicas if r.version == version)
+            p.store.unlist_replica(old.replica_id)
+            registry = p.entries[0].node.registry
+            await p.until(lambda: registry.get(old.replica_id) is None)
+            answer = await go_on(p, p.entries[0], "s", "r")
+        assert answer.status == 503
+        assert "s" not in versions_by_request(p.replicas)
+
+    platform(scenario, engine=True, versions=("v1", "v2"))
--- a/docs/build_errors.py
+++ b/docs/build_errors.py
@@ -29,6 +29,8 @@
     ErrorKind.OVERLOADED: "no place in time; come back when the header says",
     ErrorKind.NO_ENDPOINT: "no endpoint serves the model now, or this entry"
     " has no records yet",
+    ErrorKind.NOT_CONTINUABLE: "the stream can't go on: the software version"
+    " that began it is unknown or gone; send the request anew",
     ErrorKind.LEAVING: "the endpoint is leaving",
     ErrorKind.CONVICTED: "the request has crashed endpoints and is refused"
     " for a time",
