--- a/dahliashunt/platform/tests/test_versions.py
+++ b/dahliashunt/platform/tests/test_versions.py
@@ -1,6 +1,13 @@
 """Tests of streams while replicas of several software versions serve."""
 
+import asyncio
+
 from dahliashunt.platform.standins.caller import caller_request
+from dahliashunt.platform.standins.caller import decode_page
+from dahliashunt.platform.standins.caller import encode_job
+from dahliashunt.platform.standins.caller import JobItem
+from dahliashunt.platform.standins.caller import results_target
+from dahliashunt.platform.standins.settings import route_fields
 from dahliashunt.platform.tests.conftest import TIMEOUT_S
 
 EVENTS = 6
@@ -170,3 +177,45 @@
         assert "s" not in versions_by_request(p.replicas)
 
     platform(scenario, engine=True, versions=("v1", "v2"))
+
+
+ITEMS = route_fields(
+    **{
+        "kind": "batch",
+        "prefix": "/j/",
+        "completion-target-ms": 18_000,
+        "max-wait-s": 60,
+        "max-attempts": 2,
+        "cap": 1000,
+    }
+)
+
+
+async def run_items(p, job="j", count=CALLS):
+    """Submit a job; return its results by item, and the versions reached."""
+    names = [f"{job}-{n}" for n in range(count)]
+    body = encode_job([JobItem(n, f"/j/{n}", 100) for n in names])
+    await p.call("POST", f"/j/{job}", body, request_id=job)
+    page = None
+    async with asyncio.timeout(TIMEOUT_S):
+        while page is None or len(page.results) < count:
+            target = results_target(job, 0)
+            answer = await p.call("GET", target, wait_ms=1000)
+            page = decode_page(answer.body)
+    return {each.item_id: each for each in page.results}
+
+
+def test_a_broken_item_goes_on_at_a_replica_of_its_version(platform):
+    # Guards against a result with events of two software versions.
+    async def scenario(p):
+        for replica in p.replicas:
+            for _ in range(CALLS):
+                replica.then(events=EVENTS, cut_after=3)
+            replica.then(events=EVENTS)
+        results = await run_items(p)
+        text = "\n".join(f"text {n}" for n in range(1, EVENTS + 1))
+        assert {each.text for each in results.values()} == {text}
+        reached = versions_by_request(p.replicas)
+        assert [len(reached[name]) for name in results] == [1] * CALLS
+
+    platform(scenario, ITEMS, versions=("v1", "v2", "v1", "v2"))
