A batch item goes on at the software version that wrote its text

Results held events of two software versions: an item that broke off, was revoked, or came to a new owner with its saved text went on at any replica.

An item now keeps the origin of its text (digest of service and software version), also in the saved row. While it has a text it takes slots of that version alone; once no listed replica has it, the item starts from the beginning. Rows of earlier releases name no origin and are begun anew; rows that hold failures only stay readable for those releases.

--- a/dahliashunt/jobs/item_run.py
+++ b/dahliashunt/jobs/item_run.py
@@ -6,6 +6,7 @@
 from dahliashunt.adapters.http1 import ConnectionPool
 from dahliashunt.adapters.http1 import End
 from dahliashunt.adapters.http1 import ResponseHead
+from dahliashunt.decisions.stream_origins import origin_key
 from dahliashunt.forwarding.call import Call
 from dahliashunt.forwarding.events import EventOutOfOrder
 from dahliashunt.forwarding.events import EventSplitter
@@ -81,6 +82,9 @@
         Number of the last event received.
     saved_event : int
         Number of the last event in the saved text.
+    origin : int
+        Digest of the service and software version that wrote the text; 0 if
+        unknown, or without a text.
     saved : bool
         Whether the store may hold a row of this item.
     """
@@ -105,10 +109,12 @@
         self.revokes = 0
         self.last_event = 0
         self.saved_event = 0
+        self.origin = 0
         self.saved = False
         self.status: int | None = None
         self._texts: list[str] = []
         self._connection = None
+        self._attempt_origin = 0
         self._revoked = False
 
     @property
@@ -119,20 +125,32 @@
     def partial(self, job_id: JobId) -> Partial:
         """Return the item's text and failures so far, to be saved."""
         return Partial(
-            job_id, self.index, self.last_event, self.text, self.failures
+            job_id,
+            self.index,
+            self.last_event,
+            self.text,
+            self.failures,
+            self.origin,
         )
 
     def resume(self, partial: Partial) -> None:
         """Restore what was saved; call it before the first attempt."""
         self.last_event = self.saved_event = partial.last_event
         self.failures = partial.failures
+        self.origin = partial.origin
         self.saved = True
         self._texts = [partial.text] if partial.last_event else []
 
     def note_saved(self, partial: Partial) -> None:
         """Note that `partial` is in the store."""
         self.saved = True
-        self.saved_event = max(self.saved_event, partial.last_event)
+        if partial.origin == self.origin:
+            self.saved_event = max(self.saved_event, partial.last_event)
+
+    def restart(self) -> None:
+        """Drop the text: no replica can continue it."""
+        self.last_event = self.saved_event = self.origin = 0
+        self._texts = []
 
     def is_ready(self, now_ms: int) -> bool:
         """Tell whether the item may be attempted, or is to be given up."""
@@ -169,6 +187,7 @@
             request, lambda head: dialect.answers(self.call, head)
         )
         self._connection = connection
+        self._attempt_origin = _origin(reservation.replica)
         began_ms = clock.now_ms()
         if self.started_ms is None:
             self.started_ms = began_ms
@@ -228,6 +247,7 @@
                 if event.number != self.last_event + 1:
                     return False
                 self._texts.append(event.data())
+                self.origin = self._attempt_origin
                 self.last_event = event.number
         except (EventOutOfOrder, UnicodeDecodeError):
             return False
@@ -248,3 +268,9 @@
         if not is_whole or not dialect.is_signed(head):
             return ItemEnd.LOST
         return ItemEnd.DONE
+
+
+def _origin(replica):
+    if not replica.version:
+        return 0
+    return origin_key(replica.service, replica.version)
--- a/dahliashunt/jobs/partials.py
+++ b/dahliashunt/jobs/partials.py
@@ -9,8 +9,10 @@
 after that event. Without a row the item starts from the beginning; an owner
 that can't read the rows waits, since it would forget the failures.
 
-The number of failures is left out of a row while it is 0, so that nodes of
-an earlier version can read the text.
+A row also holds the origin of its text, which only replicas of that origin
+may continue. A text from an earlier release has none, and its item starts
+from the beginning. What is 0 at the end of a row is left out, so that nodes
+of an earlier release can read a row that holds failures alone.
 """
 
 from dataclasses import dataclass
@@ -51,6 +53,9 @@
     text : str
     failures : int
         Number of error answers that the item got from replicas.
+    origin : int
+        Digest of the service and software version that wrote the text; 0 if
+        unknown.
     """
 
     job_id: JobId
@@ -58,6 +63,7 @@
     last_event: int
     text: str
     failures: int = 0
+    origin: int = 0
 
 
 class PartialTexts:
@@ -121,12 +127,15 @@
 
     def _decoded(self, job_id, row):
         try:
-            last_event, text, *counted = json.loads(row.value)
-            (failures,) = counted or (0,)
+            last_event, text, *numbers = json.loads(row.value)
+            failures, origin = (*numbers, 0, 0)[: max(2, len(numbers))]
             index = partial_index(row.key)
-            is_valid = type(last_event) is int and type(failures) is int
+            numbers = (last_event, failures, origin)
+            is_valid = all(type(number) is int for number in numbers)
             if is_valid and isinstance(text, str):
-                return Partial(job_id, index, last_event, text, failures)
+                return Partial(
+                    job_id, index, last_event, text, failures, origin
+                )
         except (TypeError, ValueError):
             pass
         self._log.error("partial_unreadable", key=row.key)
@@ -140,13 +149,18 @@
 
 def without_text(partial: Partial) -> Partial:
     """Return `partial` with its failures only."""
-    return replace(partial, last_event=0, text="")
+    return replace(partial, last_event=0, text="", origin=0)
 
 
 def _encoded(partial):
-    content = [partial.last_event, partial.text]
-    if partial.failures:
-        content.append(partial.failures)
+    content = [
+        partial.last_event,
+        partial.text,
+        partial.failures,
+        partial.origin,
+    ]
+    while content[-1] == 0:
+        content.pop()
     return json.dumps(content, ensure_ascii=False)
 
 
--- a/dahliashunt/jobs/worker.py
+++ b/dahliashunt/jobs/worker.py
@@ -12,6 +12,7 @@
 from dahliashunt.decisions.item_order import ItemQueue
 from dahliashunt.decisions.item_order import WaitingItem
 from dahliashunt.decisions.slot_messages import Use
+from dahliashunt.decisions.stream_origins import origin_key
 from dahliashunt.errors import PlatformUnavailable
 from dahliashunt.errors import RequestError
 from dahliashunt.forwarding.catalog import BrokenRoute
@@ -334,6 +335,7 @@
             slack_ms=self._waiting.slack_ms(entry, now_ms),
             avoid=frozenset(),
             on_revoke=item.revoke,
+            version=self._version_to_continue(job_run, item, service),
         )
         with_agents = self.node.has_agents(service)
         try:
@@ -346,6 +348,27 @@
             self.node.metrics.gauge("items_waiting", len(self._waiting) + 1)
             return None
 
+    def _version_to_continue(self, job_run, item, service):
+        """Return the version that must continue the item; None for any.
+
+        An item whose text no listed replica can continue is restarted.
+        """
+        if not item.last_event:
+            return None
+        listed = self.node.registry.of_service(service)
+        for version in {replica.version for replica in listed}:
+            if item.origin == origin_key(service, version) and version:
+                return version
+        if listed:
+            self.log.info(
+                "item_restarted",
+                request_id=item.call.request_id,
+                job_id=job_run.job.job_id,
+                last_event=item.last_event,
+            )
+            item.restart()
+        return None
+
     async def _attempt(self, job_run, item, reservation):
         end = ItemEnd.LOST
         job_run.item_by_index[item.index] = item
--- a/dahliashunt/platform/tests/test_versions.py
+++ b/dahliashunt/platform/tests/test_versions.py
@@ -2,6 +2,9 @@
 
 import asyncio
 
+import pytest
+
+from dahliashunt.jobs.keys import shard_of
 from dahliashunt.platform.standins.caller import caller_request
 from dahliashunt.platform.standins.caller import decode_page
 from dahliashunt.platform.standins.caller import encode_job
@@ -12,6 +15,10 @@
 
 EVENTS = 6
 
+ITEM_EVENTS = 14
+SAVED_EVENTS = 12
+"""Events of an item, and those after which it stalls; ten are saved."""
+
 CALLS = 8
 """Streams of a test; one that goes on anywhere is seen at one of them."""
 
@@ -219,3 +226,60 @@
         assert [len(reached[name]) for name in results] == [1] * CALLS
 
     platform(scenario, ITEMS, versions=("v1", "v2", "v1", "v2"))
+
+
+async def kill_with_text(p):
+    """Kill the owner of an item whose text is saved; return its version."""
+    for replica in p.replicas:
+        replica.then(events=ITEM_EVENTS, silent_after=SAVED_EVENTS)
+    owner = p.entries[0]
+    body = encode_job([JobItem("j-0", "/j/j-0", 100)])
+    await p.call("POST", "/j/j", body, request_id="j", entry=owner)
+    await p.until(
+        lambda: any(name[0] == "partials" for name in p.store.names())
+    )
+    await p.kill(owner)
+    for replica in p.replicas:
+        replica.steps.clear()
+        replica.then(events=ITEM_EVENTS)
+    (version,) = versions_by_request(p.replicas)["j-0"]
+    return version
+
+
+def last_events(p):
+    """Return the events after which the item's runs were to begin."""
+    return {
+        arrival.headers.get("last-event-id")
+        for replica in p.replicas
+        for arrival in replica.arrivals
+    }
+
+
+def test_a_new_owner_goes_on_with_a_text_at_its_version(platform):
+    # Guards against a result of two versions after its owner was killed,
+    # and against texts that no owner ever continues.
+    async def scenario(p):
+        await p.add_entry()
+        version = await kill_with_text(p)
+        (result,) = (await run_items(p, count=1)).values()
+        assert len(result.text.splitlines()) == ITEM_EVENTS
+        assert versions_by_request(p.replicas)["j-0"] == {version}
+        assert last_events(p) == {None, str(SAVED_EVENTS)}
+
+    platform(scenario, ITEMS, versions=("v1", "v2", "v1", "v2"))
+
+
+@pytest.mark.parametrize("origin", [[], [0, 12345]])
+def test_a_text_that_no_replica_can_continue_is_begun_anew(platform, origin):
+    # Guards against going on with the text of an earlier release, which
+    # names no version, or with that of a version that is gone.
+    async def scenario(p):
+        await p.add_entry()
+        await kill_with_text(p)
+        row = [SAVED_EVENTS, "text", *origin]
+        p.store.put("partials", "j/00000", row, str(shard_of("j")))
+        (result,) = (await run_items(p, count=1)).values()
+        assert len(result.text.splitlines()) == ITEM_EVENTS
+        assert last_events(p) == {None}
+
+    platform(scenario, ITEMS, versions=("v1", "v2"))
