A caller that names no request goes on where a single version is known

Nothing can be found about their streams; they go on as before while this entry knows of one version only. A caller that names its request needs a note, or a list that was read all the while.

--- a/dahliashunt/forwarding/replicas.py
+++ b/dahliashunt/forwarding/replicas.py
@@ -205,20 +205,23 @@
         current = self._current_by_address[replica.address]
         return not replica.leaving and current == replica.replica_id
 
-    def sole_version(
-        self, service: str, now_ms: int, window_ms: int
-    ) -> SoftwareVersion | None:
-        """Return the one version listed all through the last `window_ms`.
+    def versions_since(
+        self, from_ms: int, service: str
+    ) -> set[SoftwareVersion]:
+        """Return the versions of `service` known to be listed since a time.
 
-        None if several were listed, or one that is unknown, or if the list
-        was not followed for so long.
+        The result is complete only if `covers` that time.
         """
         listed = {
             replica.version
             for replica in self._replica_by_id.values()
             if replica.service == service
         }
-        return self._versions.sole(now_ms, service, listed, window_ms)
+        return listed | self._versions.gone_since(from_ms, service)
+
+    def covers(self, from_ms: int) -> bool:
+        """Return whether every change of the list since a time was read."""
+        return self._versions.covers(from_ms)
 
     def services(self) -> set[str]:
         """Return the services of all listed replicas."""
--- a/dahliashunt/forwarding/stream_origins.py
+++ b/dahliashunt/forwarding/stream_origins.py
@@ -6,7 +6,9 @@
 
 Notes are not confirmed. A lost one costs the caller its stream, never a text
 of two versions: without a note, a stream goes on only if a single version
-has been listed for as long as the stream can have run.
+has been listed for as long as the stream can have run. Of a caller that does
+not name the request that began its stream nothing can be found; its stream
+goes on if this entry knows of a single version.
 """
 
 import asyncio
@@ -185,14 +187,17 @@
 
     def _sole(self, call, route):
         """Return the only place where the stream can have begun, or None."""
-        if len(route.weight_by_service) != 1 or not self._is_list_fresh():
+        if len(route.weight_by_service) != 1:
             return None
         service = route.service_for(call.request_id)
         window_ms = route.timeout_ms + LISTED_MARGIN_MS
-        version = self._registry.sole_version(
-            service, self._clock.now_ms(), window_ms
-        )
-        return None if version is None else StreamOrigin(service, version)
+        from_ms = self._clock.now_ms() - window_ms
+        is_complete = self._is_list_fresh() and self._registry.covers(from_ms)
+        versions = self._registry.versions_since(from_ms, service)
+        if len(versions) != 1 or (call.resumes and not is_complete):
+            return None
+        version = versions.pop()
+        return StreamOrigin(service, version) if version else None
 
     async def _ask_agents(self, stream):
         """Return the origin that an agent has noted, or None."""
--- a/dahliashunt/forwarding/tests/test_stream_origins.py
+++ b/dahliashunt/forwarding/tests/test_stream_origins.py
@@ -179,11 +179,24 @@
     assert find(origins) is None
     asyncio.run(entries.clock.advance(20_000))
     assert find(origins) == "v1"
-    assert find(origins, resumes="") == "v1"
     entries.is_list_fresh = False
     assert find(origins) is None
 
 
+def test_a_caller_that_names_no_request_goes_on_at_a_sole_version(entries):
+    # Guards against refusing older clients, whose streams cannot be found,
+    # after a restart of all entries or without the store.
+    registry, origins = entries.add([replica("a"), replica("b")])
+    entries.is_list_fresh = False
+    assert find(origins, resumes="") == "v1"
+    registry.put(replica("c", "v2"), 2, entries.clock.now_ms())
+    assert find(origins, resumes="") is None
+    registry.remove("c", entries.clock.now_ms())
+    assert find(origins, resumes="") is None
+    asyncio.run(entries.clock.advance(20_000))
+    assert find(origins, resumes="") == "v1"
+
+
 @pytest.mark.parametrize(
     "change",
     [
