--- a/dahliashunt/platform/standins/replica.py
+++ b/dahliashunt/platform/standins/replica.py
@@ -44,6 +44,9 @@
         Delay before the response head.
     reset_unanswered : bool
         Reset the connection before the response head.
+    unframed : bool
+        Send a stream with neither length nor chunks, which ends with its
+        connection.
     """
 
     status: int = 200
@@ -57,6 +60,7 @@
     gap_ms: int = 0
     head_ms: int = 0
     reset_unanswered: bool = False
+    unframed: bool = False
 
 
 @dataclass
@@ -199,17 +203,20 @@
             writer.write(step.body + step.extra)
             await writer.drain()
             return True
+        frame = bytes if step.unframed else _chunk
         first = int(arrival.headers.get(LAST_EVENT, "0")) + 1
         for sent, number in enumerate(range(first, step.events + 1)):
             if step.cut_after is not None and sent >= step.cut_after:
-                writer.write(_chunk(b"id: %d\ndata: cu" % number))
+                writer.write(frame(b"id: %d\ndata: cu" % number))
                 await writer.drain()
                 return False
             if step.silent_after is not None and sent >= step.silent_after:
                 await asyncio.Event().wait()
-            writer.write(_chunk(self.event(number)))
+            writer.write(frame(self.event(number)))
             await writer.drain()
             await asyncio.sleep(step.gap_ms / 1000)
+        if step.unframed:
+            return False
         writer.write(b"0\r\n\r\n" + step.extra)
         await writer.drain()
         return True
@@ -228,7 +235,8 @@
         else:
             lines.append(f"{SIGNATURE}: seal-{self.replica_id}")
         if step.events:
-            lines.append("Transfer-Encoding: chunked")
+            if not step.unframed:
+                lines.append("Transfer-Encoding: chunked")
             lines.append("Content-Type: text/event-stream")
         else:
             lines.append(f"Content-Length: {len(step.body)}")
--- a/dahliashunt/platform/tests/test_versions.py
+++ b/dahliashunt/platform/tests/test_versions.py
@@ -75,6 +75,43 @@
     platform(scenario, versions=("v1", "v2"))
 
 
+def test_a_stream_without_length_or_chunks_ends_with_its_connection(platform):
+    # Guards against a whole stream that looks broken off.
+    async def scenario(p):
+        p.replicas[0].then(events=EVENTS, unframed=True)
+        answer = await p.call()
+        assert answer.whole
+        assert events(answer) == list(range(1, EVENTS + 1))
+
+    platform(scenario)
+
+
+def test_a_stream_that_closes_inside_an_event_was_broken_off(platform):
+    # Guards against a part of a stream that looks whole, since its answer
+    # had neither length nor chunks.
+    async def scenario(p):
+        for replica in p.replicas:
+            replica.then(events=EVENTS, cut_after=3, unframed=True)
+            replica.then(events=EVENTS, unframed=True)
+        answer = await p.call()
+        assert answer.whole
+        assert events(answer) == list(range(1, EVENTS + 1))
+        assert [len(r.arrivals) for r in p.replicas] == [1, 1]
+
+    platform(scenario, versions=("v1", "v1"))
+
+
+def test_an_item_that_closes_inside_an_event_was_broken_off(platform):
+    # Guards against a result that misses the end of its text.
+    async def scenario(p):
+        p.replicas[0].then(events=EVENTS, cut_after=3, unframed=True)
+        p.replicas[0].then(events=EVENTS, unframed=True)
+        (result,) = (await run_items(p, count=1)).values()
+        assert len(result.text.splitlines()) == EVENTS
+
+    platform(scenario, ITEMS)
+
+
 def test_streams_of_replicas_without_a_version_are_not_joined(platform):
     # Guards against taking two unknown versions for the same one.
     async def scenario(p):
