Red test: requests with a prompt part that crashes replicas go on

Two entries, four replicas that close all connections 5 ms after a request with the part began to run; no two requests are alike, and sound ones share their first part.

--- a/dahliashunt/platform/standins/caller.py
+++ b/dahliashunt/platform/standins/caller.py
@@ -33,6 +33,7 @@
     "wait_ms": POLL_WAIT,
     "last_event": LAST_EVENT,
     "resumes": RESUMES,
+    "prompt_parts": PROMPT_PARTS,
     "authorization": AUTHORIZATION,
     "workspace": WORKSPACE,
 }
@@ -87,7 +88,7 @@
     ----------
     **fields
         ``request_id``, ``budget_ms``, ``wait_ms``, ``last_event``,
-        ``resumes``, ``authorization``, ``workspace``.
+        ``resumes``, ``prompt_parts``, ``authorization``, ``workspace``.
     """
     fields = {"request_id": "r1", "budget_ms": "3000", **fields}
     headers = [("Host", host)]
--- a/dahliashunt/platform/standins/replica.py
+++ b/dahliashunt/platform/standins/replica.py
@@ -12,8 +12,10 @@
 from dahliashunt.platform.names import EXPECTED_REPLICA
 from dahliashunt.platform.names import LAST_EVENT
 from dahliashunt.platform.names import NOT_RUN
+from dahliashunt.platform.names import PROMPT_PARTS
 from dahliashunt.platform.names import REQUEST_ID
 from dahliashunt.platform.names import SIGNATURE
+from dahliashunt.platform.prompts import shared_parts
 
 __all__ = ["Arrival", "ReplicaStandin", "Step", "report_answer"]
 
@@ -78,6 +80,11 @@
         """Request id, or an empty string."""
         return self.headers.get(REQUEST_ID, "")
 
+    @property
+    def parts(self) -> tuple[str, ...]:
+        """Ids of the prompt's parts but the last one."""
+        return shared_parts(self.headers.get(PROMPT_PARTS, ""))
+
     @property
     def asks_report(self) -> bool:
         """Whether the request is an agent's query for the replica's load."""
@@ -93,6 +100,9 @@
     replica_id : str
     version : str or None
         Version of its software, as its row states it.
+    crashing_part : str or None
+        Prompt part that closes all connections once a request with it has
+        run for `crash_ms`.
     steps : deque of Step
         Consumed in order, one per request; the last one is reused.
     arrivals : list of Arrival
@@ -104,6 +114,8 @@
 
     replica_id: str = "i-1"
     version: str | None = "v1"
+    crashing_part: str | None = None
+    crash_ms: int = 5
     steps: collections.deque = field(default_factory=collections.deque)
     arrivals: list = field(default_factory=list)
     running: int = 0
@@ -191,6 +203,9 @@
         return answer.result()
 
     async def _answer(self, arrival, step, writer):
+        if self.crashing_part in arrival.parts:
+            await asyncio.sleep(self.crash_ms / 1000)
+            self.cut_all()
         await asyncio.sleep(step.head_ms / 1000)
         if step.reset_unanswered:
             return False
