An entry that starts knows the lost runs before its first send

An entry that had read the configuration but not yet the lost runs sent a request or a batch item in quarantine once more; each restart may cost one replica. It now refuses requests as not run and reports not ready until it has read them, for 3 s at most after the first configuration; items wait without a limit. A test with an unreadable table of losses saw the request run at the new entry before, and does not after.

--- a/dahliashunt/forwarding/node.py
+++ b/dahliashunt/forwarding/node.py
@@ -36,6 +36,10 @@
 """Retry-After if only this node may be outdated; another may take the
 retry."""
 
+LOSSES_WAIT_MS = 3_000
+"""Longest time after the first configuration for which requests are refused
+until the lost runs are known: they may be unreadable when it is not."""
+
 FIRST_READ_MS = 200
 """Longest wait of a request for the first configuration after a start;
 below an objective, and shorter than a refused caller's retry."""
@@ -55,6 +59,8 @@
     registry : ReplicaRegistry
     leaving : asyncio.Event
         Set when this node is told to stop.
+    losses_known : asyncio.Event
+        Set once the lost runs of all entries were read.
     """
 
     def __init__(
@@ -77,9 +83,12 @@
         self.caps: RateLimiter | None = None
         self.leaving = asyncio.Event()
         self.config_read_ms = lambda: None
+        self.losses_known = asyncio.Event()
+        self.losses_known.set()
         self._in_flight = 0
         self._started_ms = clock.now_ms()
         self._configured = asyncio.Event()
+        self._first_adopted_ms = self._started_ms
 
     @contextlib.contextmanager
     def in_flight(self):
@@ -104,10 +113,18 @@
         """
         return (
             self.catalog is not None
+            and not self._waits_for_losses()
             and not self.leaving.is_set()
             and not self.is_stale()
         )
 
+    def _waits_for_losses(self):
+        """Return whether a request could be sent that is in quarantine."""
+        if self.losses_known.is_set():
+            return False
+        waited_ms = self.clock.now_ms() - self._first_adopted_ms
+        return waited_ms < LOSSES_WAIT_MS
+
     def adopt(self, catalog: Catalog) -> None:
         """Put a configuration in force if it is newer than the current one.
 
@@ -117,6 +134,8 @@
         if current is not None and catalog.revision <= current.revision:
             return
         self.catalog, self.previous_catalog = catalog, current
+        if current is None:
+            self._first_adopted_ms = self.clock.now_ms()
         self._configured.set()
         self.adopted_ms = self.clock.now_ms()
         if self.forwarder is not None:
@@ -143,17 +162,18 @@
             )
 
     async def wait_until_configured(self) -> None:
-        """Wait for the first configuration if this node has just started.
+        """Wait for the first configuration and the lost runs after a start.
 
         After a restart of the whole fleet requests arrive before the first
         read has completed; they would be refused.
         """
         left_ms = self._started_ms + FIRST_READ_MS - self.clock.now_ms()
-        if self.catalog is not None or left_ms <= 0:
+        if left_ms <= 0:
             return
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(left_ms / 1000):
                 await self._configured.wait()
+                await self.losses_known.wait()
 
     def route(self, host: str, path: str) -> Route:
         """Return the route of a request.
@@ -178,6 +198,8 @@
         return route
 
     def _require_configuration(self):
+        if self.catalog is not None and self._waits_for_losses():
+            raise _retry_elsewhere("the lost runs were not read yet")
         if self.catalog is None:
             raise RequestError(
                 ErrorKind.STORE_UNAVAILABLE,
--- a/dahliashunt/platform/serve_entry.py
+++ b/dahliashunt/platform/serve_entry.py
@@ -181,6 +181,7 @@
         self._followers = self._make_followers()
         config = self._followers[0]
         self.node.config_read_ms = lambda: config.heard_ms
+        self.node.losses_known = self._followers[2].known
         self._servers = []
         self.bounds = HttpBounds()
         self.first_port = settings.first_port
@@ -319,7 +320,11 @@
                 async with asyncio.timeout(FIRST_READ_TIMEOUT_S):
                     for follower in needed:
                         await follower.known.wait()
-            for work in (*(each.run() for each in others), *self.jobs.loops()):
+            for follower in others:
+                group.create_task(follower.run())
+            # Items in quarantine must not be sent before they are known.
+            await needed[-1].known.wait()
+            for work in self.jobs.loops():
                 group.create_task(work)
 
     async def _sweep(self):
--- a/dahliashunt/platform/tests/conftest.py
+++ b/dahliashunt/platform/tests/conftest.py
@@ -108,7 +108,7 @@
         self.store.list_replica(replica.replica_id, fields)
         return replica
 
-    async def add_entry(self):
+    async def add_entry(self, wait=True):
         name = f"front-{len(self.entries)}"
         path = self._folder / f"{name}.json"
         port = free_port()
@@ -123,7 +123,8 @@
             asyncio.create_task(loop) for loop in entry.loops()
         ]
         self.entries.append(entry)
-        await self.until(lambda: self.is_up(entry))
+        if wait:
+            await self.until(lambda: self.is_up(entry))
         return entry
 
     def is_up(self, entry):
--- a/dahliashunt/platform/tests/test_online.py
+++ b/dahliashunt/platform/tests/test_online.py
@@ -8,6 +8,7 @@
 from dahliashunt.adapters.http1 import End
 from dahliashunt.adapters.http1 import open_connection
 from dahliashunt.decisions.loss_counts import MAX_LOSSES
+from dahliashunt.forwarding import node
 from dahliashunt.forwarding.replicas import OUTAGE_GRACE_MS
 from dahliashunt.platform import serve_entry
 from dahliashunt.platform.standins.caller import caller_request
@@ -466,3 +467,41 @@
         assert sum(len(replica.arrivals) for replica in p.replicas) == runs
 
     platform(scenario, replicas=3)
+
+
+def test_a_starting_entry_sends_nothing_before_it_knows_the_losses(platform):
+    # Guards against one more crash by each entry that starts.
+    async def scenario(p):
+        for replica in p.replicas:
+            replica.then(reset_unanswered=True)
+        for _ in range(MAX_LOSSES):
+            await p.call(body=b"bad")
+        runs = sum(len(replica.arrivals) for replica in p.replicas)
+        p.store.trouble.refuse_reads_of = "losses"
+        entry = await p.add_entry(wait=False)
+        await p.until(lambda: entry.node.catalog is not None)
+        answer = await p.call(entry=entry, body=b"bad")
+        assert answer.status == 503
+        assert answer.head.get("retry-after") is not None
+        assert not entry.node.ready
+        p.store.trouble.refuse_reads_of = ""
+        await p.until(lambda: entry.node.ready)
+        assert (await p.call(entry=entry, body=b"bad")).status == 502
+        assert sum(len(r.arrivals) for r in p.replicas) == runs
+
+    platform(scenario, replicas=3)
+
+
+def test_an_entry_that_cannot_read_the_losses_serves_after_a_while(
+    platform, monkeypatch
+):
+    # Guards against an entry that serves nothing for one unreadable table.
+    monkeypatch.setattr(node, "LOSSES_WAIT_MS", 100)
+
+    async def scenario(p):
+        p.replicas[0].then(events=2)
+        p.store.trouble.refuse_reads_of = "losses"
+        entry = await p.add_entry()
+        assert (await p.call(entry=entry)).status == 200
+
+    platform(scenario)
