An item that waits for its version holds up no other item

An item with a text takes slots of its version alone. It now steps back for 100 ms as after a refusal. The test timed out after 20 s before and passes after.

--- a/dahliashunt/jobs/worker.py
+++ b/dahliashunt/jobs/worker.py
@@ -346,6 +346,9 @@
             # Not logged, since it is usual in a full fleet; the gauge shows
             # the waiting items.
             self.node.metrics.gauge("items_waiting", len(self._waiting) + 1)
+            if requirements.version is not None:
+                # Other items may use replicas of other versions meanwhile.
+                item.wait_after_refusal(self.clock)
             return None
 
     def _version_to_continue(self, job_run, item, service):
--- a/dahliashunt/platform/tests/test_versions.py
+++ b/dahliashunt/platform/tests/test_versions.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from dahliashunt.errors import ErrorKind
+from dahliashunt.errors import RequestError
 from dahliashunt.jobs.keys import shard_of
 from dahliashunt.platform.standins.caller import caller_request
 from dahliashunt.platform.standins.caller import decode_page
@@ -320,3 +322,36 @@
         assert last_events(p) == {None}
 
     platform(scenario, ITEMS, versions=("v1", "v2"))
+
+
+def test_an_item_that_waits_for_its_version_holds_up_no_other(
+    platform, monkeypatch
+):
+    # Guards against a batch at a standstill while replicas of one version
+    # are full and those of another are free.
+    async def scenario(p):
+        selector = p.entries[0].jobs.worker.replica_selector
+        find = selector.find
+        waiting = []
+
+        async def find_unless_bound(requirements, *rest):
+            if requirements.version is not None:
+                waiting.append(requirements.version)
+                raise RequestError(ErrorKind.OVERLOADED, "full")
+            return await find(requirements, *rest)
+
+        for replica in p.replicas:
+            replica.then(events=EVENTS, cut_after=3).then(events=EVENTS)
+        monkeypatch.setattr(selector, "find", find_unless_bound)
+        body = encode_job([JobItem("bound", "/j/bound", 100)])
+        await p.call("POST", "/j/b", body, request_id="b")
+        await p.until(lambda: waiting)
+        for replica in p.replicas:
+            replica.steps.clear()
+            replica.then(events=EVENTS)
+        assert len(await run_items(p)) == CALLS
+        monkeypatch.setattr(selector, "find", find)
+        await p.until(lambda: not p.entries[0].jobs.unfinished)
+        assert last_events(p) == {None, "3"}
+
+    platform(scenario, ITEMS, versions=("v1", "v2"))
