Requests with a prompt part that crashes replicas are held back

Losses were counted by the digest of a whole request, and no two of these were alike.

Each part of a lost request that it shares with others is now counted as a request is, at its service, in the table that all entries follow; a served request clears its parts. Three losses in a row start the quarantine and its three trials in the fleet. A part is spared if another one was in each of its lost requests and this entry has served fewer requests with that one, or if it is so popular that it may be sound by chance: the first part, which sound requests share, is not refused for the guilty one. Items likewise. Up to eight rows are written at a time, so that all entries know in time.

Before: each of 30 requests reached two replicas (60 runs, eight allowed). After: at most eight, sound ones beside them are served, also with crashes after the first events and for items.

A stand-in left tasks with unread exceptions when its connections were cut; pytest then failed at its exit (a traceback was formatted while a module was parsed). It now awaits them.

--- a/dahliashunt/decisions/loss_counts.py
+++ b/dahliashunt/decisions/loss_counts.py
@@ -42,7 +42,13 @@
 
 from dahliashunt.ids import Fingerprint
 
-__all__ = ["LossCounts", "LostRun", "Permission", "losses_in_row"]
+__all__ = [
+    "MAX_DIGESTS",
+    "LossCounts",
+    "LostRun",
+    "Permission",
+    "losses_in_row",
+]
 
 MAX_LOSSES = 3
 """Losses in a row after which a request is refused."""
--- a/dahliashunt/forwarding/forwarder.py
+++ b/dahliashunt/forwarding/forwarder.py
@@ -26,8 +26,9 @@
 from dahliashunt.forwarding.call_state import CallState
 from dahliashunt.forwarding.catalog import Route
 from dahliashunt.forwarding.catalog import RouteKind
+from dahliashunt.forwarding.crash_guard import crash_keys
+from dahliashunt.forwarding.crash_guard import CrashGuard
 from dahliashunt.forwarding.losses import request_fingerprint
-from dahliashunt.forwarding.losses import SharedLosses
 from dahliashunt.forwarding.ports import ReplicaDialect
 from dahliashunt.forwarding.ports import ResponseSink
 from dahliashunt.forwarding.replica_selector import ReplicaSelector
@@ -69,7 +70,7 @@
     pool : ConnectionPool
     dialect : ReplicaDialect
     suspicion : Suspicion
-    losses : SharedLosses
+    crash_guard : CrashGuard
     origins : StreamOrigins
     clock : Clock
     metrics : Metrics
@@ -82,7 +83,7 @@
         pool: ConnectionPool,
         dialect: ReplicaDialect,
         suspicion: Suspicion,
-        losses: SharedLosses,
+        crash_guard: CrashGuard,
         origins: StreamOrigins,
         clock: Clock,
         metrics: Metrics,
@@ -92,7 +93,7 @@
         self.pool = pool
         self.dialect = dialect
         self.suspicion = suspicion
-        self.losses = losses
+        self.crash_guard = crash_guard
         self.origins = origins
         self.clock = clock
         self.metrics = metrics
@@ -165,6 +166,7 @@
         self._next_place = None
         self._placed_ms = 0
         self._digest = request_fingerprint(route.host, call)
+        self._keys = crash_keys(self._digest, self._service, call.shared_parts)
 
     async def serve(self):
         try:
@@ -182,7 +184,7 @@
             self._placed_ms = self._age_ms()
             began_ms = self._clock.now_ms()
             try:
-                if not await self._forwarder.losses.may_run(self._digest):
+                if not await self._forwarder.crash_guard.may_run(self._keys):
                     self._refuse_for_losses()
                 end = await self._attempt(reservation.replica)
             finally:
@@ -191,7 +193,7 @@
                 self._forwarder.suspicion.served(
                     reservation.replica.incarnation
                 )
-                self._forwarder.losses.served(self._digest)
+                self._forwarder.crash_guard.served(self._keys)
                 self._record(
                     "served",
                     replica=reservation.replica.replica_id,
@@ -210,11 +212,11 @@
 
     def _refuse_quarantined(self):
         """Refuse a request that was lost with each replica that ran it."""
-        if self._forwarder.losses.is_quarantined(self._digest):
+        if self._forwarder.crash_guard.is_quarantined(self._keys):
             self._refuse_for_losses()
 
     def _refuse_for_losses(self):
-        losses = self._forwarder.losses.losses(self._digest)
+        losses = self._forwarder.crash_guard.losses(self._keys)
         self._record("convicted", digest=self._digest, losses=losses)
         kind = ResponseTruncated if self._state.started else RequestError
         raise kind(
@@ -306,7 +308,7 @@
         self._tried.add(replica.incarnation)
         if end is AttemptEnd.LOST:
             request_id = self._call.request_id
-            self._forwarder.losses.lost(self._digest, request_id, began_ms)
+            self._forwarder.crash_guard.lost(self._keys, request_id, began_ms)
         if end is not AttemptEnd.TIMED_OUT:
             now_ms = self._clock.now_ms()
             self._forwarder.suspicion.failed(replica.incarnation, now_ms)
--- a/dahliashunt/forwarding/losses.py
+++ b/dahliashunt/forwarding/losses.py
@@ -1,8 +1,10 @@
-"""Share the lost runs of requests between entries.
+"""Share the lost runs of requests and of prompt parts between entries.
 
-There is one row per digest, written at a loss and deleted when the request
-is served, or once its losses have expired. An entry that can't write keeps
-its losses and writes them once the store is back.
+There is one row per digest, written at a loss and deleted when the request,
+or one with the part, is served, or once its losses have expired. An entry that
+can't write keeps its losses and writes them once the store is back.
+
+A part's row also names the parts that were in all of its lost requests.
 """
 
 import asyncio
@@ -13,6 +15,7 @@
 
 from dahliashunt.decisions.loss_counts import LossCounts
 from dahliashunt.decisions.loss_counts import LostRun
+from dahliashunt.decisions.loss_counts import MAX_DIGESTS
 from dahliashunt.decisions.loss_counts import Permission
 from dahliashunt.errors import PlatformUnavailable
 from dahliashunt.errors import TransactionConflict
@@ -25,13 +28,22 @@
 from dahliashunt.ports.table import Row
 from dahliashunt.ports.table import Write
 
-__all__ = ["LOSSES_PREFIX", "SharedLosses", "request_fingerprint"]
+__all__ = [
+    "LOSSES_PREFIX",
+    "SharedLosses",
+    "part_fingerprint",
+    "request_fingerprint",
+]
 
 LOSSES_PREFIX = "losses//"
 
 MAX_UNWRITTEN = 1_000
 """Digests whose losses may wait for the store; the oldest are dropped."""
 
+WRITES_AT_ONCE = 8
+"""Rows written at the same time: a replica's crash loses several requests,
+each with several parts, and all entries must soon know."""
+
 RETRY_MS = (100, 300)
 """Bounds of the random delay after a failed write."""
 
@@ -55,6 +67,12 @@
     return Fingerprint(digest.hexdigest())
 
 
+def part_fingerprint(service: str, part: str) -> Fingerprint:
+    """Return the fingerprint of a prompt part at the replicas of a service."""
+    text = f"part\0{service}\0{part}".encode()
+    return Fingerprint(hashlib.blake2b(text, digest_size=12).hexdigest())
+
+
 class SharedLosses:
     """Lost runs of this entry's requests and of all others'.
 
@@ -88,14 +106,19 @@
         # Digests to write; True if the row's losses are to be dropped, since
         # the request was served here.
         self._drops_row_by_digest: dict[Fingerprint, bool] = {}
-        self._writing: Fingerprint | None = None
+        self._beside_by_digest: dict[Fingerprint, frozenset] = {}
+        self._writing: set[Fingerprint] = set()
         self._has_unwritten = asyncio.Event()
         self._claim_from_ms = clock.now_ms()
 
     def lost(
-        self, digest: Fingerprint, request_id: str, began_ms: int
+        self,
+        digest: Fingerprint,
+        request_id: str,
+        began_ms: int,
+        beside: frozenset | None = None,
     ) -> None:
-        """Count a request that was lost with its replica.
+        """Count a request, or a part of one, that was lost with its replica.
 
         Parameters
         ----------
@@ -103,23 +126,47 @@
         request_id : str
         began_ms : int
             Time by this entry's clock at which the run began.
+        beside : frozenset of Fingerprint or None
+            For a part, the request's other parts.
         """
         now_ms = self._store_now_ms()
         age_ms = self._clock.now_ms() - began_ms
-        before = self._counts.runs(digest, now_ms)
+        before = self._known(digest, now_ms)
+        self._learn_beside(digest, beside)
         losses = self._counts.lost(digest, now_ms - age_ms, now_ms)
         self._log.info(
-            "request_lost",
+            "request_lost" if beside is None else "part_lost",
             request_id=request_id,
             digest=digest,
             losses=losses,
         )
-        if self._counts.runs(digest, now_ms) != before:
+        if self._known(digest, now_ms) != before:
             self._write_later(digest, False)
 
+    def _known(self, digest, now_ms):
+        """Return all that is to be written of a digest but its trial."""
+        return self._counts.runs(digest, now_ms), self.beside(digest)
+
+    def _learn_beside(self, digest, beside):
+        """Keep the parts that were in all lost requests."""
+        if beside is None:
+            return
+        known = self._beside_by_digest.pop(digest, beside)
+        self._beside_by_digest[digest] = known & beside
+        if len(self._beside_by_digest) > MAX_DIGESTS:
+            del self._beside_by_digest[next(iter(self._beside_by_digest))]
+
+    def beside(self, digest: Fingerprint) -> frozenset | None:
+        """Return the parts in all lost requests of a part, None if unknown."""
+        return self._beside_by_digest.get(digest)
+
+    def _clear(self, digest):
+        self._beside_by_digest.pop(digest, None)
+        return self._counts.served(digest)
+
     def served(self, digest: Fingerprint) -> None:
         """Clear the losses of a request that was served."""
-        if self._counts.served(digest):
+        if self._clear(digest):
             self._log.info("losses_cleared", digest=digest)
             self._write_later(digest, True)
 
@@ -127,6 +174,11 @@
         """Return the number of losses in a row."""
         return self._counts.losses(digest, self._store_now_ms())
 
+    def has_quarantine(self, digest: Fingerprint) -> bool:
+        """Return whether it has enough losses for a quarantine or a trial."""
+        permission = self._counts.permission(digest, self._store_now_ms())
+        return permission is not Permission.ALLOWED
+
     def is_quarantined(self, digest: Fingerprint) -> bool:
         """Return whether the request must not be sent now."""
         permission = self._counts.permission(digest, self._store_now_ms())
@@ -157,7 +209,7 @@
         row = await self._table.read(f"{LOSSES_PREFIX}{digest}")
         if row is None and not self._is_unwritten(digest):
             # Another entry has served the request.
-            self._counts.served(digest)
+            self._clear(digest)
             return True
         now_ms = self._store_now_ms()
         losses = self._learn(digest, _decode(row))
@@ -165,12 +217,15 @@
         if permission is not Permission.TRIAL:
             return permission is Permission.ALLOWED
         runs = self._counts.runs(digest, now_ms)
-        await self._put_row(digest, row, _Losses(runs, now_ms))
+        losses_now = _Losses(runs, now_ms, self.beside(digest))
+        await self._put_row(digest, row, losses_now)
         self._counts.learn_trial(digest, now_ms)
         self._log.info("trial_claimed", digest=digest, losses=losses)
         return True
 
     def _learn(self, digest, stored):
+        if stored.runs:
+            self._learn_beside(digest, stored.beside)
         losses = self._counts.learn(digest, stored.runs, self._store_now_ms())
         if stored.trial_ms:
             self._counts.learn_trial(digest, stored.trial_ms)
@@ -207,10 +262,10 @@
         """Clear the losses of a request that another entry has served."""
         digest = Fingerprint(key.removeprefix(LOSSES_PREFIX))
         if not self._is_unwritten(digest):
-            self._counts.served(digest)
+            self._clear(digest)
 
     def _is_unwritten(self, digest):
-        return digest in self._drops_row_by_digest or digest == self._writing
+        return digest in self._drops_row_by_digest or digest in self._writing
 
     def outage_ended(self) -> None:
         """Do nothing: the feed continues where it stopped."""
@@ -221,7 +276,8 @@
             await self._has_unwritten.wait()
             self._has_unwritten.clear()
             while self._drops_row_by_digest:
-                await self._write_oldest()
+                oldest = list(self._drops_row_by_digest)[:WRITES_AT_ONCE]
+                await asyncio.gather(*map(self._try_to_write, oldest))
 
     async def sweep(self) -> None:
         """Remove rows of expired losses until cancelled.
@@ -235,10 +291,9 @@
             for digest in self._rng.sample(expired, removals):
                 self._write_later(digest, False)
 
-    async def _write_oldest(self):
-        digest = next(iter(self._drops_row_by_digest))
+    async def _try_to_write(self, digest):
         cleared = self._drops_row_by_digest.pop(digest)
-        self._writing = digest
+        self._writing.add(digest)
         try:
             await self._write(digest, cleared)
         except _STORE_ERRORS as error:
@@ -248,7 +303,7 @@
             )
             await self._clock.sleep_ms(self._rng.randint(*RETRY_MS))
         finally:
-            self._writing = None
+            self._writing.discard(digest)
 
     async def _write(self, digest, cleared):
         """Merge this entry's losses into the row, or delete it."""
@@ -256,9 +311,9 @@
         stored = _decode(row)
         if not cleared:
             self._learn(digest, stored)
-        runs = self._counts.runs(digest, self._store_now_ms())
-        if runs != stored.runs:
-            losses = _Losses(runs, self._counts.trial_ms(digest))
+        runs, beside = self._known(digest, self._store_now_ms())
+        if (runs, beside) != (stored.runs, stored.beside):
+            losses = _Losses(runs, self._counts.trial_ms(digest), beside)
             await self._put_row(digest, row, losses)
 
     async def _put_row(self, digest, row, losses):
@@ -274,11 +329,15 @@
 
     runs: tuple[LostRun, ...] = ()
     trial_ms: int = 0
+    beside: frozenset | None = None
 
 
 def _encode(losses):
     runs = [[run.began_ms, run.lost_ms] for run in losses.runs]
-    return json.dumps({"runs": runs, "trial_ms": losses.trial_ms})
+    fields = {"runs": runs, "trial_ms": losses.trial_ms}
+    if losses.beside is not None:
+        fields["beside"] = sorted(losses.beside)
+    return json.dumps(fields)
 
 
 def _decode(row):
@@ -294,6 +353,9 @@
             LostRun(int(lost_ms), int(began_ms))
             for began_ms, lost_ms in fields["runs"]
         )
-        return _Losses(runs, int(fields["trial_ms"]))
+        beside = fields.get("beside")
+        if beside is not None:
+            beside = frozenset(map(str, beside))
+        return _Losses(runs, int(fields["trial_ms"]), beside)
     except (KeyError, TypeError, ValueError):
         return _Losses()
--- a/dahliashunt/jobs/worker.py
+++ b/dahliashunt/jobs/worker.py
@@ -18,6 +18,7 @@
 from dahliashunt.forwarding.catalog import BrokenRoute
 from dahliashunt.forwarding.catalog import Route
 from dahliashunt.forwarding.catalog import RouteKind
+from dahliashunt.forwarding.crash_guard import crash_keys
 from dahliashunt.forwarding.node import Node
 from dahliashunt.forwarding.ports import ReplicaDialect
 from dahliashunt.forwarding.replica_selector import ReplicaSelector
@@ -296,7 +297,7 @@
             job_run, item = entry.work
             if job_run.stopped or job_run.is_listed(item):
                 continue
-            if item.is_ready(now_ms) and not self._is_held_back(item):
+            if item.is_ready(now_ms) and not self._is_held_back(job_run, item):
                 found = entry
             else:
                 later.append(entry)
@@ -304,13 +305,22 @@
             self._waiting.put(entry)
         return found
 
-    def _is_held_back(self, item):
+    def _is_held_back(self, job_run, item):
         """Return whether an item may neither run nor be given up yet."""
         return (
-            self.node.forwarder.losses.is_quarantined(item.digest)
+            self.node.forwarder.crash_guard.is_quarantined(
+                self._crash_keys(job_run, item)
+            )
             and self.clock.now_ms() < item.abandon_ms
         )
 
+    def _crash_keys(self, job_run, item):
+        route = self.node.catalog.match(job_run.job.host, item.call.target)
+        service = ""
+        if isinstance(route, Route):
+            service = route.service_for(item.call.request_id)
+        return crash_keys(item.digest, service, item.call.shared_parts)
+
     async def _reserve(self, entry):
         """Return a reservation, None without a slot, or `_NOT_NEEDED`."""
         job_run, item = entry.work
@@ -376,7 +386,7 @@
         end = ItemEnd.LOST
         job_run.item_by_index[item.index] = item
         try:
-            end = await self._run_item(item, reservation)
+            end = await self._run_item(job_run, item, reservation)
         finally:
             del job_run.item_by_index[item.index]
             reservation.release()
@@ -393,15 +403,18 @@
                 last_event=item.last_event,
                 status=item.status,
                 failures=item.failures,
-                losses=self.node.forwarder.losses.losses(item.digest),
+                losses=self.node.forwarder.crash_guard.losses(
+                    self._crash_keys(job_run, item)
+                ),
             )
         self._handle_end(job_run, item, reservation, end)
 
-    async def _run_item(self, item, reservation):
+    async def _run_item(self, job_run, item, reservation):
         """Attempt the item, and count a run that was lost with no event."""
-        losses = self.node.forwarder.losses
+        crash_guard = self.node.forwarder.crash_guard
+        keys = self._crash_keys(job_run, item)
         began_ms = self.clock.now_ms()
-        if not await losses.may_run(item.digest):
+        if not await crash_guard.may_run(keys):
             item.wait_after_refusal(self.clock)
             return ItemEnd.QUARANTINED
         events_before = item.last_event
@@ -409,9 +422,9 @@
             reservation, self.pool, self.dialect, self.clock
         )
         if end is ItemEnd.DONE:
-            losses.served(item.digest)
+            crash_guard.served(keys)
         elif end is ItemEnd.LOST and item.last_event == events_before:
-            losses.lost(item.digest, item.call.request_id, began_ms)
+            crash_guard.lost(keys, item.call.request_id, began_ms)
         return end
 
     def _handle_end(self, job_run, item, reservation, end):
--- a/dahliashunt/platform/serve_entry.py
+++ b/dahliashunt/platform/serve_entry.py
@@ -13,6 +13,7 @@
 from dahliashunt.decisions.rate_limits import RATE_LIMIT_POLICIES
 from dahliashunt.decisions.suspicion import Suspicion
 from dahliashunt.forwarding.agent_ring import AgentRing
+from dahliashunt.forwarding.crash_guard import CrashGuard
 from dahliashunt.forwarding.explain import Explainer
 from dahliashunt.forwarding.explain_workspaces import WorkspaceExplainer
 from dahliashunt.forwarding.follower import TableFollower
@@ -206,7 +207,7 @@
             self._pool,
             PlatformDialect(),
             self._suspicion,
-            self._losses,
+            CrashGuard(self._losses, self._clock),
             self._make_stream_origins(),
             self._clock,
             self.node.metrics,
--- a/dahliashunt/platform/standins/replica.py
+++ b/dahliashunt/platform/standins/replica.py
@@ -102,7 +102,9 @@
         Version of its software, as its row states it.
     crashing_part : str or None
         Prompt part that closes all connections once a request with it has
-        run for `crash_ms`.
+        run for `crash_ms`; its stream stalls before the last event.
+    crashes : int
+        How often that happened; runs that end together count once.
     steps : deque of Step
         Consumed in order, one per request; the last one is reused.
     arrivals : list of Arrival
@@ -116,10 +118,12 @@
     version: str | None = "v1"
     crashing_part: str | None = None
     crash_ms: int = 5
+    crashes: int = 0
     steps: collections.deque = field(default_factory=collections.deque)
     arrivals: list = field(default_factory=list)
     running: int = 0
     address: tuple[str, int] | None = None
+    _crashed_s: float = 0.0
     _server: object = None
     _tasks: set = field(default_factory=set)
 
@@ -138,6 +142,14 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    def _crash(self, began_s):
+        if began_s < self._crashed_s:
+            # Another run has crashed it meanwhile.
+            return
+        self._crashed_s = asyncio.get_running_loop().time()
+        self.crashes += 1
+        self.cut_all()
+
     def cut_all(self) -> None:
         """Close every connection, as a power loss does."""
         for task in list(self._tasks):
@@ -191,21 +203,28 @@
             step = Step(status=421, not_run=True, body=b"")
         closed = asyncio.create_task(reader.read(1))
         answer = asyncio.create_task(self._answer(arrival, step, writer))
-        await asyncio.wait({closed, answer}, return_when="FIRST_COMPLETED")
-        if not answer.done():
-            # The caller closed the connection; cancel the request.
+        try:
+            await asyncio.wait({closed, answer}, return_when="FIRST_COMPLETED")
+            is_answered = answer.done()
+        finally:
+            closed.cancel()
             answer.cancel()
+            # Ignores a connection reset by the caller.
             await asyncio.gather(closed, answer, return_exceptions=True)
-            return False
-        closed.cancel()
-        # Ignore a connection reset by the caller.
-        await asyncio.gather(closed, return_exceptions=True)
-        return answer.result()
+        # Otherwise the caller closed the connection.
+        return answer.result() if is_answered else False
 
     async def _answer(self, arrival, step, writer):
-        if self.crashing_part in arrival.parts:
-            await asyncio.sleep(self.crash_ms / 1000)
-            self.cut_all()
+        if self.crashing_part not in arrival.parts:
+            return await self._send_answer(arrival, step, writer, False)
+        loop = asyncio.get_running_loop()
+        crash = loop.call_later(self.crash_ms / 1000, self._crash, loop.time())
+        try:
+            return await self._send_answer(arrival, step, writer, True)
+        finally:
+            crash.cancel()
+
+    async def _send_answer(self, arrival, step, writer, will_crash):
         await asyncio.sleep(step.head_ms / 1000)
         if step.reset_unanswered:
             return False
@@ -225,7 +244,10 @@
                 writer.write(frame(b"id: %d\ndata: cu" % number))
                 await writer.drain()
                 return False
-            if step.silent_after is not None and sent >= step.silent_after:
+            stalls = (
+                step.silent_after is not None and sent >= step.silent_after
+            )
+            if stalls or (will_crash and number == step.events):
                 await asyncio.Event().wait()
             writer.write(frame(self.event(number)))
             await writer.drain()
