A corrected clock makes no two runs of an entry overlap

A run counts if it began after the last counted loss. Both times are on the store's clock, which an entry estimates from each answer: when the estimate steps back by some milliseconds in between, the next run seems to overlap the last one and is not counted. Ruled out: entries that do not know the losses yet (they were learned before the job was taken over) and the shared trial (both claims were followed by a served run).

The estimate is now kept until it is off by 25 ms. Before: the test without a network counts 1 where 2 were lost. After: it passes, and the test that failed once in six passes twelve times, six at a time.

--- a/benchmarks/prompt_parts.py
+++ b/benchmarks/prompt_parts.py
@@ -12,7 +12,8 @@
 Prints for each way the most guilty requests later than 3 s after the fifth
 crash, of which three are allowed; the least share of sound requests that
 begin at the first attempt, from 6 s after it or after the last rack; and the
-most rows written in a second.
+most transactions in a second. With few requests, 5 a second of each kind and
+two first parts, the share is that of the attack's first ten seconds.
 """
 
 import asyncio
@@ -76,6 +77,15 @@
     return 0, simulation.sound_share(ended_ms)
 
 
+async def few(simulation, _rate, _guilty_rate):
+    """Return late guilty requests and the share of sound ones at first."""
+    await simulation.play(WARM_MS, 5.0, firsts=2)
+    began_ms = simulation.clock.now_ms()
+    await simulation.play(ATTACK_MS, 5.0, 5.0, firsts=2)
+    share = simulation.sound_share(began_ms, began_ms + 10_000)
+    return simulation.late_guilty(CONTACT_MS), share
+
+
 def play(case, way, size, seed):
     """Return the figures of one play."""
     entries, replicas, rate, guilty_rate = size
@@ -99,7 +109,7 @@
     seeds = range(int(options["--seeds"]))
     print("entries case    way             guilty  sound  writes/s")
     for size in SIZES:
-        for case in (attack, racks):
+        for case in (attack, racks, few):
             for name, way in WAYS.items():
                 plays = [play(case, way, size, seed) for seed in seeds]
                 guilty, sound, writes = zip(*plays, strict=True)
--- a/dahliashunt/forwarding/losses.py
+++ b/dahliashunt/forwarding/losses.py
@@ -47,6 +47,10 @@
 RETRY_MS = (100, 300)
 """Bounds of the random delay after a failed write."""
 
+CLOCK_STEP_MS = 25
+"""Correction of the store's clock from which it is followed. A smaller one
+could make a run seem to begin before the end of the one before it."""
+
 CLAIM_PAUSE_MS = 1_000
 """Time after a failed claim without another one: a request that waits for
 the store holds a slot."""
@@ -100,6 +104,7 @@
         self._table = table
         self._clock = clock
         self._store_now_ms = store_now_ms
+        self._clock_offset_ms: int | None = None
         self._rng = rng
         self._log = log
         self._counts = LossCounts()
@@ -111,6 +116,15 @@
         self._has_unwritten = asyncio.Event()
         self._claim_from_ms = clock.now_ms()
 
+    def _now_ms(self):
+        """Return the store's clock, steady between two runs of this entry."""
+        now_ms = self._clock.now_ms()
+        offset_ms = self._store_now_ms() - now_ms
+        known_ms = self._clock_offset_ms
+        if known_ms is None or abs(offset_ms - known_ms) > CLOCK_STEP_MS:
+            self._clock_offset_ms = offset_ms
+        return now_ms + self._clock_offset_ms
+
     def lost(
         self,
         digest: Fingerprint,
@@ -129,7 +143,7 @@
         beside : frozenset of Fingerprint or None
             For a part, the request's other parts.
         """
-        now_ms = self._store_now_ms()
+        now_ms = self._now_ms()
         age_ms = self._clock.now_ms() - began_ms
         before = self._known(digest, now_ms)
         self._learn_beside(digest, beside)
@@ -172,16 +186,16 @@
 
     def losses(self, digest: Fingerprint) -> int:
         """Return the number of losses in a row."""
-        return self._counts.losses(digest, self._store_now_ms())
+        return self._counts.losses(digest, self._now_ms())
 
     def has_quarantine(self, digest: Fingerprint) -> bool:
         """Return whether it has enough losses for a quarantine or a trial."""
-        permission = self._counts.permission(digest, self._store_now_ms())
+        permission = self._counts.permission(digest, self._now_ms())
         return permission is not Permission.ALLOWED
 
     def is_quarantined(self, digest: Fingerprint) -> bool:
         """Return whether the request must not be sent now."""
-        permission = self._counts.permission(digest, self._store_now_ms())
+        permission = self._counts.permission(digest, self._now_ms())
         return permission is Permission.QUARANTINED
 
     async def may_run(self, digest: Fingerprint) -> bool:
@@ -191,7 +205,7 @@
         that no other entry has done so: all entries together try the request
         once. Without the store it is not tried.
         """
-        permission = self._counts.permission(digest, self._store_now_ms())
+        permission = self._counts.permission(digest, self._now_ms())
         if permission is not Permission.TRIAL:
             return permission is Permission.ALLOWED
         if self._clock.now_ms() < self._claim_from_ms:
@@ -211,7 +225,7 @@
             # Another entry has served the request.
             self._clear(digest)
             return True
-        now_ms = self._store_now_ms()
+        now_ms = self._now_ms()
         losses = self._learn(digest, _decode(row))
         permission = self._counts.permission(digest, now_ms)
         if permission is not Permission.TRIAL:
@@ -226,7 +240,7 @@
     def _learn(self, digest, stored):
         if stored.runs:
             self._learn_beside(digest, stored.beside)
-        losses = self._counts.learn(digest, stored.runs, self._store_now_ms())
+        losses = self._counts.learn(digest, stored.runs, self._now_ms())
         if stored.trial_ms:
             self._counts.learn_trial(digest, stored.trial_ms)
         return losses
@@ -250,7 +264,7 @@
         digest = Fingerprint(row.key.removeprefix(LOSSES_PREFIX))
         if self._drops_row_by_digest.get(digest):
             return
-        now_ms = self._store_now_ms()
+        now_ms = self._now_ms()
         before = self._counts.losses(digest, now_ms)
         losses = self._learn(digest, _decode(row))
         if losses > before:
@@ -286,7 +300,7 @@
         """
         while True:
             await self._clock.sleep_ms(self._rng.randint(*SWEEP_MS))
-            expired = self._counts.expired(self._store_now_ms())
+            expired = self._counts.expired(self._now_ms())
             removals = min(MAX_REMOVALS, len(expired))
             for digest in self._rng.sample(expired, removals):
                 self._write_later(digest, False)
@@ -311,7 +325,7 @@
         stored = _decode(row)
         if not cleared:
             self._learn(digest, stored)
-        runs, beside = self._known(digest, self._store_now_ms())
+        runs, beside = self._known(digest, self._now_ms())
         if (runs, beside) != (stored.runs, stored.beside):
             losses = _Losses(runs, self._counts.trial_ms(digest), beside)
             await self._put_row(digest, row, losses)
--- a/dahliashunt/forwarding/tests/test_losses.py
+++ b/dahliashunt/forwarding/tests/test_losses.py
@@ -208,3 +208,25 @@
         assert await entry.may_run(DIGEST)
 
     play(scenario, 1)
+
+
+def test_a_corrected_clock_makes_no_two_runs_overlap():
+    # Guards against one more crash: the estimate of the store's clock steps
+    # back between two runs, so that the later one seems to begin too early.
+    async def main():
+        clock, error_ms = VirtualClock(1_000), [4]
+        entry = SharedLosses(
+            MemoryTableService(),
+            clock,
+            lambda: clock.now_ms() + error_ms[0],
+            random.Random(1),
+            LOG,
+        )
+        for losses in (1, 2, 3):
+            began_ms = clock.now_ms()
+            await clock.advance(RUN_MS)
+            entry.lost(DIGEST, "r", began_ms)
+            assert entry.losses(DIGEST) == losses
+            error_ms[0] -= 2
+
+    asyncio.run(main())
