--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -114,7 +114,7 @@
     async def reuse_connections(self, stop):
         """Send requests one after another, as long as a connection lasts."""
         while not stop.is_set():
-            entry = self._rng.randrange(len(self._fleet.caller_links))
+            entry = self._fleet.pick_entry(self._rng)
             address = self._fleet.caller_links[entry].address
             try:
                 connection = await open_connection(*address, BUDGET_MS)
@@ -148,7 +148,7 @@
         if path is None:
             path = self._rng.choices(("/a/x", "/once/x"), (1, 1))[0]
         if entry is None:
-            entry = self._rng.randrange(len(self._fleet.caller_links))
+            entry = self._fleet.pick_entry(self._rng)
         request_id = f"{self._name}{next(self._numbers)}"
         answered = Answered(request_id, entry, path, loop.time())
         more = _resume(answered, broken) if broken is not None else {}
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -70,6 +70,11 @@
 }
 """Faults amid which callers can go on with their streams."""
 
+BUNCHED_SHARE = 0.75
+LEAST_BUNCHED = 20
+"""While most new connections are one entry's, of so many requests the share
+that is served is at least this part of the usual one."""
+
 LEAST_RESUMES = 12
 RESUMED_SHARE = 0.5
 """Of so many streams that callers take up, the share that goes on is at
@@ -89,6 +94,7 @@
     found += _of_crashes(play)
     found += _of_budgets(play)
     found += _of_resumes(play)
+    found += _of_bunches(play)
     found += _of_jobs(play)
     found += _of_processes(play)
     return found
@@ -150,6 +156,25 @@
     ]
 
 
+def _of_bunches(play):
+    """Compare what is served while connections are bunched with the rest."""
+    others = set(FAULTS) - {"callers_bunched"}
+    served = {True: [], False: []}
+    for answered in play.answers():
+        is_sound = answered.path != CRASH_PATH and not answered.resumes
+        if is_sound and not _during(play, answered, others):
+            is_bunched = _during(play, answered, {"callers_bunched"})
+            is_served = answered.whole and answered.status == 200
+            served[is_bunched].append(is_served)
+    bunched, calm = served[True], served[False]
+    if len(bunched) < LEAST_BUNCHED or not calm:
+        return []
+    share, usual = sum(bunched) / len(bunched), sum(calm) / len(calm)
+    if share >= BUNCHED_SHARE * usual:
+        return []
+    return [f"{share:.2f} of bunched requests are served, {usual:.2f} else"]
+
+
 def _of_failing_items(play):
     statuses_by_item = collections.defaultdict(collections.Counter)
     for replica in play.fleet.replicas:
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -30,6 +30,9 @@
 BUDGET_MS = 4_000
 GRACE_S = 8
 JUMP_MS = 5_000
+BUNCHED_SHARE = 0.9
+"""Share of new connections that one entry gets while they are bunched."""
+
 JOB_RUNS = 4
 """Answers of 500 after which an item may be given up."""
 
@@ -152,6 +155,7 @@
         self.caller_links = []
         self.revision = 0
         self.exits = []
+        self.bunched_entry = None
         self._replacing = asyncio.Lock()
         self._replaced = itertools.count()
         self._counts = (entries, replicas)
@@ -174,6 +178,14 @@
         for machine in (*self.agents, *self.entries):
             await machine.start()
 
+    def pick_entry(self, rng):
+        """Return the entry that gets a caller's new connection."""
+        bunched = self.bunched_entry
+        is_up = bunched is not None and self.entries[bunched].is_up
+        if is_up and rng.random() < BUNCHED_SHARE:
+            return bunched
+        return rng.randrange(len(self.caller_links))
+
     def configure(self):
         """Put a new revision of the configuration into force."""
         self.revision += 1
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -226,6 +226,14 @@
     rng.choice(fleet.caller_links).reset_all()
 
 
+@FAULTS.register("callers_bunched")
+async def _callers_bunched(fleet, rng):
+    """Give most new connections to one entry."""
+    fleet.bunched_entry = rng.randrange(len(fleet.entries))
+    await _last(rng, 1_000, 4_000)
+    fleet.bunched_entry = None
+
+
 @FAULTS.register("callers_slow")
 async def _callers_slow(fleet, rng):
     link = rng.choice(fleet.caller_links)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -157,6 +157,23 @@
     assert len(broken_promises(play)) == 1
 
 
+def test_an_entry_that_serves_little_of_a_bunch_is_told(play):
+    """Guards against a soak in which bunched connections may be refused."""
+    refused = {"status": 503, "body": b"", "retry_after": "1"}
+    for _ in range(20):
+        answered(play)
+    played = ("callers_bunched", 19.0, 22.0)
+    play.played = [played]
+    for number in range(40):
+        answered(play, 0, **(refused if number < 25 else {}))
+        play.fleet.replicas[0].runs_by_request["c1"] = 1
+        play.answers()[-1].request_id = f"b{number}"
+        play.answers()[-1].began_s = play.answers()[-1].ended_s = 20.0
+    assert broken_promises(play) == [
+        "0.38 of bunched requests are served, 1.00 else"
+    ]
+
+
 def test_a_request_in_another_name_is_told(play):
     """Guards against a soak that does not look at workspaces."""
     play.fleet.replicas[0].misnamed.append("c1 ran as None")
@@ -278,3 +295,10 @@
     for_s = max(at_s for at_s, _ in plan)
     played = play_seed(seed, tmp_path, for_s, plan, by_part=False)
     assert asyncio.run(played) == []
+
+
+def test_bunched_callers_are_served(tmp_path):
+    """Guards against one entry that refuses what it could pass on."""
+    plan = [(5.0, "callers_bunched"), (6.0, "callers_bunched")]
+    played = play_seed(5, tmp_path, 6.0, plan, by_part=False)
+    assert asyncio.run(played) == []
