--- a/dahliashunt/entry/tests/test_burn.py
+++ b/dahliashunt/entry/tests/test_burn.py
@@ -61,7 +61,7 @@
         measures.refused(call_of(number).request, RequestError(kind, "why"))
     good, bad = counts(measures, Sli.AVAILABILITY)
     assert good == 0
-    assert bad == 9
+    assert bad == 10
     before = bad
     limit = RequestError(ErrorKind.OVER_LIMIT, "over your limit")
     measures.refused(call_of(99).request, limit)
