Each crash counts, and a suspect runs once at a time in the fleet

The bound is on crashes, and the product counted causes.

Now each replica that is lost with a run counts. After three crashes a request is a suspect: one run at a time in the whole fleet, noted in the store before it begins. The first such trial waits for nothing, so that a popular request lost with a dark rack is cleared within the time of one run; others of its kind wait for it as for a slot. Two more trials follow after 5 and 25 s, then one in ten minutes: three runs at most after the third crash, whenever they come. A trial counts from its claim, so that an entry killed before it has written the loss allows no further one. A trial that did not run is kept for the next run of its entry and taken back after a second: while a service is down it would cost four calls of the store for each attempt.

Lost runs are kept as a set whose reduction does not depend on the order in which they are learned; the count was up to two lower in some orders.

--- a/dahliashunt/decisions/loss_counts.py
+++ b/dahliashunt/decisions/loss_counts.py
@@ -12,31 +12,30 @@
 
 How
 ---
-Lost runs are collected by request digest over all entries. After `MAX_LOSSES`
-in a row the request is refused for a time that grows with each further loss.
-Once that time is over, one run in the whole fleet tries it again. A served
-run clears the losses, so that a popular request is not quarantined for
-unrelated ones.
-
-A quarantine grows only by the loss of such a trial: runs that entries begin
-before they know of the quarantine don't count, so that an outage of the
-store, in which entries count alone, doesn't lengthen it.
+Lost runs are collected by request digest over all entries. Each crash counts,
+also those that overlap: entries that wait for the same service send a request
+together once it is back. After `MAX_LOSSES` crashes the request is a suspect:
+it runs once at a time in the whole fleet, and each such trial is noted before
+it begins. A served run clears the losses.
 
 Several runs of a popular request can be lost to one cause, such as a rack
-without power. These are lost at about the same time, and started before that.
-So a run counts if it started after the last loss counted, or was lost
-`ONE_CAUSE_MS` after it: a request that crashes its replicas after seconds is
-sent again while earlier runs last. Runs are kept with their times, so that
-entries which could not reach each other count alike afterwards, whatever they
-learn first.
+without power. It is a suspect too, but its first trial waits for nothing, so
+that it is cleared within the time of one run. Requests that come meanwhile
+wait for the trial's end.
+
+Each further trial waits longer. A trial counts from its claim, whatever
+becomes of the entry that has claimed it; one that did not run, or whose
+replica answered it, is taken back.
 
-In an outage of all replicas popular requests are still refused; the first
-quarantines are short, so that they recover soon after the replicas.
+The runs that are kept, and so the count, depend on which were lost and not on
+the order in which an entry learns of them.
 
 Losses expire some time after the last one, since a new version may run
 what crashed the old one.
 """
 
+import bisect
+import collections
 from dataclasses import dataclass
 import enum
 
@@ -47,19 +46,20 @@
     "LossCounts",
     "LostRun",
     "Permission",
+    "Trial",
+    "count_crashes",
     "losses_in_row",
 ]
 
 MAX_LOSSES = 3
-"""Losses in a row after which a request is refused."""
+"""Crashes after which a request is a suspect."""
 
 ONE_CAUSE_MS = 750
-"""Milliseconds within which entries learn of all losses of one cause. Three
-losses in a row are known twice as long after the first of them."""
+"""Milliseconds within which entries learn of all losses of one cause."""
 
-QUARANTINES_MS = (5_000, 10_000, 15_000, 600_000)
-"""Milliseconds of refusal after `MAX_LOSSES` losses and after each further
-one. Three trials may follow within half a minute, then one in ten minutes."""
+QUARANTINES_MS = (0, 5_000, 25_000, 600_000)
+"""Milliseconds of refusal before the first trial and before each further
+one. Three trials fit into half a minute, then one into ten minutes."""
 
 TRIAL_MS = 5_000
 """Milliseconds for which all other entries wait for the end of a trial,
@@ -69,8 +69,12 @@
 """Time after the last loss until losses are forgotten, in milliseconds;
 longer than a quarantine, so that one more loss starts the next."""
 
-MAX_RUNS = MAX_LOSSES + len(QUARANTINES_MS)
-"""Lost runs kept of a digest; more don't change its quarantine."""
+MAX_RUNS = 16
+"""Lost runs kept of a digest, the latest ones."""
+
+MAX_RUNS_AT_REPLICA = 5
+"""Lost runs kept of a digest at one replica. Runs that one crash ended are
+no more than one crash, and must not displace those of other replicas."""
 
 MAX_DIGESTS = 10_000
 """Digests kept; the oldest are evicted first."""
@@ -84,10 +88,29 @@
     ----------
     lost_ms, began_ms : int
         Times of the loss and of the start, on a clock that entries share.
+    replica : str
+        Identifies the replica's incarnation; empty if unknown.
     """
 
     lost_ms: int
     began_ms: int
+    replica: str = ""
+
+
+@dataclass(frozen=True, order=True, slots=True)
+class Trial:
+    """The claim of one entry to run a suspect.
+
+    Attributes
+    ----------
+    claimed_ms : int
+        Time of the claim, on a clock that entries share.
+    token : str
+        Tells apart claims of one moment.
+    """
+
+    claimed_ms: int
+    token: str = ""
 
 
 class Permission(enum.Enum):
@@ -95,17 +118,19 @@
 
     ALLOWED = "allowed"
     QUARANTINED = "quarantined"
+    ON_TRIAL = "on_trial"
+    """A trial is under way, whose end decides."""
+
     TRIAL = "trial"
-    """Its quarantine is over: one run in the fleet may try it."""
+    """One run in the fleet may try it."""
 
 
 def losses_in_row(runs) -> tuple[LostRun, ...]:
-    """Return the runs that count as losses one after another.
+    """Return the runs that were lost to different causes.
 
     Each begins at the end of the one before or later, or ends
-    `ONE_CAUSE_MS` later. From the first quarantine on each begins after half
-    of it, which leaves room for the error of the shared clock. This is
-    interval scheduling by the earliest end [1]_, in O(n log n).
+    `ONE_CAUSE_MS` later. This is interval scheduling by the earliest end
+    [1]_, in O(n log n).
 
     Parameters
     ----------
@@ -123,25 +148,52 @@
     """
     in_row = []
     for run in sorted(runs):
-        if not in_row or _has_other_cause(run, in_row):
+        if not in_row or _has_other_cause(run, in_row[-1]):
             in_row.append(run)
-    return tuple(in_row[-MAX_RUNS:])
+    return tuple(in_row)
 
 
-def _has_other_cause(run, in_row):
-    """Tell whether a run was lost to another cause than the last in a row."""
-    last_ms = in_row[-1].lost_ms
-    quarantine_ms = _quarantine_ms(len(in_row))
-    if quarantine_ms:
-        return run.began_ms >= last_ms + quarantine_ms // 2
-    is_later = run.lost_ms >= last_ms + ONE_CAUSE_MS
-    return is_later or run.began_ms >= last_ms
+def _has_other_cause(run, last):
+    is_later = run.lost_ms >= last.lost_ms + ONE_CAUSE_MS
+    return is_later or run.began_ms >= last.lost_ms
 
 
-def _quarantine_ms(losses):
-    if losses < MAX_LOSSES:
-        return 0
-    return QUARANTINES_MS[min(losses - MAX_LOSSES, len(QUARANTINES_MS) - 1)]
+def count_crashes(runs) -> int:
+    """Return how many crashes ended `runs`, in O(n log n).
+
+    Runs that one replica lost to one cause are one crash; those of several
+    replicas are several, though they overlap.
+
+    Parameters
+    ----------
+    runs : iterable of LostRun
+
+    Examples
+    --------
+    >>> count_crashes([LostRun(5, 0, "a"), LostRun(5, 1, "a")])
+    1
+    >>> count_crashes([LostRun(5, 0, "a"), LostRun(5, 1, "b")])
+    2
+    """
+    return sum(map(len, map(losses_in_row, _by_replica(runs).values())))
+
+
+def _by_replica(runs):
+    runs_by_replica = collections.defaultdict(list)
+    for run in runs:
+        runs_by_replica[run.replica].append(run)
+    return runs_by_replica
+
+
+def _latest(runs):
+    """Return the runs that are kept of all, by the time of their loss.
+
+    The same are kept if some of the others were dropped before.
+    """
+    kept = []
+    for at_replica in _by_replica(runs).values():
+        kept += sorted(at_replica)[-MAX_RUNS_AT_REPLICA:]
+    return tuple(sorted(kept)[-MAX_RUNS:])
 
 
 def _longest_ms(runs):
@@ -149,7 +201,7 @@
 
 
 class LossCounts:
-    """Losses in a row by request digest.
+    """Crashes and trials by request digest.
 
     Parameters
     ----------
@@ -162,20 +214,33 @@
     >>> [counts.lost("bad", at + 1, at + 2) for at in range(0, 30, 10)]
     [1, 2, 3]
     >>> counts.permission("bad", 23)
+    <Permission.TRIAL: 'trial'>
+    >>> counts.learn_trials("bad", [Trial(23)])
+    >>> counts.permission("bad", 24)
+    <Permission.ON_TRIAL: 'on_trial'>
+    >>> counts.lost("bad", 24, 25)
+    4
+    >>> counts.permission("bad", 26)
     <Permission.QUARANTINED: 'quarantined'>
     >>> counts.served("bad")
     True
-    >>> counts.permission("bad", 23)
+    >>> counts.permission("bad", 26)
     <Permission.ALLOWED: 'allowed'>
     """
 
     def __init__(self, max_digests: int = MAX_DIGESTS):
         self._max_digests = max_digests
         self._runs_by_digest: dict[Fingerprint, tuple[LostRun, ...]] = {}
-        self._trial_ms_by_digest: dict[Fingerprint, int] = {}
+        self._trials_by_digest: dict[Fingerprint, tuple[Trial, ...]] = {}
 
-    def lost(self, digest: Fingerprint, began_ms: int, now_ms: int) -> int:
-        """Record a lost run; return the losses in a row.
+    def lost(
+        self,
+        digest: Fingerprint,
+        began_ms: int,
+        now_ms: int,
+        replica: str = "",
+    ) -> int:
+        """Record a lost run; return the crashes.
 
         Parameters
         ----------
@@ -183,13 +248,16 @@
         began_ms : int
             Time at which the run was sent to its replica.
         now_ms : int
+        replica : str
+            Identifies the replica's incarnation.
         """
-        return self.learn(digest, (LostRun(now_ms, began_ms),), now_ms)
+        run = LostRun(now_ms, began_ms, replica)
+        return self.learn(digest, (run,), now_ms)
 
     def learn(self, digest: Fingerprint, runs, now_ms: int) -> int:
-        """Merge lost runs of all entries; return the losses in a row."""
+        """Merge lost runs of all entries; return the crashes."""
         known = self.runs(digest, now_ms)
-        merged = losses_in_row({*known, *runs})
+        merged = _latest({*known, *runs})
         if merged != known:
             self._put(digest, merged)
         return self.losses(digest, now_ms)
@@ -201,15 +269,15 @@
             self.served(next(iter(self._runs_by_digest)))
 
     def runs(self, digest: Fingerprint, now_ms: int) -> tuple[LostRun, ...]:
-        """Return the runs lost in a row, none once they have expired."""
+        """Return the lost runs that are kept, none once they have expired."""
         runs = self._runs_by_digest.get(digest, ())
         if runs and now_ms - runs[-1].lost_ms >= EXPIRY_MS:
             return ()
         return runs
 
     def losses(self, digest: Fingerprint, now_ms: int) -> int:
-        """Return the number of losses in a row."""
-        return len(self.runs(digest, now_ms))
+        """Return the number of crashes, of those that are kept."""
+        return count_crashes(self.runs(digest, now_ms))
 
     def expired(self, now_ms: int) -> list[Fingerprint]:
         """Return the digests whose losses have expired."""
@@ -221,28 +289,56 @@
 
     def served(self, digest: Fingerprint) -> bool:
         """Clear `digest`; return whether it had losses."""
-        self._trial_ms_by_digest.pop(digest, None)
+        self._trials_by_digest.pop(digest, None)
         return self._runs_by_digest.pop(digest, None) is not None
 
-    def trial_ms(self, digest: Fingerprint) -> int:
-        """Return the time at which the latest trial began, 0 without one."""
-        return self._trial_ms_by_digest.get(digest, 0)
-
-    def learn_trial(self, digest: Fingerprint, began_ms: int) -> None:
-        """Record a trial of this entry or another."""
+    def trials(self, digest: Fingerprint) -> tuple[Trial, ...]:
+        """Return the trials since the losses began, the earliest first."""
+        return self._trials_by_digest.get(digest, ())
+
+    def lost_trials(self, digest: Fingerprint, now_ms: int) -> int:
+        """Return the number of trials whose runs were lost."""
+        starts = [trial.claimed_ms for trial in self.trials(digest)]
+        numbers = {
+            bisect.bisect(starts, run.began_ms)
+            for run in self.runs(digest, now_ms)
+        }
+        return len(numbers - {0})
+
+    def learn_trials(self, digest: Fingerprint, trials) -> None:
+        """Replace the known trials by those that all entries have noted."""
         if digest in self._runs_by_digest:
-            latest_ms = max(began_ms, self.trial_ms(digest))
-            self._trial_ms_by_digest[digest] = latest_ms
+            self._trials_by_digest[digest] = tuple(sorted(trials))
 
-    def permission(self, digest: Fingerprint, now_ms: int) -> Permission:
-        """Return whether the request may be sent now."""
+    def permission(
+        self,
+        digest: Fingerprint,
+        now_ms: int,
+        longest_wait_ms: int = EXPIRY_MS,
+    ) -> Permission:
+        """Return whether the request may be sent now.
+
+        Parameters
+        ----------
+        digest : Fingerprint
+        now_ms : int
+        longest_wait_ms : int
+            Bounds each wait of a request that must run in any case.
+        """
         runs = self.runs(digest, now_ms)
-        if len(runs) < MAX_LOSSES:
+        if len(runs) < MAX_LOSSES or count_crashes(runs) < MAX_LOSSES:
             return Permission.ALLOWED
-        until_ms = max(
-            runs[-1].lost_ms + _quarantine_ms(len(runs)),
-            self.trial_ms(digest) + TRIAL_MS + _longest_ms(runs),
-        )
-        if now_ms < until_ms:
+        trials = self.trials(digest)
+        if not trials:
+            return Permission.TRIAL
+        last_ms = trials[-1].claimed_ms
+        lost_ms = runs[-1].lost_ms
+        if lost_ms < last_ms:
+            wait_ms = min(TRIAL_MS + _longest_ms(runs), longest_wait_ms)
+            if now_ms < last_ms + wait_ms:
+                return Permission.ON_TRIAL
+        stage = min(len(trials), len(QUARANTINES_MS) - 1)
+        wait_ms = min(QUARANTINES_MS[stage], longest_wait_ms)
+        if now_ms < max(lost_ms, last_ms) + wait_ms:
             return Permission.QUARANTINED
         return Permission.TRIAL
--- a/dahliashunt/forwarding/crash_guard.py
+++ b/dahliashunt/forwarding/crash_guard.py
@@ -5,16 +5,30 @@
 also depends on what this entry has served.
 """
 
+import asyncio
 from dataclasses import dataclass
 
+from dahliashunt.decisions.loss_counts import EXPIRY_MS
+from dahliashunt.decisions.loss_counts import Permission
 from dahliashunt.decisions.prompt_parts import is_held_back
 from dahliashunt.decisions.prompt_parts import PartHistory
+from dahliashunt.forwarding.losses import Admission
 from dahliashunt.forwarding.losses import part_fingerprint
 from dahliashunt.forwarding.losses import SharedLosses
+from dahliashunt.forwarding.replicas import Replica
 from dahliashunt.ids import Fingerprint
 from dahliashunt.ports import Clock
 
-__all__ = ["CrashGuard", "CrashKeys", "crash_keys"]
+__all__ = ["CrashGuard", "CrashKeys", "RunPermit", "crash_keys"]
+
+
+FOLLOW_MS = 100
+"""Interval between looks at kept trials."""
+
+MAX_OWED_TRIALS = 4
+"""Lost trials of a part up to which an item waits no longer than it can. An
+item alone crashes no replica, but a part of its prompt may; a part that was
+lost so often is taken to be guilty, and not to be unlucky."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,14 +40,39 @@
     request : Fingerprint
     parts : tuple of Fingerprint
         The parts that it shares with others, at its service.
+    longest_wait_ms : int
+        Bounds each wait of a batch item, which is owed whatever was lost
+        with it.
     """
 
     request: Fingerprint
     parts: tuple[Fingerprint, ...]
+    longest_wait_ms: int = EXPIRY_MS
+
+
+@dataclass(frozen=True, slots=True)
+class RunPermit:
+    """Leave to send a request to a replica once.
+
+    Attributes
+    ----------
+    keys : CrashKeys
+    admissions : tuple of Admission
+        One for each of the keys under which it may be held back.
+    began_ms : int
+        Time by this entry's clock from which it may run.
+    """
+
+    keys: CrashKeys
+    admissions: tuple[Admission, ...]
+    began_ms: int
 
 
 def crash_keys(
-    request: Fingerprint, service: str, parts: tuple[str, ...]
+    request: Fingerprint,
+    service: str,
+    parts: tuple[str, ...],
+    longest_wait_ms: int = EXPIRY_MS,
 ) -> CrashKeys:
     """Return the keys of a request at a service.
 
@@ -43,9 +82,11 @@
     service : str
     parts : tuple of str
         Ids of the parts that it shares with others.
+    longest_wait_ms : int
+        Bounds each wait of a batch item.
     """
     found = (part_fingerprint(service, part) for part in parts)
-    return CrashKeys(request, tuple(dict.fromkeys(found)))
+    return CrashKeys(request, tuple(dict.fromkeys(found)), longest_wait_ms)
 
 
 class CrashGuard:
@@ -60,40 +101,131 @@
     def __init__(self, losses: SharedLosses, clock: Clock):
         self._losses = losses
         self._clock = clock
+        self._has_work = asyncio.Event()
         self._history = PartHistory()
         # Served requests of any kind before a part's first loss in a row.
         self._served_before_by_part: dict[Fingerprint, int] = {}
 
     def is_quarantined(self, keys: CrashKeys) -> bool:
-        """Return whether the request must not be sent now."""
-        return any(map(self._losses.is_quarantined, self._held_back(keys)))
+        """Return whether the request must not be sent for some time."""
+        return Permission.QUARANTINED in self._permissions(keys)
+
+    def must_wait(self, keys: CrashKeys) -> bool:
+        """Return whether a trial, whose end is near, decides on it.
+
+        Also for as long as the store is not asked for a trial.
+        """
+        permissions = self._permissions(keys)
+        if Permission.TRIAL in permissions and not self._losses.may_claim():
+            return True
+        return Permission.ON_TRIAL in permissions
+
+    def _permissions(self, keys):
+        return {
+            self._losses.permission(digest, self._wait_ms(keys, digest))
+            for digest in self._held_back(keys)
+        }
 
-    async def may_run(self, keys: CrashKeys) -> bool:
-        """Return whether the request may be sent to a replica now.
+    def _wait_ms(self, keys, digest):
+        """Return the longest wait for the next trial of one of the keys."""
+        if digest == keys.request or keys.longest_wait_ms >= EXPIRY_MS:
+            return keys.longest_wait_ms
+        is_guilty = self._losses.lost_trials(digest) >= MAX_OWED_TRIALS
+        return EXPIRY_MS if is_guilty else keys.longest_wait_ms
 
-        It is the fleet's one trial if a quarantine has just ended.
+    async def admit(self, keys: CrashKeys) -> RunPermit | None:
+        """Return leave to send the request to a replica now, or None.
+
+        The run is the fleet's only one if it is a suspect's. The permit is
+        to be given back to one of the methods that tell how the run ended.
         """
         if self.is_quarantined(keys):
-            return False
+            return None
+        admissions = []
         for digest in self._held_back(keys):
-            if not await self._losses.may_run(digest):
-                return False
-        return True
+            wait_ms = self._wait_ms(keys, digest)
+            try:
+                admission = await self._losses.admit(digest, wait_ms)
+            except BaseException:
+                self._keep(admissions)
+                raise
+            if admission is None:
+                self._keep(admissions)
+                return None
+            admissions.append(admission)
+        return RunPermit(keys, tuple(admissions), self._clock.now_ms())
+
+    def _keep(self, admissions):
+        for admission in admissions:
+            self._losses.keep(admission)
+        if self._losses.keeps_trials:
+            self._has_work.set()
+
+    def ended_unharmed(self, permit: RunPermit) -> None:
+        """Note a run that did not begin, or that ended with an error.
+
+        Its replica goes on, but this is no proof that the request is sound.
+        """
+        self._keep(permit.admissions)
 
-    def lost(self, keys: CrashKeys, request_id: str, began_ms: int) -> None:
+    def lost(
+        self,
+        permit: RunPermit,
+        request_id: str,
+        replica: Replica,
+        has_progress: bool = False,
+    ) -> None:
         """Count a request that was lost with its replica.
 
         Parameters
         ----------
-        keys : CrashKeys
+        permit : RunPermit
         request_id : str
-        began_ms : int
-            Time by this entry's clock at which the run began.
+        replica : Replica
+        has_progress : bool
+            Whether the next run goes on after what this one has written, so
+            that only the prompt's parts are counted.
         """
-        self._losses.lost(keys.request, request_id, began_ms)
-        for part in keys.parts:
-            beside = frozenset(keys.parts) - {part}
-            self._losses.lost(part, request_id, began_ms, beside)
+        now_ms = self._clock.now_ms()
+        if has_progress:
+            request = permit.keys.request
+            self._keep(
+                each for each in permit.admissions if each.digest == request
+            )
+            self._count_parts(permit, request_id, replica, now_ms)
+        else:
+            self._count(permit, request_id, replica, now_ms)
+
+    async def follow(self) -> None:
+        """Take back trials that showed nothing, until cancelled."""
+        while True:
+            if not self._losses.keeps_trials:
+                self._has_work.clear()
+                await self._has_work.wait()
+            await self._clock.sleep_ms(FOLLOW_MS)
+            self._losses.take_back_old()
+
+    def _count(self, permit, request_id, replica, lost_ms):
+        self._losses.lost(
+            permit.keys.request,
+            request_id,
+            permit.began_ms,
+            replica=_incarnation_name(replica),
+            lost_ms=lost_ms,
+        )
+        self._count_parts(permit, request_id, replica, lost_ms)
+
+    def _count_parts(self, permit, request_id, replica, lost_ms):
+        parts = permit.keys.parts
+        for part in parts:
+            self._losses.lost(
+                part,
+                request_id,
+                permit.began_ms,
+                beside=frozenset(parts) - {part},
+                replica=_incarnation_name(replica),
+                lost_ms=lost_ms,
+            )
             if self._losses.losses(part) == 1:
                 self._served_before_by_part.pop(part, None)
             self._served_since(part)
@@ -106,14 +238,14 @@
             self._served_before_by_part.pop(digest, None)
 
     def losses(self, keys: CrashKeys) -> int:
-        """Return the most losses in a row of the request or of a part."""
+        """Return the most crashes of the request or of a part."""
         return max(map(self._losses.losses, (keys.request, *keys.parts)))
 
     def _held_back(self, keys):
         """Yield the request, and the parts that may be the guilty ones."""
         yield keys.request
         for part in keys.parts:
-            if not self._losses.has_quarantine(part):
+            if self._losses.permission(part) is Permission.ALLOWED:
                 continue
             beside = self._losses.beside(part) or ()
             others = self._served_since(part)
@@ -124,3 +256,7 @@
         """Return how many requests were served since the first loss."""
         now = self._history.total_ever
         return now - self._served_before_by_part.setdefault(part, now)
+
+
+def _incarnation_name(replica):
+    return f"{replica.replica_id}@{replica.born_ms}"
--- a/dahliashunt/forwarding/forwarder.py
+++ b/dahliashunt/forwarding/forwarder.py
@@ -53,6 +53,12 @@
 """Longest wait for a slot past the objective; below the shortest pause
 after which callers leave."""
 
+TRIAL_POLL_MS = 20
+"""Interval between looks at a trial that a request waits for."""
+
+ON_TRIAL_RETRY_MS = 500
+"""Retry-After of a request that has waited in vain for a trial's end."""
+
 MAX_NOT_RUN_ATTEMPTS = 6
 """Attempts that may end as not run before the call is given up."""
 
@@ -177,39 +183,71 @@
 
     async def _serve(self):
         while True:
-            self._refuse_quarantined()
-            reservation, self._next_place = self._next_place, None
-            if reservation is None:
-                reservation = await self._place()
-            self._placed_ms = self._age_ms()
-            began_ms = self._clock.now_ms()
-            try:
-                if not await self._forwarder.crash_guard.may_run(self._keys):
-                    self._refuse_for_losses()
-                end = await self._attempt(reservation.replica)
-            finally:
-                reservation.release()
+            reservation, permit = await self._reserve_admitted()
+            end = await self._run(reservation, permit)
             if end is AttemptEnd.SERVED:
-                self._forwarder.suspicion.served(
-                    reservation.replica.incarnation
-                )
-                self._forwarder.crash_guard.served(self._keys)
-                self._record(
-                    "served",
-                    replica=reservation.replica.replica_id,
-                    version=reservation.replica.version,
-                    data_centre=reservation.replica.data_centre,
-                    kept=bool(reservation.attempt_id),
-                    placed_ms=self._placed_ms,
-                    first_ms=self._state.first_ms,
-                    total_ms=self._age_ms(),
-                )
                 return
-            self._record_failure(reservation.replica, end, began_ms)
             if not self._may_try_again(end):
                 await self._give_up(end)
                 return
 
+    async def _reserve_admitted(self):
+        """Return a reservation and leave to use it.
+
+        A request of which another run is on trial waits for that run's end
+        as for a slot.
+        """
+        guard = self._forwarder.crash_guard
+        until_ms = self._clock.now_ms() + self._wait_limits().wait_ms
+        while True:
+            self._refuse_quarantined()
+            if not guard.must_wait(self._keys):
+                reservation, self._next_place = self._next_place, None
+                if reservation is None:
+                    reservation = await self._place()
+                permit = await self._admit(reservation)
+                if permit is not None:
+                    return reservation, permit
+                self._refuse_quarantined()
+            if self._clock.now_ms() >= until_ms:
+                self._refuse_on_trial()
+            await self._clock.sleep_ms(TRIAL_POLL_MS)
+
+    async def _admit(self, reservation):
+        """Return leave to use `reservation`, or release it."""
+        permit = None
+        try:
+            permit = await self._forwarder.crash_guard.admit(self._keys)
+        finally:
+            if permit is None:
+                reservation.release()
+        return permit
+
+    async def _run(self, reservation, permit):
+        """Attempt the call at the reserved replica; return how it ended."""
+        guard, replica = self._forwarder.crash_guard, reservation.replica
+        self._placed_ms = self._age_ms()
+        try:
+            end = await self._attempt(replica)
+        finally:
+            reservation.release()
+        if end is not AttemptEnd.SERVED:
+            self._record_failure(replica, end, permit)
+            return end
+        self._forwarder.suspicion.served(replica.incarnation)
+        guard.served(self._keys)
+        self._record(
+            "served",
+            replica=replica.replica_id,
+            version=replica.version,
+            data_centre=replica.data_centre,
+            kept=bool(reservation.attempt_id),
+            placed_ms=self._placed_ms,
+            first_ms=self._state.first_ms,
+            total_ms=self._age_ms(),
+        )
+        return end
+
     def _refuse_quarantined(self):
         """Refuse a request that was lost with each replica that ran it."""
         if self._forwarder.crash_guard.is_quarantined(self._keys):
@@ -225,6 +263,15 @@
             ran=Ran.UNKNOWN,
         )
 
+    def _refuse_on_trial(self):
+        self._refuse(
+            RequestError(
+                ErrorKind.NO_ENDPOINT,
+                "replicas that ran this request were lost, and one tries it",
+                retry_after_ms=ON_TRIAL_RETRY_MS,
+            )
+        )
+
     def _age_ms(self):
         return self._clock.now_ms() - self._call.arrived_ms
 
@@ -304,11 +351,13 @@
         )
         return await attempt.run()
 
-    def _record_failure(self, replica, end, began_ms):
+    def _record_failure(self, replica, end, permit):
         self._tried.add(replica.incarnation)
+        guard, request_id = self._forwarder.crash_guard, self._call.request_id
         if end is AttemptEnd.LOST:
-            request_id = self._call.request_id
-            self._forwarder.crash_guard.lost(self._keys, request_id, began_ms)
+            guard.lost(permit, request_id, replica)
+        elif end in (AttemptEnd.NOT_RUN, AttemptEnd.FAILED):
+            guard.ended_unharmed(permit)
         if end is not AttemptEnd.TIMED_OUT:
             now_ms = self._clock.now_ms()
             self._forwarder.suspicion.failed(replica.incarnation, now_ms)
@@ -319,7 +368,7 @@
             end=end.value,
             last_event=self._state.last_event,
             digest=self._digest,
-            began_ms=began_ms - self._call.arrived_ms,
+            began_ms=permit.began_ms - self._call.arrived_ms,
             sent_budget_ms=self._state.sent_budget_ms,
         )
 
--- a/dahliashunt/forwarding/losses.py
+++ b/dahliashunt/forwarding/losses.py
@@ -4,6 +4,9 @@
 or one with the part, is served, or once its losses have expired. An entry that
 can't write keeps its losses and writes them once the store is back.
 
+The row also holds the trials of a suspect. A trial stays there though its
+entry ends; only the entry that has claimed it takes it back.
+
 A part's row also names the parts that were in all of its lost requests.
 """
 
@@ -13,10 +16,14 @@
 import json
 import random
 
+from dahliashunt.decisions.loss_counts import EXPIRY_MS
 from dahliashunt.decisions.loss_counts import LossCounts
+from dahliashunt.decisions.loss_counts import losses_in_row
 from dahliashunt.decisions.loss_counts import LostRun
 from dahliashunt.decisions.loss_counts import MAX_DIGESTS
+from dahliashunt.decisions.loss_counts import MAX_LOSSES
 from dahliashunt.decisions.loss_counts import Permission
+from dahliashunt.decisions.loss_counts import Trial
 from dahliashunt.errors import PlatformUnavailable
 from dahliashunt.errors import TransactionConflict
 from dahliashunt.errors import WriteOutcomeUnknown
@@ -30,6 +37,7 @@
 
 __all__ = [
     "LOSSES_PREFIX",
+    "Admission",
     "SharedLosses",
     "part_fingerprint",
     "request_fingerprint",
@@ -61,6 +69,14 @@
 MAX_REMOVALS = 20
 """Rows that one entry removes in a sweep."""
 
+REUSE_MS = 1_000
+"""Time after its claim for which an entry keeps a trial that showed nothing,
+for its next run: while a service is down, none of them begins."""
+
+CLAIM_TRIES = 3
+"""Tries of a claim whose row another entry changes meanwhile, as all do that
+lose runs to one cause."""
+
 _STORE_ERRORS = (PlatformUnavailable, TransactionConflict, WriteOutcomeUnknown)
 
 
@@ -77,6 +93,21 @@
     return Fingerprint(hashlib.blake2b(text, digest_size=12).hexdigest())
 
 
+@dataclass(frozen=True, slots=True)
+class Admission:
+    """Leave to send a request once.
+
+    Attributes
+    ----------
+    digest : Fingerprint
+    trial : Trial or None
+        The trial that the run is, None if it is not the only one.
+    """
+
+    digest: Fingerprint
+    trial: Trial | None = None
+
+
 class SharedLosses:
     """Lost runs of this entry's requests and of all others'.
 
@@ -91,6 +122,8 @@
         compare their runs.
     rng : random.Random
     log : structlog logger
+    is_cut_off : callable
+        Tells whether the store has not been heard of for some time.
     """
 
     def __init__(
@@ -100,8 +133,10 @@
         store_now_ms,
         rng: random.Random,
         log,
+        is_cut_off=lambda: False,
     ):
         self._table = table
+        self._is_cut_off = is_cut_off
         self._clock = clock
         self._store_now_ms = store_now_ms
         self._clock_offset_ms: int | None = None
@@ -113,6 +148,9 @@
         self._drops_row_by_digest: dict[Fingerprint, bool] = {}
         self._beside_by_digest: dict[Fingerprint, frozenset] = {}
         self._writing: set[Fingerprint] = set()
+        # Claims of this entry that its rows may still hold.
+        self._taken_back: set[Trial] = set()
+        self._kept_by_digest: dict[Fingerprint, Trial] = {}
         self._has_unwritten = asyncio.Event()
         self._claim_from_ms = clock.now_ms()
 
@@ -131,6 +169,8 @@
         request_id: str,
         began_ms: int,
         beside: frozenset | None = None,
+        replica: str = "",
+        lost_ms: int | None = None,
     ) -> None:
         """Count a request, or a part of one, that was lost with its replica.
 
@@ -142,17 +182,25 @@
             Time by this entry's clock at which the run began.
         beside : frozenset of Fingerprint or None
             For a part, the request's other parts.
+        replica : str
+            Identifies the replica's incarnation.
+        lost_ms : int or None
+            Time by this entry's clock of the loss; None for now.
         """
         now_ms = self._now_ms()
-        age_ms = self._clock.now_ms() - began_ms
+        shift_ms = now_ms - self._clock.now_ms()
         before = self._known(digest, now_ms)
         self._learn_beside(digest, beside)
-        losses = self._counts.lost(digest, now_ms - age_ms, now_ms)
+        lost_at_ms = now_ms if lost_ms is None else lost_ms + shift_ms
+        losses = self._counts.lost(
+            digest, began_ms + shift_ms, lost_at_ms, replica
+        )
         self._log.info(
             "request_lost" if beside is None else "part_lost",
             request_id=request_id,
             digest=digest,
             losses=losses,
+            replica=replica,
         )
         if self._known(digest, now_ms) != before:
             self._write_later(digest, False)
@@ -176,6 +224,7 @@
 
     def _clear(self, digest):
         self._beside_by_digest.pop(digest, None)
+        self._kept_by_digest.pop(digest, None)
         return self._counts.served(digest)
 
     def served(self, digest: Fingerprint) -> None:
@@ -185,64 +234,142 @@
             self._write_later(digest, True)
 
     def losses(self, digest: Fingerprint) -> int:
-        """Return the number of losses in a row."""
+        """Return the number of crashes."""
         return self._counts.losses(digest, self._now_ms())
 
-    def has_quarantine(self, digest: Fingerprint) -> bool:
-        """Return whether it has enough losses for a quarantine or a trial."""
-        permission = self._counts.permission(digest, self._now_ms())
-        return permission is not Permission.ALLOWED
+    def permission(
+        self, digest: Fingerprint, longest_wait_ms: int = EXPIRY_MS
+    ) -> Permission:
+        """Return whether the request may be sent, as far as is known here.
+
+        Without the store, crashes count only if they had different causes:
+        a popular request lost with a rack has no trial until it is back.
+        """
+        if digest in self._kept_by_digest:
+            return Permission.TRIAL
+        now_ms = self._now_ms()
+        permission = self._counts.permission(digest, now_ms, longest_wait_ms)
+        if permission is Permission.ALLOWED or not self._is_cut_off():
+            return permission
+        runs = self._counts.runs(digest, now_ms)
+        if len(losses_in_row(runs)) < MAX_LOSSES:
+            return Permission.ALLOWED
+        return permission
+
+    def lost_trials(self, digest: Fingerprint) -> int:
+        """Return the number of trials whose runs were lost."""
+        return self._counts.lost_trials(digest, self._now_ms())
 
     def is_quarantined(self, digest: Fingerprint) -> bool:
         """Return whether the request must not be sent now."""
-        permission = self._counts.permission(digest, self._now_ms())
-        return permission is Permission.QUARANTINED
+        return self.permission(digest) is Permission.QUARANTINED
 
-    async def may_run(self, digest: Fingerprint) -> bool:
-        """Return whether the request may be sent to a replica now.
+    def may_claim(self) -> bool:
+        """Return whether the store may be asked for a trial now."""
+        return self._clock.now_ms() >= self._claim_from_ms
 
-        After a quarantine this notes a trial in the store, on the condition
+    async def admit(
+        self, digest: Fingerprint, longest_wait_ms: int = EXPIRY_MS
+    ) -> Admission | None:
+        """Return leave to send the request to a replica now, or None.
+
+        The run of a suspect is noted in the store first, on the condition
         that no other entry has done so: all entries together try the request
         once. Without the store it is not tried.
-        """
-        permission = self._counts.permission(digest, self._now_ms())
-        if permission is not Permission.TRIAL:
-            return permission is Permission.ALLOWED
-        if self._clock.now_ms() < self._claim_from_ms:
-            return False
-        try:
-            return await self._claim_trial(digest)
-        except _STORE_ERRORS as error:
-            self._claim_from_ms = self._clock.now_ms() + CLAIM_PAUSE_MS
-            self._log.warning(
-                "trial_claim_failed", digest=digest, reason=str(error)
-            )
-            return False
 
-    async def _claim_trial(self, digest):
+        Parameters
+        ----------
+        digest : Fingerprint
+        longest_wait_ms : int
+            Bounds each wait of a request that must run in any case.
+        """
+        kept = self._kept_by_digest.pop(digest, None)
+        if kept is not None:
+            return Admission(digest, kept)
+        permission = self.permission(digest, longest_wait_ms)
+        if permission is Permission.ALLOWED:
+            return Admission(digest)
+        if permission is not Permission.TRIAL or not self.may_claim():
+            return None
+        for _ in range(CLAIM_TRIES):
+            try:
+                return await self._claim_trial(digest, longest_wait_ms)
+            except TransactionConflict:
+                continue
+            except (PlatformUnavailable, WriteOutcomeUnknown) as error:
+                self._claim_from_ms = self._clock.now_ms() + CLAIM_PAUSE_MS
+                self._log.warning(
+                    "trial_claim_failed", digest=digest, reason=str(error)
+                )
+                return None
+        return None
+
+    async def _claim_trial(self, digest, longest_wait_ms):
         row = await self._table.read(f"{LOSSES_PREFIX}{digest}")
         if row is None and not self._is_unwritten(digest):
             # Another entry has served the request.
             self._clear(digest)
-            return True
+            return Admission(digest)
         now_ms = self._now_ms()
         losses = self._learn(digest, _decode(row))
-        permission = self._counts.permission(digest, now_ms)
+        permission = self._counts.permission(digest, now_ms, longest_wait_ms)
+        if permission is Permission.ALLOWED:
+            return Admission(digest)
         if permission is not Permission.TRIAL:
-            return permission is Permission.ALLOWED
-        runs = self._counts.runs(digest, now_ms)
-        losses_now = _Losses(runs, now_ms, self.beside(digest))
-        await self._put_row(digest, row, losses_now)
-        self._counts.learn_trial(digest, now_ms)
-        self._log.info("trial_claimed", digest=digest, losses=losses)
-        return True
+            return None
+        trial = Trial(now_ms, f"{self._rng.getrandbits(64):016x}")
+        trials = (*self._counts.trials(digest), trial)
+        runs, beside = self._known(digest, now_ms)
+        try:
+            await self._put_row(digest, row, _Losses(runs, trials, beside))
+        except (WriteOutcomeUnknown, asyncio.CancelledError):
+            # The claim may be in the row, or come to be there.
+            self._take_back(digest, trial)
+            raise
+        self._counts.learn_trials(digest, trials)
+        self._log.info(
+            "trial_claimed", digest=digest, losses=losses, trials=len(trials)
+        )
+        return Admission(digest, trial)
+
+    def keep(self, admission: Admission) -> None:
+        """Keep the trial of a run that showed nothing for the next run."""
+        if admission.trial is not None:
+            self._kept_by_digest[admission.digest] = admission.trial
+
+    @property
+    def keeps_trials(self) -> bool:
+        """Whether trials are kept that may have to be taken back."""
+        return bool(self._kept_by_digest)
+
+    def take_back_old(self) -> None:
+        """Take back the kept trials whose time is over."""
+        until_ms = self._now_ms() - REUSE_MS
+        for digest, trial in list(self._kept_by_digest.items()):
+            if trial.claimed_ms <= until_ms:
+                self.take_back(Admission(digest, trial))
+
+    def take_back(self, admission: Admission) -> None:
+        """Take back the trial of a run that ended without a crash."""
+        if admission.trial is not None:
+            self._kept_by_digest.pop(admission.digest, None)
+            self._log.info("trial_taken_back", digest=admission.digest)
+            self._take_back(admission.digest, admission.trial)
+
+    def _take_back(self, digest, trial):
+        self._taken_back.add(trial)
+        self._learn_trials(digest, self._counts.trials(digest))
+        self._write_later(digest, False)
+
+    def _learn_trials(self, digest, trials):
+        kept = [each for each in trials if each not in self._taken_back]
+        self._counts.learn_trials(digest, kept)
 
     def _learn(self, digest, stored):
         if stored.runs:
             self._learn_beside(digest, stored.beside)
         losses = self._counts.learn(digest, stored.runs, self._now_ms())
-        if stored.trial_ms:
-            self._counts.learn_trial(digest, stored.trial_ms)
+        self._learn_trials(digest, stored.trials)
         return losses
 
     def _write_later(self, digest, cleared):
@@ -326,9 +453,14 @@
         if not cleared:
             self._learn(digest, stored)
         runs, beside = self._known(digest, self._now_ms())
-        if (runs, beside) != (stored.runs, stored.beside):
-            losses = _Losses(runs, self._counts.trial_ms(digest), beside)
-            await self._put_row(digest, row, losses)
+        trials = self._counts.trials(digest)
+        if (runs, beside, trials) != (
+            stored.runs,
+            stored.beside,
+            stored.trials,
+        ):
+            await self._put_row(digest, row, _Losses(runs, trials, beside))
+        self._taken_back -= set(stored.trials)
 
     async def _put_row(self, digest, row, losses):
         expect = row.version if row else MustBe.ABSENT
@@ -342,13 +474,22 @@
     """Content of a row."""
 
     runs: tuple[LostRun, ...] = ()
-    trial_ms: int = 0
+    trials: tuple[Trial, ...] = ()
     beside: frozenset | None = None
 
 
 def _encode(losses):
-    runs = [[run.began_ms, run.lost_ms] for run in losses.runs]
-    fields = {"runs": runs, "trial_ms": losses.trial_ms}
+    """Return the row's text.
+
+    Replicas and trials have fields of their own, so that earlier versions
+    can read the runs and the last trial.
+    """
+    fields = {
+        "runs": [[run.began_ms, run.lost_ms] for run in losses.runs],
+        "replicas": [run.replica for run in losses.runs],
+        "trial_ms": losses.trials[-1].claimed_ms if losses.trials else 0,
+        "trials": [[each.claimed_ms, each.token] for each in losses.trials],
+    }
     if losses.beside is not None:
         fields["beside"] = sorted(losses.beside)
     return json.dumps(fields)
@@ -357,19 +498,28 @@
 def _decode(row):
     """Return the losses in `row`; none if it can't be decoded.
 
-    Rows of earlier versions hold a number only.
+    Rows of earlier versions hold a number only, or name neither replicas nor
+    all trials.
     """
     if row is None:
         return _Losses()
     try:
         fields = json.loads(row.value)
-        runs = tuple(
-            LostRun(int(lost_ms), int(began_ms))
-            for began_ms, lost_ms in fields["runs"]
-        )
+        runs = fields["runs"]
+        replicas = fields.get("replicas") or [""] * len(runs)
+        trials = fields.get("trials")
+        if trials is None:
+            trials = [[fields["trial_ms"], ""]] if fields["trial_ms"] else []
         beside = fields.get("beside")
-        if beside is not None:
-            beside = frozenset(map(str, beside))
-        return _Losses(runs, int(fields["trial_ms"]), beside)
-    except (KeyError, TypeError, ValueError):
+        return _Losses(
+            tuple(
+                LostRun(int(lost_ms), int(began_ms), str(replica))
+                for (began_ms, lost_ms), replica in zip(
+                    runs, replicas, strict=True
+                )
+            ),
+            tuple(Trial(int(at_ms), str(token)) for at_ms, token in trials),
+            None if beside is None else frozenset(map(str, beside)),
+        )
+    except (AttributeError, KeyError, TypeError, ValueError):
         return _Losses()
--- a/dahliashunt/forwarding/tests/test_crash_guard.py
+++ b/dahliashunt/forwarding/tests/test_crash_guard.py
@@ -56,6 +56,24 @@
     simulate(scenario, seed)
 
 
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("gap_ms", [700, 3_300, 5_300])
+def test_guilty_requests_that_come_together_are_held_back(
+    simulate, seed, gap_ms
+):
+    # Guards against counting crashes of several replicas as one, since the
+    # requests that share the part run at the same time.
+    async def scenario(s):
+        await s.play(WARM_MS, RATE)
+        began_ms = s.clock.now_ms()
+        while s.clock.now_ms() < began_ms + 40_000:
+            s.burst(6)
+            await s.play(gap_ms, RATE)
+        assert_held_back(s, began_ms)
+
+    simulate(scenario, seed, replicas=30)
+
+
 @pytest.mark.parametrize("seed", range(2))
 def test_a_part_that_was_sound_before_is_held_back(simulate, seed):
     # Guards against trusting what was served before the part turned bad.
--- a/dahliashunt/jobs/worker.py
+++ b/dahliashunt/jobs/worker.py
@@ -307,19 +307,22 @@
 
     def _is_held_back(self, job_run, item):
         """Return whether an item may neither run nor be given up yet."""
-        return (
-            self.node.forwarder.crash_guard.is_quarantined(
-                self._crash_keys(job_run, item)
-            )
-            and self.clock.now_ms() < item.abandon_ms
-        )
+        if self.clock.now_ms() >= item.abandon_ms:
+            return False
+        guard = self.node.forwarder.crash_guard
+        keys = self._crash_keys(job_run, item)
+        return guard.is_quarantined(keys) or guard.must_wait(keys)
 
     def _crash_keys(self, job_run, item):
         route = self.node.catalog.match(job_run.job.host, item.call.target)
         service = ""
         if isinstance(route, Route):
             service = route.service_for(item.call.request_id)
-        return crash_keys(item.digest, service, item.call.shared_parts)
+        return crash_keys(
+            item.digest,
+            service,
+            item.call.shared_parts,
+        )
 
     async def _reserve(self, entry):
         """Return a reservation, None without a slot, or `_NOT_NEEDED`."""
@@ -410,23 +413,38 @@
         self._handle_end(job_run, item, reservation, end)
 
     async def _run_item(self, job_run, item, reservation):
-        """Attempt the item, and count a run that was lost with no event."""
-        crash_guard = self.node.forwarder.crash_guard
+        """Attempt the item, unless it is held back for lost runs."""
+        guard = self.node.forwarder.crash_guard
         keys = self._crash_keys(job_run, item)
-        began_ms = self.clock.now_ms()
-        if not await crash_guard.may_run(keys):
+        permit = await guard.admit(keys)
+        if permit is None:
             item.wait_after_refusal(self.clock)
             return ItemEnd.QUARANTINED
         events_before = item.last_event
-        end = await item.attempt(
-            reservation, self.pool, self.dialect, self.clock
-        )
-        if end is ItemEnd.DONE:
-            crash_guard.served(keys)
-        elif end is ItemEnd.LOST and item.last_event == events_before:
-            crash_guard.lost(keys, item.call.request_id, began_ms)
+        end = None
+        try:
+            end = await item.attempt(
+                reservation, self.pool, self.dialect, self.clock
+            )
+        finally:
+            self._note_end(permit, end)
+        if end is ItemEnd.LOST:
+            guard.lost(
+                permit,
+                item.call.request_id,
+                reservation.replica,
+                has_progress=item.last_event > events_before,
+            )
         return end
 
+    def _note_end(self, permit, end):
+        """Tell the guard how a run ended, but for one that was lost."""
+        guard = self.node.forwarder.crash_guard
+        if end is ItemEnd.DONE:
+            guard.served(permit.keys)
+        elif end in (ItemEnd.NOT_RUN, ItemEnd.FAILED, ItemEnd.IMPOSSIBLE):
+            guard.ended_unharmed(permit)
+
     def _handle_end(self, job_run, item, reservation, end):
         suspicion = self.node.forwarder.suspicion
         incarnation = reservation.replica.incarnation
--- a/dahliashunt/platform/serve_entry.py
+++ b/dahliashunt/platform/serve_entry.py
@@ -156,7 +156,12 @@
         self._slots = SlotClient(self._clock)
         self._suspicion = Suspicion()
         self._losses = SharedLosses(
-            self._store, self._clock, self._store.now_ms, self._rng, log
+            self._store,
+            self._clock,
+            self._store.now_ms,
+            self._rng,
+            log,
+            self.node.is_stale,
         )
         self.known_replicas = self._make_known_replicas()
         self._selector = ReplicaSelector(
@@ -302,6 +307,7 @@
             self._selector.refresh_states(RENEW_MS),
             self._losses.run(),
             self._losses.sweep(),
+            self.node.forwarder.crash_guard.follow(),
             self.node.caps.run(),
             self._sweep(),
         ]
