An answer of a client error clears no losses

A whole answer of 4xx counted as served and cleared the crashes of its request everywhere, though the replica may have rejected it before it began to work. Each such answer allowed three more crashes. It now ends a trial without clearing anything.

Failed before: test_an_answer_of_a_client_error_clears_no_losses, 6 runs where five are allowed.

--- a/dahliashunt/forwarding/attempt.py
+++ b/dahliashunt/forwarding/attempt.py
@@ -117,6 +117,7 @@
         if head.status >= 500:
             return await self._hold_failure(connection, mailbox, head)
         is_good = 200 <= head.status < 300
+        self._state.is_rejected = head.status >= 400
         if self._state.started and not is_good:
             # A started stream may only be followed by more of its events.
             return AttemptEnd.LOST
--- a/dahliashunt/forwarding/call_state.py
+++ b/dahliashunt/forwarding/call_state.py
@@ -62,6 +62,8 @@
     sent_budget_ms : int
         Time that the latest attempt handed on to its replica.
     held : HeldResponse or None
+    is_rejected : bool
+        Whether the replica answered with a client error.
     """
 
     call: Call
@@ -74,6 +76,7 @@
     first_ms: int = 0
     sent_budget_ms: int = 0
     held: HeldResponse | None = None
+    is_rejected: bool = False
 
     @property
     def may_retry(self) -> bool:
--- a/dahliashunt/forwarding/forwarder.py
+++ b/dahliashunt/forwarding/forwarder.py
@@ -235,7 +235,10 @@
             self._record_failure(replica, end, permit)
             return end
         self._forwarder.suspicion.served(replica.incarnation)
-        guard.served(self._keys)
+        if self._state.is_rejected:
+            guard.ended_unharmed(permit)
+        else:
+            guard.served(self._keys)
         self._record(
             "served",
             replica=replica.replica_id,
--- a/dahliashunt/platform/tests/test_online.py
+++ b/dahliashunt/platform/tests/test_online.py
@@ -469,6 +469,21 @@
     platform(scenario, replicas=3)
 
 
+def test_an_answer_of_a_client_error_clears_no_losses(platform):
+    # Guards against three more crashes after each answer of a replica that
+    # rejected the request before it began to work on it.
+    async def scenario(p):
+        replica = p.replicas[0]
+        for _ in range(MAX_LOSSES - 1):
+            replica.then(reset_unanswered=True)
+        replica.then(status=404).then(reset_unanswered=True)
+        for _ in range(4 * MAX_LOSSES):
+            await p.call(body=b"bad")
+        assert len(replica.arrivals) <= MAX_LOSSES + 2
+
+    platform(scenario, route_fields(**{"max-attempts": 1}))
+
+
 def test_a_starting_entry_sends_nothing_before_it_knows_the_losses(platform):
     # Guards against one more crash by each entry that starts.
     async def scenario(p):
