A run given up before its replica crashes is counted

An entry that gives a run up after 0.3 s of silence, or whose caller leaves, closes the connection. A replica that runs on and crashes later was no loss to anybody, so that a request which crashes replicas late was never held back.

What this costs popular requests is small since a suspect is tried at once.

--- a/dahliashunt/forwarding/crash_guard.py
+++ b/dahliashunt/forwarding/crash_guard.py
@@ -12,6 +12,7 @@
 from dahliashunt.decisions.loss_counts import Permission
 from dahliashunt.decisions.prompt_parts import is_held_back
 from dahliashunt.decisions.prompt_parts import PartHistory
+from dahliashunt.forwarding.left_runs import LeftRuns
 from dahliashunt.forwarding.losses import Admission
 from dahliashunt.forwarding.losses import part_fingerprint
 from dahliashunt.forwarding.losses import SharedLosses
@@ -23,7 +24,7 @@
 
 
 FOLLOW_MS = 100
-"""Interval between looks at kept trials."""
+"""Interval between looks at runs that were left, and at kept trials."""
 
 MAX_OWED_TRIALS = 4
 """Lost trials of a part up to which an item waits no longer than it can. An
@@ -96,11 +97,19 @@
     ----------
     losses : SharedLosses
     clock : Clock
+    left_runs : LeftRuns, optional
+        Follows the runs that this entry leaves; none are if left out.
     """
 
-    def __init__(self, losses: SharedLosses, clock: Clock):
+    def __init__(
+        self,
+        losses: SharedLosses,
+        clock: Clock,
+        left_runs: LeftRuns | None = None,
+    ):
         self._losses = losses
         self._clock = clock
+        self._left_runs = left_runs
         self._has_work = asyncio.Event()
         self._history = PartHistory()
         # Served requests of any kind before a part's first loss in a row.
@@ -195,15 +204,37 @@
             self._count_parts(permit, request_id, replica, now_ms)
         else:
             self._count(permit, request_id, replica, now_ms)
+        if self._left_runs is not None:
+            for run in self._left_runs.take_at(replica.incarnation):
+                self._count_left(run)
+
+    def left(
+        self, permit: RunPermit, request_id: str, replica: Replica
+    ) -> None:
+        """Follow a run that this entry leaves to its replica."""
+        if self._left_runs is not None:
+            self._left_runs.add(permit, request_id, replica)
+            self._has_work.set()
 
     async def follow(self) -> None:
-        """Take back trials that showed nothing, until cancelled."""
+        """Count runs that were left and then crashed, until cancelled.
+
+        Trials that showed nothing are taken back after a while.
+        """
         while True:
-            if not self._losses.keeps_trials:
+            if not (self._left_runs or self._losses.keeps_trials):
                 self._has_work.clear()
                 await self._has_work.wait()
             await self._clock.sleep_ms(FOLLOW_MS)
             self._losses.take_back_old()
+            for run in self._left_runs.take_crashed():
+                self._count_left(run)
+            for run in self._left_runs.decide():
+                for admission in run.permit.admissions:
+                    self._losses.take_back(admission)
+
+    def _count_left(self, run):
+        self._count(run.permit, run.request_id, run.replica, run.left_ms)
 
     def _count(self, permit, request_id, replica, lost_ms):
         self._losses.lost(
--- a/dahliashunt/forwarding/forwarder.py
+++ b/dahliashunt/forwarding/forwarder.py
@@ -227,10 +227,14 @@
         """Attempt the call at the reserved replica; return how it ended."""
         guard, replica = self._forwarder.crash_guard, reservation.replica
         self._placed_ms = self._age_ms()
+        end = None
         try:
             end = await self._attempt(replica)
         finally:
             reservation.release()
+            if end is None:
+                # The caller has left.
+                guard.left(permit, self._call.request_id, replica)
         if end is not AttemptEnd.SERVED:
             self._record_failure(replica, end, permit)
             return end
@@ -361,6 +365,8 @@
             guard.lost(permit, request_id, replica)
         elif end in (AttemptEnd.NOT_RUN, AttemptEnd.FAILED):
             guard.ended_unharmed(permit)
+        else:
+            guard.left(permit, request_id, replica)
         if end is not AttemptEnd.TIMED_OUT:
             now_ms = self._clock.now_ms()
             self._forwarder.suspicion.failed(replica.incarnation, now_ms)
--- a/dahliashunt/forwarding/replicas.py
+++ b/dahliashunt/forwarding/replicas.py
@@ -182,6 +182,18 @@
         warm_at_ms = self._warm_at_ms_by_id.get(replica.replica_id)
         return warm_at_ms is not None and now_ms < warm_at_ms
 
+    def has_ended(self, replica: Replica) -> bool:
+        """Return whether that incarnation of a replica is listed no more."""
+        held = self._replica_by_id.get(replica.replica_id)
+        if held is None or held.incarnation != replica.incarnation:
+            return True
+        return self._current_by_address[held.address] != replica.replica_id
+
+    def is_leaving(self, replica: Replica) -> bool:
+        """Return whether that incarnation of a replica is being drained."""
+        held = self._replica_by_id.get(replica.replica_id)
+        return held is not None and held.leaving
+
     def get(self, replica_id: str) -> Replica | None:
         """Return the replica with the id `replica_id`, or None."""
         return self._replica_by_id.get(replica_id)
--- a/dahliashunt/jobs/worker.py
+++ b/dahliashunt/jobs/worker.py
@@ -427,7 +427,7 @@
                 reservation, self.pool, self.dialect, self.clock
             )
         finally:
-            self._note_end(permit, end)
+            self._note_end(item, reservation.replica, permit, end)
         if end is ItemEnd.LOST:
             guard.lost(
                 permit,
@@ -437,12 +437,14 @@
             )
         return end
 
-    def _note_end(self, permit, end):
+    def _note_end(self, item, replica, permit, end):
         """Tell the guard how a run ended, but for one that was lost."""
         guard = self.node.forwarder.crash_guard
         if end is ItemEnd.DONE:
             guard.served(permit.keys)
-        elif end in (ItemEnd.NOT_RUN, ItemEnd.FAILED, ItemEnd.IMPOSSIBLE):
+        elif end in (None, ItemEnd.REVOKED):
+            guard.left(permit, item.call.request_id, replica)
+        elif end is not ItemEnd.LOST:
             guard.ended_unharmed(permit)
 
     def _handle_end(self, job_run, item, reservation, end):
--- a/dahliashunt/platform/serve_entry.py
+++ b/dahliashunt/platform/serve_entry.py
@@ -19,6 +19,7 @@
 from dahliashunt.forwarding.follower import TableFollower
 from dahliashunt.forwarding.forwarder import Forwarder
 from dahliashunt.forwarding.known_replicas import KnownReplicas
+from dahliashunt.forwarding.left_runs import LeftRuns
 from dahliashunt.forwarding.losses import LOSSES_PREFIX
 from dahliashunt.forwarding.losses import SharedLosses
 from dahliashunt.forwarding.node import Node
@@ -207,12 +208,17 @@
         )
 
     def _make_forwarder(self):
+        left_runs = LeftRuns(
+            self._clock,
+            self._registry.has_ended,
+            self._registry.is_leaving,
+        )
         return Forwarder(
             self._selector,
             self._pool,
             PlatformDialect(),
             self._suspicion,
-            CrashGuard(self._losses, self._clock),
+            CrashGuard(self._losses, self._clock, left_runs),
             self._make_stream_origins(),
             self._clock,
             self.node.metrics,
