A batch item under which replicas crashed is placed again in time

During a burst of crashes several replicas died while they ran one sound item. Its lost runs were counted as those of a request that crashes replicas: it waited 5, 10, 15 and then 600 s, also at its next owner, while all was calm.

Items alone crash no replica, so each wait is now bounded by an eighth of the time until the item is due, then until it is given up.

Failed before (no result within 20 s): a sound item lost with six replicas is done soon, with its owner and with the next one. The test of an item that the next owner holds back measures from the last loss, and expects the trial that now follows the third loss at once; its owner's wait is 2.2 s of the 18 s.

--- a/dahliashunt/jobs/item_run.py
+++ b/dahliashunt/jobs/item_run.py
@@ -28,6 +28,13 @@
 """Delay before the next attempt after a refusal. Without it one item makes
 250 attempts a second at a replica that was replaced."""
 
+HELD_BACK_SHARE = 8
+"""Divisor of the time that an item has left: no wait for its lost runs takes
+more."""
+
+MIN_HELD_BACK_MS = 500
+"""Shortest bound of a wait for lost runs."""
+
 MAX_IDLE_MS = 3_000
 """Longest idle time of a pooled connection that an attempt reuses."""
 
@@ -156,6 +163,16 @@
         """Tell whether the item may be attempted, or is to be given up."""
         return now_ms >= min(self.not_before_ms, self.abandon_ms)
 
+    def longest_wait_ms(self, now_ms: int) -> int:
+        """Return the longest wait that its lost runs may cause.
+
+        It follows from the time until the item is due, then from the time
+        until it is given up.
+        """
+        until_ms = self.due_ms if now_ms < self.due_ms else self.abandon_ms
+        left_ms = until_ms - now_ms
+        return max(MIN_HELD_BACK_MS, left_ms // HELD_BACK_SHARE)
+
     def revoke(self) -> None:
         """Abort the attempt in progress, since its slot was revoked."""
         self._revoked = True
--- a/dahliashunt/jobs/worker.py
+++ b/dahliashunt/jobs/worker.py
@@ -322,6 +322,7 @@
             item.digest,
             service,
             item.call.shared_parts,
+            item.longest_wait_ms(self.clock.now_ms()),
         )
 
     async def _reserve(self, entry):
