A trial is not given up for silence, and holds up others no longer than needed

A trial now stays with its replica for the time of its call. One that was left by its caller holds up others until it is 0.3 s older than the longest lost run, 5 s at most. A run that was left counts as lost when its replica has ended, so that its time bounds that wait.

--- a/dahliashunt/decisions/loss_counts.py
+++ b/dahliashunt/decisions/loss_counts.py
@@ -197,7 +197,7 @@
 
 
 def _longest_ms(runs):
-    return max(run.lost_ms - run.began_ms for run in runs)
+    return max((run.lost_ms - run.began_ms for run in runs), default=0)
 
 
 class LossCounts:
@@ -279,6 +279,10 @@
         """Return the number of crashes, of those that are kept."""
         return count_crashes(self.runs(digest, now_ms))
 
+    def longest_ms(self, digest: Fingerprint, now_ms: int) -> int:
+        """Return how long the longest of the kept runs has lasted."""
+        return _longest_ms(self.runs(digest, now_ms))
+
     def expired(self, now_ms: int) -> list[Fingerprint]:
         """Return the digests whose losses have expired."""
         return [
--- a/dahliashunt/forwarding/attempt.py
+++ b/dahliashunt/forwarding/attempt.py
@@ -144,11 +144,13 @@
     def _head_silence_ms(self):
         """Return how long to wait for the head; None for the whole budget.
 
+        A trial is not abandoned, since all requests like it wait for its end.
         Abandoning this attempt counts it as a run, so `max_attempts` must
         allow one more.
         """
         route = self._route
-        if not route.repeatable or self._state.ran + 1 >= route.max_attempts:
+        is_last = self._state.ran + 1 >= route.max_attempts
+        if not route.repeatable or is_last or self._state.on_trial:
             return None
         return max(MIN_SILENCE_MS, route.objective_ms)
 
@@ -252,6 +254,8 @@
     def _pause_ms(self):
         if not self._route.pause_ms or not self._state.may_retry:
             return None
+        if self._state.on_trial:
+            return None
         return max(MIN_SILENCE_MS, self._route.pause_ms * SILENCE_SHARE)
 
     async def _relay_events(self, connection, splitter, events, head):
--- a/dahliashunt/forwarding/call_state.py
+++ b/dahliashunt/forwarding/call_state.py
@@ -62,6 +62,8 @@
     sent_budget_ms : int
         Time that the latest attempt handed on to its replica.
     held : HeldResponse or None
+    on_trial : bool
+        Whether the attempt in progress is the only run of its request.
     is_rejected : bool
         Whether the replica answered with a client error.
     """
@@ -76,6 +78,7 @@
     first_ms: int = 0
     sent_budget_ms: int = 0
     held: HeldResponse | None = None
+    on_trial: bool = False
     is_rejected: bool = False
 
     @property
--- a/dahliashunt/forwarding/crash_guard.py
+++ b/dahliashunt/forwarding/crash_guard.py
@@ -26,6 +26,13 @@
 FOLLOW_MS = 100
 """Interval between looks at runs that were left, and at kept trials."""
 
+UNDECIDED_MS = 300
+"""Time beyond that of the longest lost run after which a trial that was left
+seems not to have crashed its replica."""
+
+MAX_UNDECIDED_MS = 5_000
+"""Longest time for which a trial that was left holds up others."""
+
 MAX_OWED_TRIALS = 4
 """Lost trials of a part up to which an item waits no longer than it can. An
 item alone crashes no replica, but a part of its prompt may; a part that was
@@ -68,6 +75,11 @@
     admissions: tuple[Admission, ...]
     began_ms: int
 
+    @property
+    def is_trial(self) -> bool:
+        """Whether it is for a suspect's only run."""
+        return any(each.trial is not None for each in self.admissions)
+
 
 def crash_keys(
     request: Fingerprint,
@@ -195,15 +207,14 @@
             Whether the next run goes on after what this one has written, so
             that only the prompt's parts are counted.
         """
-        now_ms = self._clock.now_ms()
         if has_progress:
             request = permit.keys.request
             self._keep(
                 each for each in permit.admissions if each.digest == request
             )
-            self._count_parts(permit, request_id, replica, now_ms)
+            self._count_parts(permit, request_id, replica)
         else:
-            self._count(permit, request_id, replica, now_ms)
+            self._count(permit, request_id, replica)
         if self._left_runs is not None:
             for run in self._left_runs.take_at(replica.incarnation):
                 self._count_left(run)
@@ -229,24 +240,35 @@
             self._losses.take_back_old()
             for run in self._left_runs.take_crashed():
                 self._count_left(run)
-            for run in self._left_runs.decide():
-                for admission in run.permit.admissions:
-                    self._losses.take_back(admission)
+            for run in self._left_runs.undecided():
+                self._decide(run)
+
+    def _decide(self, run):
+        """Take back a left trial that lasts longer than the lost runs."""
+        trials = [each for each in run.permit.admissions if each.trial]
+        longest_ms = max(
+            (self._losses.longest_ms(each.digest) for each in trials),
+            default=0,
+        )
+        age_ms = self._clock.now_ms() - run.permit.began_ms
+        if age_ms >= min(MAX_UNDECIDED_MS, longest_ms + UNDECIDED_MS):
+            run.is_decided = True
+            for admission in trials:
+                self._losses.take_back(admission)
 
     def _count_left(self, run):
-        self._count(run.permit, run.request_id, run.replica, run.left_ms)
+        self._count(run.permit, run.request_id, run.replica)
 
-    def _count(self, permit, request_id, replica, lost_ms):
+    def _count(self, permit, request_id, replica):
         self._losses.lost(
             permit.keys.request,
             request_id,
             permit.began_ms,
             replica=_incarnation_name(replica),
-            lost_ms=lost_ms,
         )
-        self._count_parts(permit, request_id, replica, lost_ms)
+        self._count_parts(permit, request_id, replica)
 
-    def _count_parts(self, permit, request_id, replica, lost_ms):
+    def _count_parts(self, permit, request_id, replica):
         parts = permit.keys.parts
         for part in parts:
             self._losses.lost(
@@ -255,7 +277,6 @@
                 permit.began_ms,
                 beside=frozenset(parts) - {part},
                 replica=_incarnation_name(replica),
-                lost_ms=lost_ms,
             )
             if self._losses.losses(part) == 1:
                 self._served_before_by_part.pop(part, None)
--- a/dahliashunt/forwarding/forwarder.py
+++ b/dahliashunt/forwarding/forwarder.py
@@ -227,6 +227,7 @@
         """Attempt the call at the reserved replica; return how it ended."""
         guard, replica = self._forwarder.crash_guard, reservation.replica
         self._placed_ms = self._age_ms()
+        self._state.on_trial = permit.is_trial
         end = None
         try:
             end = await self._attempt(replica)
--- a/dahliashunt/forwarding/left_runs.py
+++ b/dahliashunt/forwarding/left_runs.py
@@ -17,10 +17,6 @@
 """Time for which a run is followed: a crash some seconds after its begin, and
 then the time after which the list drops a replica."""
 
-UNDECIDED_MS = 5_000
-"""Time after which a trial that was left counts as one that did not crash its
-replica; other callers of the request wait for it."""
-
 MAX_RUNS = 2_000
 """Runs followed at once; the oldest are dropped first."""
 
@@ -35,15 +31,15 @@
     request_id : str
     replica : Replica
     left_ms : int
-    undecided : bool
-        Whether its trial, if it is one, still holds up others.
+    is_decided : bool
+        Whether its trial, if it is one, holds up others no more.
     """
 
     permit: object
     request_id: str
     replica: Replica
     left_ms: int
-    undecided: bool = True
+    is_decided: bool
 
 
 class LeftRuns:
@@ -72,7 +68,9 @@
     def add(self, permit, request_id: str, replica: Replica) -> None:
         """Follow a run that is left now."""
         now_ms = self._clock.now_ms()
-        self._runs.append(LeftRun(permit, request_id, replica, now_ms))
+        is_decided = not permit.is_trial
+        run = LeftRun(permit, request_id, replica, now_ms, is_decided)
+        self._runs.append(run)
 
     def take_at(self, incarnation: tuple[str, int]) -> list[LeftRun]:
         """Remove and return the runs at an incarnation that has ended."""
@@ -89,17 +87,9 @@
         self._take(lambda run: run.left_ms < oldest_ms)
         return crashed
 
-    def decide(self) -> list[LeftRun]:
-        """Return the runs that have just become too old to hold up others."""
-        until_ms = self._clock.now_ms() - UNDECIDED_MS
-        decided = [
-            run
-            for run in self._runs
-            if run.undecided and run.left_ms <= until_ms
-        ]
-        for run in decided:
-            run.undecided = False
-        return decided
+    def undecided(self) -> list[LeftRun]:
+        """Return the runs whose trials may hold up others."""
+        return [run for run in self._runs if not run.is_decided]
 
     def _take(self, is_taken):
         taken = [run for run in self._runs if is_taken(run)]
--- a/dahliashunt/forwarding/losses.py
+++ b/dahliashunt/forwarding/losses.py
@@ -170,7 +170,6 @@
         began_ms: int,
         beside: frozenset | None = None,
         replica: str = "",
-        lost_ms: int | None = None,
     ) -> None:
         """Count a request, or a part of one, that was lost with its replica.
 
@@ -184,17 +183,12 @@
             For a part, the request's other parts.
         replica : str
             Identifies the replica's incarnation.
-        lost_ms : int or None
-            Time by this entry's clock of the loss; None for now.
         """
         now_ms = self._now_ms()
-        shift_ms = now_ms - self._clock.now_ms()
+        age_ms = self._clock.now_ms() - began_ms
         before = self._known(digest, now_ms)
         self._learn_beside(digest, beside)
-        lost_at_ms = now_ms if lost_ms is None else lost_ms + shift_ms
-        losses = self._counts.lost(
-            digest, began_ms + shift_ms, lost_at_ms, replica
-        )
+        losses = self._counts.lost(digest, now_ms - age_ms, now_ms, replica)
         self._log.info(
             "request_lost" if beside is None else "part_lost",
             request_id=request_id,
@@ -256,6 +250,10 @@
             return Permission.ALLOWED
         return permission
 
+    def longest_ms(self, digest: Fingerprint) -> int:
+        """Return how long the longest of the lost runs has lasted."""
+        return self._counts.longest_ms(digest, self._now_ms())
+
     def lost_trials(self, digest: Fingerprint) -> int:
         """Return the number of trials whose runs were lost."""
         return self._counts.lost_trials(digest, self._now_ms())
