--- a/dahliashunt/decisions/loss_counts.py
+++ b/dahliashunt/decisions/loss_counts.py
@@ -48,6 +48,7 @@
     "Permission",
     "Trial",
     "count_crashes",
+    "decides_alike",
     "losses_in_row",
 ]
 
@@ -178,6 +179,33 @@
     return sum(map(len, map(losses_in_row, _by_replica(runs).values())))
 
 
+def decides_alike(losses, others) -> bool:
+    """Return whether two states of one request need not be merged.
+
+    A rack that goes dark loses a popular request at many entries. Once the
+    crashes make it a suspect, further ones before its first trial change
+    nothing, and need no write.
+
+    Parameters
+    ----------
+    losses, others : (tuple of LostRun, tuple of Trial)
+
+    Examples
+    --------
+    >>> three = tuple(LostRun(5, 0, name) for name in "abc")
+    >>> decides_alike((three, ()), ((*three, LostRun(5, 0, "d")), ()))
+    True
+    >>> decides_alike((three, ()), (three[:2], ()))
+    False
+    """
+    if losses == others:
+        return True
+    if losses[1] or others[1]:
+        return False
+    crashes = (count_crashes(runs) for runs, _ in (losses, others))
+    return min(crashes) >= MAX_LOSSES
+
+
 def _by_replica(runs):
     runs_by_replica = collections.defaultdict(list)
     for run in runs:
--- a/dahliashunt/forwarding/losses.py
+++ b/dahliashunt/forwarding/losses.py
@@ -16,6 +16,7 @@
 import json
 import random
 
+from dahliashunt.decisions.loss_counts import decides_alike
 from dahliashunt.decisions.loss_counts import EXPIRY_MS
 from dahliashunt.decisions.loss_counts import LossCounts
 from dahliashunt.decisions.loss_counts import losses_in_row
@@ -452,11 +453,10 @@
             self._learn(digest, stored)
         runs, beside = self._known(digest, self._now_ms())
         trials = self._counts.trials(digest)
-        if (runs, beside, trials) != (
-            stored.runs,
-            stored.beside,
-            stored.trials,
-        ):
+        is_same = beside == stored.beside and decides_alike(
+            (runs, trials), (stored.runs, stored.trials)
+        )
+        if not is_same:
             await self._put_row(digest, row, _Losses(runs, trials, beside))
         self._taken_back -= set(stored.trials)
 
--- a/dahliashunt/forwarding/tests/test_losses.py
+++ b/dahliashunt/forwarding/tests/test_losses.py
@@ -9,6 +9,7 @@
 from dahliashunt.adapters.clock import VirtualClock
 from dahliashunt.adapters.table.memory import MemoryTableService
 from dahliashunt.decisions.loss_counts import EXPIRY_MS
+from dahliashunt.decisions.loss_counts import MAX_LOSSES
 from dahliashunt.decisions.loss_counts import QUARANTINES_MS
 from dahliashunt.forwarding.losses import CLAIM_PAUSE_MS
 from dahliashunt.forwarding.losses import LOSSES_PREFIX
@@ -105,9 +106,9 @@
 def play():
     """Return a function that runs a scenario on a `Fleet`."""
 
-    def run(scenario, seed):
+    def run(scenario, seed, **how):
         async def main():
-            fleet = Fleet(random.Random(seed))
+            fleet = Fleet(random.Random(seed), **how)
             loops = [fleet.spread(), *(e.run() for e in fleet.entries)]
             tasks = [asyncio.create_task(loop) for loop in loops]
             played = asyncio.create_task(scenario(fleet))
@@ -155,6 +156,28 @@
     play(scenario, 1)
 
 
+def test_a_request_lost_at_many_entries_needs_few_writes(play):
+    # Guards against a write by each entry for each popular request of a rack.
+    async def scenario(fleet):
+        writes = []
+        transact = fleet.table.transact
+
+        async def count(rows):
+            writes.append(rows)
+            return await transact(rows)
+
+        fleet.table.transact = count
+        for number, entry in enumerate(fleet.entries):
+            entry.lost(DIGEST, "r", 900, replica=f"i-{number}")
+            if number >= MAX_LOSSES:
+                await fleet.clock.sleep_ms(2)
+        await fleet.clock.sleep_ms(2_000)
+        assert len(writes) <= 2 * MAX_LOSSES
+        assert await fleet.call(fleet.entries[-1], "served")
+
+    play(scenario, 1, entries=40)
+
+
 def test_a_trial_counts_though_its_entry_ends(play):
     # Guards against one more retry for each entry that is killed between its
     # claim and the loss of the run.
