The soak plays services taken down whole, and bursts of crashes

Two faults: a request that crashes replicas goes to all entries at the same moment, and again when the replicas are back; replicas crash in bursts that no request has caused, after which each item must have its result as before. A replica that has crashed comes back under another id, as on the platform; it kept its id, so that the end of its incarnation could not be seen.

Retries are counted from 3 s after the crash that must be known, the strictest contact-ms of all deployments; it was 4 s.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -111,6 +111,16 @@
             await self.call_once(loop, CRASH_PATH)
             await asyncio.sleep(self._rng.uniform(0.2, 2) * gap_ms / 1_000)
 
+    async def crash_together(self):
+        """Send requests that crash replicas to all entries at once."""
+        loop = asyncio.get_running_loop()
+        await asyncio.gather(
+            *(
+                self.call_once(loop, CRASH_PATH, entry)
+                for entry in range(len(self._fleet.entries))
+            )
+        )
+
     async def reuse_connections(self, stop):
         """Send requests one after another, as long as a connection lasts."""
         while not stop.is_set():
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -20,7 +20,7 @@
 MOST_ANSWERS = {500: 3 * JOB_RUNS, 422: 3}
 """Most answers of a status to an item that fails at each run."""
 
-CONTACT_S = 4.0
+CONTACT_S = 3.0
 CRASHES_OF_REQUEST = 3
 CRASHES_OF_PART = 5
 MOST_RETRIES = 3
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -140,6 +140,11 @@
         For settings and logs.
     rng : random.Random
     entries, replicas : int
+
+    Attributes
+    ----------
+    send_crashes : coroutine function
+        Sends a request that crashes replicas to all entries at once.
     """
 
     def __init__(self, folder, rng, entries=3, replicas=3):
@@ -156,6 +161,8 @@
         self.revision = 0
         self.exits = []
         self.bunched_entry = None
+        self.send_crashes = None
+        self._returns = set()
         self._replacing = asyncio.Lock()
         self._replaced = itertools.count()
         self._counts = (entries, replicas)
@@ -207,17 +214,33 @@
     async def replace_replica(self, number, version, drain_s):
         """Drain a replica, and start one of `version` at its address."""
         async with self._replacing:
-            replica = self.replicas[number]
             self.list_replica(number, "draining")
             await asyncio.sleep(drain_s)
-            self.store.unlist_replica(replica.replica_id)
-            name = f"i-{number}-{next(self._replaced)}"
-            replica.restart(name, version)
-            self.list_replica(number)
+            self._start_another(number, version)
+
+    def _start_another(self, number, version):
+        replica = self.replicas[number]
+        self.store.unlist_replica(replica.replica_id)
+        name = f"i-{number}-{next(self._replaced)}"
+        replica.restart(name, version)
+        self.list_replica(number)
+
+    def _return_later(self, replica, down_s):
+        """List a replica that has crashed as another one once it is back."""
+        task = asyncio.create_task(self._return(replica, down_s))
+        self._returns.add(task)
+        task.add_done_callback(self._returns.discard)
+
+    async def _return(self, replica, down_s):
+        await asyncio.sleep(down_s)
+        async with self._replacing:
+            number = self.replicas.index(replica)
+            self._start_another(number, replica.version)
 
     async def _add_replica(self, number):
         host = f"{self._net}.{100 + number}"
         replica = self.replicas[number]
+        replica.on_crash = self._return_later
         inner = (f"{self._net}.{200 + number}", self._ports["replica"])
         await replica.start_at(*inner)
         link = Proxy(lambda: inner)
@@ -272,6 +295,8 @@
 
     async def stop(self):
         """End every process that was started here, and all servers."""
+        for task in self._returns:
+            task.cancel()
         for machine in (*self.entries, *self.agents):
             machine.send(signal.SIGCONT)
             await machine.kill()
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -261,6 +261,24 @@
     replica.step_by_chance = []
 
 
+@FAULTS.register("crashing_requests_together")
+async def _crashing_requests_together(fleet, rng):
+    """Send them to all entries, and again when the replicas are back."""
+    for _ in range(rng.randint(2, 4)):
+        await fleet.send_crashes()
+        await _last(rng, 1_500, 4_000)
+
+
+@FAULTS.register("replicas_crash_in_series")
+async def _replicas_crash_in_series(fleet, rng):
+    """Crash replicas in bursts that no request has caused."""
+    for _ in range(rng.randint(3, 6)):
+        count = rng.randint(1, len(fleet.replicas))
+        for replica in rng.sample(fleet.replicas, count):
+            replica.go_down()
+        await _last(rng, 300, 900)
+
+
 @FAULTS.register("replica_unlisted")
 async def _replica_unlisted(fleet, rng):
     number = rng.randrange(len(fleet.replicas))
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -68,6 +68,7 @@
         drawn_by_part = random.Random(seed + 4_000).random() < 0.5
         self.by_part = drawn_by_part if by_part is None else by_part
         self.crasher = Caller(self.fleet, crash_rng, "w", self.by_part)
+        self.fleet.send_crashes = self.crasher.crash_together
         self._crash_after_s = crash_rng.choice(CRASH_AFTER_S) if late else 0
         self._crash_callers = LATE_CRASH_CALLERS if late else CRASH_CALLERS
         self.played = []
--- a/tests/soak/replica.py
+++ b/tests/soak/replica.py
@@ -74,6 +74,8 @@
         Time and request of each run that was to crash it.
     budgets_by_request : defaultdict of list
         Time of arrival, and the time handed on in milliseconds.
+    on_crash : callable
+        Gets the replica and the seconds after which it is back.
     """
 
     def __init__(self, replica_id, rng, version):
@@ -87,6 +89,7 @@
         self.crashes = []
         self.crashing_runs = []
         self.budgets_by_request = collections.defaultdict(list)
+        self.on_crash = lambda replica, down_s: None
         self._down_until_s = 0.0
         self._writers = set()
         self._waiting = 0
@@ -97,6 +100,14 @@
         """Return an event of this replica's version."""
         return event_bytes(number, self.version)
 
+    def go_down(self):
+        """Break all connections, and refuse new ones for a while."""
+        now_s = asyncio.get_running_loop().time()
+        self._down_until_s = now_s + self.rng.uniform(*DOWN_S)
+        for writer in self._writers:
+            writer.transport.abort()
+        self.on_crash(self, self._down_until_s - now_s)
+
     def restart(self, replica_id, version):
         """Become another replica at the same address."""
         self.replica_id = replica_id
@@ -126,11 +137,8 @@
         if len(self.crashes) > crashes:
             # Another run has crashed it meanwhile.
             return
-        now_s = loop.time()
-        self.crashes.append(now_s)
-        self._down_until_s = now_s + self.rng.uniform(*DOWN_S)
-        for writer in self._writers:
-            writer.transport.abort()
+        self.crashes.append(loop.time())
+        self.go_down()
 
     def _note_budget(self, arrival):
         now_s = asyncio.get_running_loop().time()
