A request that most callers send is spared after bursts of crashes

A request is now judged as a prompt part is: while it is a large share of what an entry has served, and few others were served since its first loss, its losses may be those of a rack. It is held back once others are served without it, or after eight losses to different causes. A request that crashes replicas was never served and is held back at once. Without the store, only crashes that no trial has followed are taken for one cause.

--- a/dahliashunt/decisions/prompt_parts.py
+++ b/dahliashunt/decisions/prompt_parts.py
@@ -46,7 +46,12 @@
 
 
 class PartHistory:
-    """Requests that this entry has served, by prompt part.
+    """Requests that this entry has served, by prompt part or digest.
+
+    Parameters
+    ----------
+    max_parts : int
+        Parts counted in one generation; the first ones are.
 
     Examples
     --------
@@ -57,7 +62,8 @@
     (2, 1, 1.0)
     """
 
-    def __init__(self):
+    def __init__(self, max_parts: int = MAX_PARTS):
+        self._max_parts = max_parts
         self.total_ever = 0
         self._began_ms = 0
         self._count_by_part: dict[Fingerprint, int] = {}
@@ -76,7 +82,7 @@
         self._total += 1
         counts = self._count_by_part
         for part in parts:
-            if part in counts or len(counts) < MAX_PARTS:
+            if part in counts or len(counts) < self._max_parts:
                 counts[part] = counts.get(part, 0) + 1
 
     def served(self, part: Fingerprint) -> int:
--- a/dahliashunt/forwarding/crash_guard.py
+++ b/dahliashunt/forwarding/crash_guard.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 from dahliashunt.decisions.loss_counts import EXPIRY_MS
+from dahliashunt.decisions.loss_counts import MAX_DIGESTS
 from dahliashunt.decisions.loss_counts import Permission
 from dahliashunt.decisions.prompt_parts import is_held_back
 from dahliashunt.decisions.prompt_parts import PartHistory
@@ -33,6 +34,14 @@
 MAX_UNDECIDED_MS = 5_000
 """Longest time for which a trial that was left holds up others."""
 
+MAX_REQUESTS = 2_000
+"""Requests whose share of what is served is known; a popular one is among the
+first."""
+
+MAX_CAUSES = 8
+"""Losses to different causes after which a popular request is spared no
+longer."""
+
 MAX_OWED_TRIALS = 4
 """Lost trials of a part up to which an item waits no longer than it can. An
 item alone crashes no replica, but a part of its prompt may; a part that was
@@ -124,8 +133,9 @@
         self._left_runs = left_runs
         self._has_work = asyncio.Event()
         self._history = PartHistory()
-        # Served requests of any kind before a part's first loss in a row.
-        self._served_before_by_part: dict[Fingerprint, int] = {}
+        self._requests = PartHistory(MAX_REQUESTS)
+        # Served requests of any kind before a digest's first loss.
+        self._served_before_by_digest: dict[Fingerprint, int] = {}
 
     def is_quarantined(self, keys: CrashKeys) -> bool:
         """Return whether the request must not be sent for some time."""
@@ -266,6 +276,7 @@
             permit.began_ms,
             replica=_incarnation_name(replica),
         )
+        self._note_loss(permit.keys.request)
         self._count_parts(permit, request_id, replica)
 
     def _count_parts(self, permit, request_id, replica):
@@ -278,16 +289,16 @@
                 beside=frozenset(parts) - {part},
                 replica=_incarnation_name(replica),
             )
-            if self._losses.losses(part) == 1:
-                self._served_before_by_part.pop(part, None)
-            self._served_since(part)
+            self._note_loss(part)
 
     def served(self, keys: CrashKeys) -> None:
         """Clear the losses of a request that was served, and of its parts."""
-        self._history.note_served(self._clock.now_ms(), keys.parts)
+        now_ms = self._clock.now_ms()
+        self._history.note_served(now_ms, keys.parts)
+        self._requests.note_served(now_ms, (keys.request,))
         for digest in (keys.request, *keys.parts):
             self._losses.served(digest)
-            self._served_before_by_part.pop(digest, None)
+            self._served_before_by_digest.pop(digest, None)
 
     def losses(self, keys: CrashKeys) -> int:
         """Return the most crashes of the request or of a part."""
@@ -295,7 +306,8 @@
 
     def _held_back(self, keys):
         """Yield the request, and the parts that may be the guilty ones."""
-        yield keys.request
+        if self._is_request_held_back(keys.request):
+            yield keys.request
         for part in keys.parts:
             if self._losses.permission(part) is Permission.ALLOWED:
                 continue
@@ -304,10 +316,33 @@
             if is_held_back(part, beside, others, self._history):
                 yield part
 
-    def _served_since(self, part):
+    def _is_request_held_back(self, digest):
+        """Return whether a request may crash replicas.
+
+        One that is a large share of all that is served is spared for as long
+        as its losses may be those of a rack: few others were served since.
+        """
+        if self._losses.permission(digest) is Permission.ALLOWED:
+            return False
+        others = self._served_since(digest)
+        return (
+            is_held_back(digest, (), others, self._requests)
+            or self._losses.causes(digest) >= MAX_CAUSES
+        )
+
+    def _note_loss(self, digest):
+        """Note what was served before the first loss."""
+        before = self._served_before_by_digest
+        if self._losses.losses(digest) == 1:
+            before.pop(digest, None)
+        self._served_since(digest)
+        if len(before) > MAX_DIGESTS:
+            del before[next(iter(before))]
+
+    def _served_since(self, digest):
         """Return how many requests were served since the first loss."""
         now = self._history.total_ever
-        return now - self._served_before_by_part.setdefault(part, now)
+        return now - self._served_before_by_digest.setdefault(digest, now)
 
 
 def _incarnation_name(replica):
--- a/dahliashunt/forwarding/losses.py
+++ b/dahliashunt/forwarding/losses.py
@@ -237,20 +237,26 @@
     ) -> Permission:
         """Return whether the request may be sent, as far as is known here.
 
-        Without the store, crashes count only if they had different causes:
-        a popular request lost with a rack has no trial until it is back.
+        Without the store there is no trial, so that crashes which no trial
+        has followed count only if they had different causes: a popular
+        request lost with a rack is not refused until the store is back.
         """
         if digest in self._kept_by_digest:
             return Permission.TRIAL
         now_ms = self._now_ms()
         permission = self._counts.permission(digest, now_ms, longest_wait_ms)
-        if permission is Permission.ALLOWED or not self._is_cut_off():
+        if permission is not Permission.TRIAL or not self._is_cut_off():
             return permission
         runs = self._counts.runs(digest, now_ms)
-        if len(losses_in_row(runs)) < MAX_LOSSES:
+        has_one_cause = len(losses_in_row(runs)) < MAX_LOSSES
+        if has_one_cause and not self._counts.trials(digest):
             return Permission.ALLOWED
         return permission
 
+    def causes(self, digest: Fingerprint) -> int:
+        """Return how many causes the kept losses have had at least."""
+        return len(losses_in_row(self._counts.runs(digest, self._now_ms())))
+
     def longest_ms(self, digest: Fingerprint) -> int:
         """Return how long the longest of the lost runs has lasted."""
         return self._counts.longest_ms(digest, self._now_ms())
--- a/dahliashunt/forwarding/tests/crash_simulation.py
+++ b/dahliashunt/forwarding/tests/crash_simulation.py
@@ -18,7 +18,7 @@
 from dahliashunt.forwarding.losses import LOSSES_PREFIX
 from dahliashunt.forwarding.losses import SharedLosses
 
-__all__ = ["CrashSimulation"]
+__all__ = ["POPULAR", "CrashSimulation", "Incarnation"]
 
 FEED_MS = 100
 SOUND_MS = 400
@@ -29,6 +29,7 @@
 FIRST_PARTS = 8
 MIDDLE_PARTS = 700
 STEP_MS = 20
+POPULAR = "popular"
 WAIT_MS = 1_500
 """Longest wait of a request for the end of a trial."""
 
@@ -41,7 +42,9 @@
 
 
 @dataclass(frozen=True)
-class _Incarnation:
+class Incarnation:
+    """What the guard asks of a replica."""
+
     replica_id: str
     born_ms: int
 
@@ -143,14 +146,24 @@
         replica.running = set()
 
     async def play(
-        self, for_ms, rate, guilty_rate=0.0, guilty="bad", firsts=8
+        self,
+        for_ms,
+        rate,
+        guilty_rate=0.0,
+        guilty="bad",
+        firsts=8,
+        popular=0.0,
     ):
-        """Play traffic of `rate` sound requests a second for some time."""
+        """Play traffic of `rate` sound requests a second for some time.
+
+        A share `popular` of them is the same request.
+        """
         until_ms = self.clock.now_ms() + for_ms
         while self.clock.now_ms() < until_ms:
             for share, part in ((rate, None), (guilty_rate, guilty)):
                 if self.rng.random() < share * STEP_MS / 1_000:
-                    self._start(self._call(part, firsts))
+                    is_popular = not part and self.rng.random() < popular
+                    self._start(self._call(part, firsts, is_popular))
             await self.clock.advance(STEP_MS)
             if self.clock.now_ms() % FEED_MS < STEP_MS:
                 await self._spread()
@@ -158,7 +171,7 @@
     def burst(self, count, guilty="bad"):
         """Send guilty requests at one moment."""
         for _ in range(count):
-            self._start(self._call(guilty, FIRST_PARTS))
+            self._start(self._call(guilty, FIRST_PARTS, False))
 
     async def _spread(self):
         rows = await self.table.read_range(
@@ -167,11 +180,13 @@
         for _, listener in self._entries:
             listener.deliver(rows)
 
-    async def _call(self, guilty, firsts):
+    async def _call(self, guilty, firsts, is_popular):
         number = next(self._numbers)
         first = f"first{self.rng.randrange(firsts)}"
         middle = guilty or f"middle{self.rng.randrange(MIDDLE_PARTS)}"
         keys = crash_keys(f"r{number}", "s", (first, middle))
+        if is_popular:
+            first, keys = POPULAR, crash_keys(POPULAR, "s", ())
         guard, _ = self.rng.choice(self._entries)
         began = False
         for _ in range(MAX_ATTEMPTS):
@@ -204,7 +219,7 @@
             guard.ended_unharmed(permit)
             return False
         replica = self.rng.choice(up)
-        incarnation = _Incarnation(replica.replica_id, replica.up_ms)
+        incarnation = Incarnation(replica.replica_id, replica.up_ms)
         lost = asyncio.Event()
         replica.running.add(lost)
         if guilty:
--- a/dahliashunt/forwarding/tests/test_crash_guard.py
+++ b/dahliashunt/forwarding/tests/test_crash_guard.py
@@ -6,6 +6,8 @@
 
 from dahliashunt.forwarding.crash_guard import crash_keys
 from dahliashunt.forwarding.tests.crash_simulation import CrashSimulation
+from dahliashunt.forwarding.tests.crash_simulation import Incarnation
+from dahliashunt.forwarding.tests.crash_simulation import POPULAR
 
 CONTACT_MS = 3_000
 LATE_REQUESTS = 3
@@ -117,6 +119,50 @@
     simulate(scenario, seed)
 
 
+@pytest.mark.parametrize(
+    ("share", "racks"), [(0.01, 1), (0.05, 4), (0.3, 4), (0.5, 10), (1.0, 10)]
+)
+@pytest.mark.parametrize("seed", range(3))
+def test_popular_requests_come_back_at_once_after_dark_racks(
+    simulate, seed, share, racks
+):
+    # Guards against refusing or holding up sound requests that several racks
+    # took with them, one after another.
+    async def scenario(s):
+        await s.play(WARM_MS, 3 * RATE, popular=share)
+        for _ in range(racks):
+            s.crash(20)
+            await s.play(1_500, 3 * RATE, popular=share)
+        ended_ms = s.clock.now_ms()
+        await s.play(3_000, 3 * RATE, popular=share)
+        assert s.sound_share(ended_ms, first=POPULAR) >= 0.95
+
+    simulate(scenario, seed, entries=20, replicas=30)
+
+
+def test_a_popular_request_is_spared_while_little_else_is_served(simulate):
+    # Guards against refusing what most callers ask, after bursts of crashes
+    # that nothing served has survived.
+    async def scenario(s):
+        guard = s.add_entry()
+        popular, other = (crash_keys(name, "s", ()) for name in "po")
+        for _ in range(20):
+            guard.served(popular)
+            guard.served(other)
+        for number in range(5):
+            permit = await guard.admit(popular)
+            guard.lost(permit, "r", Incarnation(f"i-{number}", 0))
+        assert not guard.is_quarantined(popular)
+        for _ in range(20):
+            guard.served(other)
+        permit = await guard.admit(popular)
+        assert permit.is_trial
+        guard.lost(permit, "r", Incarnation("i-6", 0))
+        assert guard.is_quarantined(popular)
+
+    simulate(scenario)
+
+
 def test_an_entry_that_starts_holds_back_what_others_do(simulate):
     # Guards against a crash for each entry that is restarted.
     async def scenario(s):
