--- a/dahliashunt/forwarding/tests/crash_simulation.py
+++ b/dahliashunt/forwarding/tests/crash_simulation.py
@@ -82,6 +82,8 @@
         Times of crashes that a guilty request caused.
     guilty_ms : list of int
         Times at which guilty requests reached replicas.
+    lost : list of (int, str)
+        Time of each crash for any cause, and the replica's id.
     replicas : list
     sound : list of (int, str, bool)
         Time of each sound request, its first part, and whether its first
@@ -95,6 +97,7 @@
         self.crashes_ms = []
         self.guilty_ms = []
         self.sound = []
+        self.lost = []
         self._make_guard = guard
         self.replicas = [_Replica(f"i-{n}") for n in range(replicas)]
         self._entries = []
@@ -140,6 +143,7 @@
             self._lose(replica)
 
     def _lose(self, replica):
+        self.lost.append((self.clock.now_ms(), replica.replica_id))
         replica.up_ms = self.clock.now_ms() + DOWN_MS
         for lost in replica.running:
             lost.set()
@@ -160,14 +164,19 @@
         """
         until_ms = self.clock.now_ms() + for_ms
         while self.clock.now_ms() < until_ms:
-            for share, part in ((rate, None), (guilty_rate, guilty)):
-                if self.rng.random() < share * STEP_MS / 1_000:
+            for each_rate, part in ((rate, None), (guilty_rate, guilty)):
+                for _ in range(self._due(each_rate)):
                     is_popular = not part and self.rng.random() < popular
                     self._start(self._call(part, firsts, is_popular))
             await self.clock.advance(STEP_MS)
             if self.clock.now_ms() % FEED_MS < STEP_MS:
                 await self._spread()
 
+    def _due(self, rate):
+        """Return how many requests of a rate begin in one step."""
+        whole, part = divmod(rate * STEP_MS / 1_000, 1)
+        return int(whole) + (self.rng.random() < part)
+
     def burst(self, count, guilty="bad"):
         """Send guilty requests at one moment."""
         for _ in range(count):
@@ -211,14 +220,23 @@
             await self.clock.sleep_ms(STEP_MS)
         return None
 
+    def _pick_replica(self):
+        """Return a replica that is up and has room, None without one."""
+        now_ms = self.clock.now_ms()
+        first = self.rng.randrange(len(self.replicas))
+        count = len(self.replicas)
+        for number in range(first, first + count):
+            replica = self.replicas[number % count]
+            if replica.up_ms <= now_ms and len(replica.running) < SLOTS:
+                return replica
+        return None
+
     async def _run(self, guard, permit, number, guilty):
         now_ms = self.clock.now_ms()
-        up = [r for r in self.replicas if r.up_ms <= now_ms]
-        up = [r for r in up if len(r.running) < SLOTS]
-        if not up:
+        replica = self._pick_replica()
+        if replica is None:
             guard.ended_unharmed(permit)
             return False
-        replica = self.rng.choice(up)
         incarnation = Incarnation(replica.replica_id, replica.up_ms)
         lost = asyncio.Event()
         replica.running.add(lost)
