--- a/dahliashunt/forwarding/crash_guard.py
+++ b/dahliashunt/forwarding/crash_guard.py
@@ -23,7 +23,6 @@
 
 __all__ = ["CrashGuard", "CrashKeys", "RunPermit", "crash_keys"]
 
-
 FOLLOW_MS = 100
 """Interval between looks at runs that were left, and at kept trials."""
 
@@ -119,7 +118,8 @@
     losses : SharedLosses
     clock : Clock
     left_runs : LeftRuns, optional
-        Follows the runs that this entry leaves; none are if left out.
+        Follows the runs that this entry leaves; by default no replica is
+        known to end.
     """
 
     def __init__(
@@ -131,6 +131,8 @@
         self._losses = losses
         self._clock = clock
         self._left_runs = left_runs
+        if left_runs is None:
+            self._left_runs = LeftRuns(clock)
         self._has_work = asyncio.Event()
         self._history = PartHistory()
         self._requests = PartHistory(MAX_REQUESTS)
@@ -225,17 +227,15 @@
             self._count_parts(permit, request_id, replica)
         else:
             self._count(permit, request_id, replica)
-        if self._left_runs is not None:
-            for run in self._left_runs.take_at(replica.incarnation):
-                self._count_left(run)
+        for run in self._left_runs.take_at(replica.incarnation):
+            self._count_left(run)
 
     def left(
         self, permit: RunPermit, request_id: str, replica: Replica
     ) -> None:
         """Follow a run that this entry leaves to its replica."""
-        if self._left_runs is not None:
-            self._left_runs.add(permit, request_id, replica)
-            self._has_work.set()
+        self._left_runs.add(permit, request_id, replica)
+        self._has_work.set()
 
     async def follow(self) -> None:
         """Count runs that were left and then crashed, until cancelled.
--- a/dahliashunt/forwarding/left_runs.py
+++ b/dahliashunt/forwarding/left_runs.py
@@ -54,7 +54,12 @@
         Tells whether a replica is drained, so that its end is no crash.
     """
 
-    def __init__(self, clock: Clock, has_ended, is_leaving):
+    def __init__(
+        self,
+        clock: Clock,
+        has_ended=lambda replica: False,
+        is_leaving=lambda replica: False,
+    ):
         self._clock = clock
         self._has_ended = has_ended
         self._is_leaving = is_leaving
--- a/dahliashunt/forwarding/losses.py
+++ b/dahliashunt/forwarding/losses.py
@@ -11,6 +11,7 @@
 """
 
 import asyncio
+import collections
 from dataclasses import dataclass
 import hashlib
 import json
@@ -150,7 +151,9 @@
         self._beside_by_digest: dict[Fingerprint, frozenset] = {}
         self._writing: set[Fingerprint] = set()
         # Claims of this entry that its rows may still hold.
-        self._taken_back: set[Trial] = set()
+        self._taken_back: collections.deque[Trial] = collections.deque(
+            maxlen=MAX_UNWRITTEN
+        )
         self._kept_by_digest: dict[Fingerprint, Trial] = {}
         self._has_unwritten = asyncio.Event()
         self._claim_from_ms = clock.now_ms()
@@ -265,10 +268,6 @@
         """Return the number of trials whose runs were lost."""
         return self._counts.lost_trials(digest, self._now_ms())
 
-    def is_quarantined(self, digest: Fingerprint) -> bool:
-        """Return whether the request must not be sent now."""
-        return self.permission(digest) is Permission.QUARANTINED
-
     def may_claim(self) -> bool:
         """Return whether the store may be asked for a trial now."""
         return self._clock.now_ms() >= self._claim_from_ms
@@ -362,7 +361,7 @@
             self._take_back(admission.digest, admission.trial)
 
     def _take_back(self, digest, trial):
-        self._taken_back.add(trial)
+        self._taken_back.append(trial)
         self._learn_trials(digest, self._counts.trials(digest))
         self._write_later(digest, False)
 
@@ -464,7 +463,8 @@
         )
         if not is_same:
             await self._put_row(digest, row, _Losses(runs, trials, beside))
-        self._taken_back -= set(stored.trials)
+        for trial in set(self._taken_back) & set(stored.trials):
+            self._taken_back.remove(trial)
 
     async def _put_row(self, digest, row, losses):
         expect = row.version if row else MustBe.ABSENT
--- a/dahliashunt/forwarding/tests/crash_simulation.py
+++ b/dahliashunt/forwarding/tests/crash_simulation.py
@@ -48,6 +48,11 @@
     replica_id: str
     born_ms: int
 
+    @property
+    def incarnation(self):
+        """Id and start time."""
+        return (self.replica_id, self.born_ms)
+
 
 class _Listener:
     """Delivers the table to one entry, as its feed does."""
@@ -121,6 +126,7 @@
         guard = self._make_guard(losses, self.clock)
         self._entries.append((guard, listener))
         self._start(losses.run())
+        self._start(guard.follow())
         return guard
 
     def _start(self, coroutine):
