--- a/dahliashunt/forwarding/crash_guard.py
+++ b/dahliashunt/forwarding/crash_guard.py
@@ -68,7 +68,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RunPermit:
-    """Leave to send a request to a replica once.
+    """Permission to send a request to a replica once.
 
     Attributes
     ----------
@@ -167,7 +167,7 @@
         return EXPIRY_MS if is_guilty else keys.longest_wait_ms
 
     async def admit(self, keys: CrashKeys) -> RunPermit | None:
-        """Return leave to send the request to a replica now, or None.
+        """Return permission to send the request now, or None.
 
         The run is the fleet's only one if it is a suspect's. The permit is
         to be given back to one of the methods that tell how the run ended.
--- a/dahliashunt/forwarding/forwarder.py
+++ b/dahliashunt/forwarding/forwarder.py
@@ -192,7 +192,7 @@
                 return
 
     async def _reserve_admitted(self):
-        """Return a reservation and leave to use it.
+        """Return a reservation and the permit to use it.
 
         A request of which another run is on trial waits for that run's end
         as for a slot.
@@ -214,7 +214,7 @@
             await self._clock.sleep_ms(TRIAL_POLL_MS)
 
     async def _admit(self, reservation):
-        """Return leave to use `reservation`, or release it."""
+        """Return the permit to use `reservation`, or release it."""
         permit = None
         try:
             permit = await self._forwarder.crash_guard.admit(self._keys)
--- a/dahliashunt/forwarding/losses.py
+++ b/dahliashunt/forwarding/losses.py
@@ -97,7 +97,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Admission:
-    """Leave to send a request once.
+    """Permission to send a request once.
 
     Attributes
     ----------
@@ -275,7 +275,7 @@
     async def admit(
         self, digest: Fingerprint, longest_wait_ms: int = EXPIRY_MS
     ) -> Admission | None:
-        """Return leave to send the request to a replica now, or None.
+        """Return permission to send the request now, or None.
 
         The run of a suspect is noted in the store first, on the condition
         that no other entry has done so: all entries together try the request
--- a/dahliashunt/forwarding/tests/crash_simulation.py
+++ b/dahliashunt/forwarding/tests/crash_simulation.py
@@ -215,7 +215,7 @@
             self.sound.append((self.clock.now_ms(), first, began))
 
     async def _admit(self, guard, keys):
-        """Return leave to run, as an entry does; None if it refuses."""
+        """Return the permit to run, as an entry does; None if it refuses."""
         until_ms = self.clock.now_ms() + WAIT_MS
         while not guard.is_quarantined(keys):
             permit = None
