--- a/dahliashunt/platform/tests/test_online.py
+++ b/dahliashunt/platform/tests/test_online.py
@@ -484,6 +484,23 @@
     platform(scenario, route_fields(**{"max-attempts": 1}))
 
 
+def test_a_trial_stays_with_a_silent_replica(platform):
+    # Guards against a trial that goes from one slow replica to the next while
+    # all requests like it wait for its end.
+    async def scenario(p):
+        for replica in p.replicas:
+            replica.then(reset_unanswered=True)
+        await p.call(body=b"bad")
+        assert sum(len(r.arrivals) for r in p.replicas) == MAX_LOSSES
+        for replica in p.replicas:
+            replica.steps.clear()
+            replica.then(head_ms=700, events=2)
+        assert (await p.call(body=b"bad")).status == 200
+        assert sum(len(r.arrivals) for r in p.replicas) == MAX_LOSSES + 1
+
+    platform(scenario, route_fields(**{"max-attempts": 3}), replicas=3)
+
+
 def test_a_starting_entry_sends_nothing_before_it_knows_the_losses(platform):
     # Guards against one more crash by each entry that starts.
     async def scenario(p):
