Slot requests carry workspace and tokens, states carry speed and memory

The parts of the hard-load work share these fields of the slot protocol. All are optional: a program that does not know them neither sends nor needs them, and no decision reads them yet. docs/design/hard-load.md lists the parts.

--- a/dahliashunt/adapters/slots/client.py
+++ b/dahliashunt/adapters/slots/client.py
@@ -71,6 +71,12 @@
         Called without arguments when a granted slot is revoked.
     rank : int
         Priority; 0 is the most urgent.
+    workspace : int
+        Digest of the workspace's name; 0 for none.
+    prompt_tokens, output_tokens : int
+        Length of the prompt and stated maximum of the output; 0 if unknown.
+    idle_only : bool
+        Whether no batch item may be revoked for it.
     """
 
     attempt_id: str
@@ -79,6 +85,10 @@
     slack_ms: int
     on_revoke: object
     rank: int = 0
+    workspace: int = 0
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    idle_only: bool = False
 
 
 @dataclass(slots=True)
@@ -165,6 +175,10 @@
             slack_ms=attempt.slack_ms,
             rank=attempt.rank or None,
             run_id=attempt.run_id,
+            workspace=attempt.workspace or None,
+            prompt_tokens=attempt.prompt_tokens or None,
+            output_tokens=attempt.output_tokens or None,
+            idle_only=attempt.idle_only or None,
         )
         frame = SlotFrame(ask=ask)
         asked_ms = self._clock.now_ms()
@@ -286,16 +300,8 @@
     def _record_state(self, state, address):
         if state is None:
             return
-        known = AllocatorState(
-            slots=state.slots or 0,
-            online=state.online or 0,
-            batch=state.batch or 0,
-            waiting=state.waiting or 0,
-            wait_ms=state.wait_ms or 0,
-            away=bool(state.away),
-        )
         self.known_by_address[address] = KnownState(
-            known, self._clock.now_ms()
+            _allocator_state(state), self._clock.now_ms()
         )
 
     def forget_but(self, addresses) -> None:
@@ -308,6 +314,28 @@
                 del self._unanswered_by_address[address]
 
 
+def _allocator_state(state):
+    unknown = -1
+    return AllocatorState(
+        slots=state.slots or 0,
+        online=state.online or 0,
+        batch=state.batch or 0,
+        waiting=state.waiting or 0,
+        wait_ms=state.wait_ms or 0,
+        away=bool(state.away),
+        token_us=state.token_us or 0,
+        read_tokens_per_ms=state.read_tokens_per_ms or 0.0,
+        waiting_tokens=state.waiting_tokens or 0,
+        free_tokens=_or(state.free_tokens, unknown),
+        born_ms=state.born_ms or 0,
+        batch_room=_or(state.batch_room, unknown),
+    )
+
+
+def _or(value, default):
+    return default if value is None else value
+
+
 async def _wait_for(future, limit_ms):
     await asyncio.wait({future}, timeout=limit_ms / 1000)
     return future.result() if future.done() else None
--- a/dahliashunt/adapters/slots/server.py
+++ b/dahliashunt/adapters/slots/server.py
@@ -147,6 +147,12 @@
             wait_ms=state.wait_ms,
             away=state.away,
             instance_id=self.instance_id,
+            token_us=state.token_us or None,
+            read_tokens_per_ms=state.read_tokens_per_ms or None,
+            waiting_tokens=state.waiting_tokens or None,
+            free_tokens=_if_known(state.free_tokens),
+            born_ms=state.born_ms or None,
+            batch_room=_if_known(state.batch_room),
         )
 
     def publish(self) -> None:
@@ -172,4 +178,12 @@
         wait_ms=ask.wait_ms,
         slack_ms=ask.slack_ms,
         rank=ask.rank or 0,
+        workspace=ask.workspace or 0,
+        prompt_tokens=ask.prompt_tokens or 0,
+        output_tokens=ask.output_tokens or 0,
+        idle_only=bool(ask.idle_only),
     )
+
+
+def _if_known(value):
+    return None if value < 0 else value
--- a/dahliashunt/adapters/wire/gen/link/ttypes.py
+++ b/dahliashunt/adapters/wire/gen/link/ttypes.py
@@ -2407,6 +2407,12 @@
      - wait_ms
      - away
      - instance_id
+     - token_us
+     - read_tokens_per_ms
+     - waiting_tokens
+     - free_tokens
+     - born_ms
+     - batch_room
 
     """
 
@@ -2418,10 +2424,16 @@
         'wait_ms',
         'away',
         'instance_id',
+        'token_us',
+        'read_tokens_per_ms',
+        'waiting_tokens',
+        'free_tokens',
+        'born_ms',
+        'batch_room',
     )
 
 
-    def __init__(self, slots=None, online=None, batch=None, waiting=None, wait_ms=None, away=None, instance_id=None,):
+    def __init__(self, slots=None, online=None, batch=None, waiting=None, wait_ms=None, away=None, instance_id=None, token_us=None, read_tokens_per_ms=None, waiting_tokens=None, free_tokens=None, born_ms=None, batch_room=None,):
         self.slots = slots
         self.online = online
         self.batch = batch
@@ -2429,6 +2441,12 @@
         self.wait_ms = wait_ms
         self.away = away
         self.instance_id = instance_id
+        self.token_us = token_us
+        self.read_tokens_per_ms = read_tokens_per_ms
+        self.waiting_tokens = waiting_tokens
+        self.free_tokens = free_tokens
+        self.born_ms = born_ms
+        self.batch_room = batch_room
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2474,6 +2492,36 @@
                     self.instance_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.token_us = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.DOUBLE:
+                    self.read_tokens_per_ms = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I32:
+                    self.waiting_tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I32:
+                    self.free_tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I64:
+                    self.born_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.I32:
+                    self.batch_room = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2512,6 +2560,30 @@
             oprot.writeFieldBegin('instance_id', TType.STRING, 7)
             oprot.writeString(self.instance_id.encode('utf-8') if sys.version_info[0] == 2 else self.instance_id)
             oprot.writeFieldEnd()
+        if self.token_us is not None:
+            oprot.writeFieldBegin('token_us', TType.I32, 8)
+            oprot.writeI32(self.token_us)
+            oprot.writeFieldEnd()
+        if self.read_tokens_per_ms is not None:
+            oprot.writeFieldBegin('read_tokens_per_ms', TType.DOUBLE, 9)
+            oprot.writeDouble(self.read_tokens_per_ms)
+            oprot.writeFieldEnd()
+        if self.waiting_tokens is not None:
+            oprot.writeFieldBegin('waiting_tokens', TType.I32, 10)
+            oprot.writeI32(self.waiting_tokens)
+            oprot.writeFieldEnd()
+        if self.free_tokens is not None:
+            oprot.writeFieldBegin('free_tokens', TType.I32, 11)
+            oprot.writeI32(self.free_tokens)
+            oprot.writeFieldEnd()
+        if self.born_ms is not None:
+            oprot.writeFieldBegin('born_ms', TType.I64, 12)
+            oprot.writeI64(self.born_ms)
+            oprot.writeFieldEnd()
+        if self.batch_room is not None:
+            oprot.writeFieldBegin('batch_room', TType.I32, 13)
+            oprot.writeI32(self.batch_room)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2546,6 +2618,10 @@
      - slack_ms
      - run_id
      - rank
+     - workspace
+     - prompt_tokens
+     - output_tokens
+     - idle_only
 
     """
 
@@ -2556,16 +2632,24 @@
         'slack_ms',
         'run_id',
         'rank',
+        'workspace',
+        'prompt_tokens',
+        'output_tokens',
+        'idle_only',
     )
 
 
-    def __init__(self, attempt_id=None, use=None, wait_ms=None, slack_ms=None, run_id=None, rank=None,):
+    def __init__(self, attempt_id=None, use=None, wait_ms=None, slack_ms=None, run_id=None, rank=None, workspace=None, prompt_tokens=None, output_tokens=None, idle_only=None,):
         self.attempt_id = attempt_id
         self.use = use
         self.wait_ms = wait_ms
         self.slack_ms = slack_ms
         self.run_id = run_id
         self.rank = rank
+        self.workspace = workspace
+        self.prompt_tokens = prompt_tokens
+        self.output_tokens = output_tokens
+        self.idle_only = idle_only
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2606,6 +2690,26 @@
                     self.rank = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.workspace = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.prompt_tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I32:
+                    self.output_tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.BOOL:
+                    self.idle_only = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2640,6 +2744,22 @@
             oprot.writeFieldBegin('rank', TType.I32, 6)
             oprot.writeI32(self.rank)
             oprot.writeFieldEnd()
+        if self.workspace is not None:
+            oprot.writeFieldBegin('workspace', TType.I64, 7)
+            oprot.writeI64(self.workspace)
+            oprot.writeFieldEnd()
+        if self.prompt_tokens is not None:
+            oprot.writeFieldBegin('prompt_tokens', TType.I32, 8)
+            oprot.writeI32(self.prompt_tokens)
+            oprot.writeFieldEnd()
+        if self.output_tokens is not None:
+            oprot.writeFieldBegin('output_tokens', TType.I32, 9)
+            oprot.writeI32(self.output_tokens)
+            oprot.writeFieldEnd()
+        if self.idle_only is not None:
+            oprot.writeFieldBegin('idle_only', TType.BOOL, 10)
+            oprot.writeBool(self.idle_only)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4010,6 +4130,12 @@
     (5, TType.I32, 'wait_ms', None, None, ),  # 5
     (6, TType.BOOL, 'away', None, None, ),  # 6
     (7, TType.STRING, 'instance_id', 'UTF8', None, ),  # 7
+    (8, TType.I32, 'token_us', None, None, ),  # 8
+    (9, TType.DOUBLE, 'read_tokens_per_ms', None, None, ),  # 9
+    (10, TType.I32, 'waiting_tokens', None, None, ),  # 10
+    (11, TType.I32, 'free_tokens', None, None, ),  # 11
+    (12, TType.I64, 'born_ms', None, None, ),  # 12
+    (13, TType.I32, 'batch_room', None, None, ),  # 13
 )
 all_structs.append(SlotAsk)
 SlotAsk.thrift_spec = (
@@ -4020,6 +4146,10 @@
     (4, TType.I32, 'slack_ms', None, None, ),  # 4
     (5, TType.STRING, 'run_id', 'UTF8', None, ),  # 5
     (6, TType.I32, 'rank', None, None, ),  # 6
+    (7, TType.I64, 'workspace', None, None, ),  # 7
+    (8, TType.I32, 'prompt_tokens', None, None, ),  # 8
+    (9, TType.I32, 'output_tokens', None, None, ),  # 9
+    (10, TType.BOOL, 'idle_only', None, None, ),  # 10
 )
 all_structs.append(SlotAnswer)
 SlotAnswer.thrift_spec = (
--- a/dahliashunt/adapters/wire/link.thrift
+++ b/dahliashunt/adapters/wire/link.thrift
@@ -165,6 +165,13 @@
   5: i32 wait_ms;           // expected wait of one more online request
   6: bool away;             // the replica does not answer its agent
   7: optional string instance_id;
+  // Unset fields are unknown.
+  8: optional i32 token_us;           // a token of one running request
+  9: optional double read_tokens_per_ms;
+  10: optional i32 waiting_tokens;    // prompts of queued requests
+  11: optional i32 free_tokens;       // memory that no request holds
+  12: optional i64 born_ms;           // start of the replica
+  13: optional i32 batch_room;        // slots that items may take now
 }
 
 struct SlotAsk {
@@ -174,6 +181,10 @@
   4: i32 slack_ms;          // batch: how long until the item is due
   5: string run_id;         // how the replica lists the request
   6: optional i32 rank;     // 0 is the most urgent
+  7: optional i64 workspace;      // digest of its name
+  8: optional i32 prompt_tokens;
+  9: optional i32 output_tokens;  // stated maximum
+  10: optional bool idle_only;    // do not revoke a batch item for it
 }
 
 struct SlotAnswer {
--- a/dahliashunt/decisions/slot_messages.py
+++ b/dahliashunt/decisions/slot_messages.py
@@ -51,6 +51,12 @@
         the longest wait that meets its deadline; 0 if none does.
     rank : int
         Priority of an online request; 0 is the most urgent.
+    workspace : int
+        Digest of the workspace's name; 0 for none.
+    prompt_tokens, output_tokens : int
+        Length of the prompt and stated maximum of the output; 0 if unknown.
+    idle_only : bool
+        Whether an online request must not revoke a batch item.
     """
 
     attempt_id: AttemptId
@@ -60,6 +66,10 @@
     wait_ms: int = 0
     slack_ms: int = 0
     rank: int = 0
+    workspace: int = 0
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    idle_only: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,6 +102,20 @@
         Expected wait of one more online request.
     away : bool
         Whether the replica is unavailable.
+    token_us : int
+        Time in microseconds that a running request takes for a token, as
+        observed lately; 0 if unknown.
+    read_tokens_per_ms : float
+        Prompt tokens read per millisecond; 0 if unknown.
+    waiting_tokens : int
+        Prompt tokens of the queued requests.
+    free_tokens : int
+        Memory in tokens that no request holds; -1 if unknown.
+    born_ms : int
+        Wall-clock start of the replica, which identifies its incarnation; 0
+        if unknown.
+    batch_room : int
+        Slots that batch items may take now; -1 if unknown.
     """
 
     slots: int
@@ -100,3 +124,9 @@
     waiting: int
     wait_ms: int
     away: bool
+    token_us: int = 0
+    read_tokens_per_ms: float = 0.0
+    waiting_tokens: int = 0
+    free_tokens: int = -1
+    born_ms: int = 0
+    batch_room: int = -1
--- a/dahliashunt/forwarding/call.py
+++ b/dahliashunt/forwarding/call.py
@@ -32,6 +32,10 @@
         not stated.
     shared_parts : tuple of str
         Ids of the prompt parts shared with other requests, in order.
+    shared_tokens : tuple of int
+        Length of each part in `shared_parts`; 0 if unknown.
+    prompt_tokens, output_tokens : int
+        Length of the prompt and stated maximum of the output; 0 if unknown.
     tokens : int
         Prompt tokens plus maximum output tokens; 0 if unknown.
     workspace : WorkspaceId
@@ -50,6 +54,9 @@
     last_event: int = 0
     resumes: RequestId = RequestId("")
     shared_parts: tuple[str, ...] = ()
+    shared_tokens: tuple[int, ...] = ()
+    prompt_tokens: int = 0
+    output_tokens: int = 0
     tokens: int = 0
     workspace: WorkspaceId = WorkspaceId("")
     rank: int | None = None
--- a/dahliashunt/forwarding/forwarder.py
+++ b/dahliashunt/forwarding/forwarder.py
@@ -35,6 +35,7 @@
 from dahliashunt.forwarding.reservation import SlotRequirements
 from dahliashunt.forwarding.stream_origins import StreamOrigin
 from dahliashunt.forwarding.stream_origins import StreamOrigins
+from dahliashunt.forwarding.workspaces import workspace_digest
 from dahliashunt.metrics import Metrics
 from dahliashunt.ports import Clock
 
@@ -301,6 +302,12 @@
             on_revoke=lambda: None,
             rank=self._rank,
             version=self._state.version,
+            workspace=workspace_digest(self._call.workspace),
+            prompt_tokens=self._call.prompt_tokens,
+            output_tokens=self._call.output_tokens,
+            shared_parts=tuple(
+                zip(affinity, self._call.shared_tokens, strict=False)
+            ),
         )
         return await self._forwarder.places.find(
             requirements, self._call.request_id, self._keeps
--- a/dahliashunt/forwarding/rate_limiter.py
+++ b/dahliashunt/forwarding/rate_limiter.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
-import hashlib
 
 from dahliashunt.adapters.slots import SlotClient
 from dahliashunt.decisions.link_choice import choose_links
@@ -17,6 +16,7 @@
 from dahliashunt.errors import RequestError
 from dahliashunt.forwarding.replicas import ReplicaRegistry
 from dahliashunt.forwarding.workspaces import Workspace
+from dahliashunt.forwarding.workspaces import workspace_digest
 from dahliashunt.ids import RequestId
 from dahliashunt.ids import Revision
 from dahliashunt.ids import WorkspaceId
@@ -210,7 +210,7 @@
         limit = self._limit(workspace, revision)
         if limit is None:
             return
-        key = _key(workspace.workspace_id)
+        key = workspace_digest(workspace.workspace_id)
         found = self._policy.take(self._clock.now_ms(), key, limit)
         if isinstance(found, PendingVerdict):
             answer = asyncio.get_running_loop().create_future()
@@ -247,13 +247,13 @@
         """Return the quota of an admitted request that did not run."""
         limit = self._limit(workspace, revision)
         if limit is not None:
-            key = _key(workspace.workspace_id)
+            key = workspace_digest(workspace.workspace_id)
             self._policy.give_back(self._clock.now_ms(), key, limit)
             self._send_reports()
 
     def view(self, workspace: Workspace) -> UsageView:
         """Return the workspace's use as known to this entry."""
-        key = _key(workspace.workspace_id)
+        key = workspace_digest(workspace.workspace_id)
         return self._policy.view(self._clock.now_ms(), key)
 
     def recent(self, workspace: Workspace) -> DecisionCounts:
@@ -305,9 +305,3 @@
     return len(some) == len(others) and all(
         one is other for one, other in zip(some, others, strict=True)
     )
-
-
-def _key(workspace_id: WorkspaceId) -> int:
-    """Return the digest that names a workspace on the wire."""
-    digest = hashlib.blake2b(workspace_id.encode(), digest_size=8).digest()
-    return int.from_bytes(digest, signed=True)
--- a/dahliashunt/forwarding/reservation.py
+++ b/dahliashunt/forwarding/reservation.py
@@ -33,6 +33,12 @@
     version : SoftwareVersion or None
         Software version that must serve; None for any. An empty one is
         unknown, so that no replica is known to have it.
+    workspace : int
+        Digest of the workspace's name; 0 for none.
+    prompt_tokens, output_tokens : int
+        Length of the prompt and stated maximum of the output; 0 if unknown.
+    shared_parts : tuple of pairs
+        Id and tokens of the prompt's shared parts, in order.
     """
 
     service: str
@@ -44,6 +50,10 @@
     on_revoke: object
     rank: int = 0
     version: SoftwareVersion | None = None
+    workspace: int = 0
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    shared_parts: tuple[tuple[str, int], ...] = ()
 
     def admits(self, replica: Replica) -> bool:
         """Return whether `replica` is untried and of a fitting version."""
--- a/dahliashunt/forwarding/slot_requests.py
+++ b/dahliashunt/forwarding/slot_requests.py
@@ -53,7 +53,9 @@
         self._agent_of = agent_of
         self._numbers = itertools.count(1)
 
-    def attempt(self, requirements, run_id: str) -> SlotAttempt:
+    def attempt(
+        self, requirements, run_id: str, idle_only: bool = False
+    ) -> SlotAttempt:
         """Return a new slot attempt for the request `run_id`."""
         return SlotAttempt(
             attempt_id=f"{run_id}#{next(self._numbers)}",
@@ -62,6 +64,10 @@
             slack_ms=requirements.slack_ms,
             rank=requirements.rank,
             on_revoke=requirements.on_revoke,
+            workspace=requirements.workspace,
+            prompt_tokens=requirements.prompt_tokens,
+            output_tokens=requirements.output_tokens,
+            idle_only=idle_only,
         )
 
     async def request_slot(
--- a/dahliashunt/forwarding/workspaces.py
+++ b/dahliashunt/forwarding/workspaces.py
@@ -2,11 +2,28 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+import hashlib
 
 from dahliashunt.ids import WorkspaceId
 from dahliashunt.key_digest import key_digest
 
-__all__ = ["BrokenWorkspace", "Workspace", "Workspaces"]
+__all__ = [
+    "BrokenWorkspace",
+    "Workspace",
+    "Workspaces",
+    "workspace_digest",
+]
+
+
+def workspace_digest(workspace_id: WorkspaceId) -> int:
+    """Return the number that names a workspace on the wire.
+
+    No workspace, an empty id, has the digest 0.
+    """
+    if not workspace_id:
+        return 0
+    digest = hashlib.blake2b(workspace_id.encode(), digest_size=8).digest()
+    return int.from_bytes(digest, signed=True)
 
 
 @dataclass(frozen=True, slots=True)
--- a/dahliashunt/jobs/worker.py
+++ b/dahliashunt/jobs/worker.py
@@ -23,6 +23,7 @@
 from dahliashunt.forwarding.ports import ReplicaDialect
 from dahliashunt.forwarding.replica_selector import ReplicaSelector
 from dahliashunt.forwarding.reservation import SlotRequirements
+from dahliashunt.forwarding.workspaces import workspace_digest
 from dahliashunt.ids import JobId
 from dahliashunt.jobs.item_run import ItemEnd
 from dahliashunt.jobs.item_run import ItemRun
@@ -350,6 +351,12 @@
             avoid=frozenset(),
             on_revoke=item.revoke,
             version=self._version_to_continue(job_run, item, service),
+            workspace=workspace_digest(item.call.workspace),
+            prompt_tokens=item.call.prompt_tokens,
+            output_tokens=item.call.output_tokens,
+            shared_parts=tuple(
+                zip(parts, item.call.shared_tokens, strict=False)
+            ),
         )
         with_agents = self.node.has_agents(service)
         try:
--- a/dahliashunt/platform/ingress.py
+++ b/dahliashunt/platform/ingress.py
@@ -28,7 +28,9 @@
 from dahliashunt.platform.names import REQUEST_ID
 from dahliashunt.platform.names import RESUMES
 from dahliashunt.platform.names import TOKENS
+from dahliashunt.platform.prompts import prompt_and_output
 from dahliashunt.platform.prompts import shared_parts
+from dahliashunt.platform.prompts import shared_tokens
 from dahliashunt.platform.prompts import token_sum
 
 __all__ = ["Ingress"]
@@ -261,6 +263,7 @@
     headers = exchange.header_by_name
     budget = headers.get(BUDGET, "")
     last_event = headers.get(LAST_EVENT, "")
+    prompt_tokens, output_tokens = prompt_and_output(headers.get(TOKENS, ""))
     return Call(
         request_id=RequestId(headers.get(REQUEST_ID, "")),
         method=exchange.scope["method"],
@@ -275,5 +278,8 @@
         last_event=int(last_event) if last_event.isdigit() else 0,
         resumes=RequestId(headers.get(RESUMES, "")),
         shared_parts=shared_parts(headers.get(PROMPT_PARTS, "")),
+        shared_tokens=shared_tokens(headers.get(PROMPT_PARTS, "")),
+        prompt_tokens=prompt_tokens,
+        output_tokens=output_tokens,
         tokens=token_sum(headers.get(TOKENS, "")),
     )
--- a/dahliashunt/platform/job_bodies.py
+++ b/dahliashunt/platform/job_bodies.py
@@ -16,7 +16,10 @@
 from dahliashunt.platform.names import AUTHORIZATION
 from dahliashunt.platform.names import PROMPT_PARTS
 from dahliashunt.platform.names import REQUEST_ID
+from dahliashunt.platform.names import TOKENS
+from dahliashunt.platform.prompts import prompt_and_output
 from dahliashunt.platform.prompts import shared_parts
+from dahliashunt.platform.prompts import shared_tokens
 
 __all__ = [
     "PlatformPayloadReader",
@@ -107,6 +110,7 @@
     dropped = {"host", REQUEST_ID}
     if job.workspace:
         dropped.add(AUTHORIZATION)
+    prompt_tokens, output_tokens = prompt_and_output(by_name.get(TOKENS, ""))
     return Call(
         request_id=RequestId(item_id),
         method="POST",
@@ -118,6 +122,9 @@
         body=submitted.body,
         arrived_ms=0,
         shared_parts=shared_parts(by_name.get(PROMPT_PARTS, "")),
+        shared_tokens=shared_tokens(by_name.get(PROMPT_PARTS, "")),
+        prompt_tokens=prompt_tokens,
+        output_tokens=output_tokens,
         tokens=submitted.item.tokens,
         workspace=job.workspace,
     )
--- a/dahliashunt/platform/prompts.py
+++ b/dahliashunt/platform/prompts.py
@@ -1,6 +1,9 @@
 """Headers that describe a request's prompt."""
 
-__all__ = ["shared_parts", "token_sum"]
+__all__ = ["prompt_and_output", "shared_parts", "shared_tokens", "token_sum"]
+
+MAX_TOKENS = 2**31 - 1
+"""Largest count that is read; a slot request carries 32 bits."""
 
 
 def shared_parts(text: str) -> tuple[str, ...]:
@@ -13,8 +16,32 @@
     >>> shared_parts("5c1e:800,91bd:410,e440:250")
     ('5c1e', '91bd')
     """
-    parts = [part.partition(":")[0].strip() for part in text.split(",")]
-    return tuple(part for part in parts[:-1] if part)
+    return tuple(part for part, _ in _shared(text))
+
+
+def shared_tokens(text: str) -> tuple[int, ...]:
+    """Return the lengths of `shared_parts`; 0 where it is invalid.
+
+    Examples
+    --------
+    >>> shared_tokens("5c1e:800,91bd:x,e440:250")
+    (800, 0)
+    """
+    return tuple(_count(tokens) or 0 for _, tokens in _shared(text))
+
+
+def prompt_and_output(text: str) -> tuple[int, int]:
+    """Return the prompt tokens and the maximum output; zeros if invalid.
+
+    Examples
+    --------
+    >>> prompt_and_output("1460,80"), prompt_and_output("1460")
+    ((1460, 80), (0, 0))
+    """
+    counts = [_count(number) for number in text.split(",")]
+    if len(counts) != 2 or None in counts:
+        return 0, 0
+    return counts[0], counts[1]
 
 
 def token_sum(text: str) -> int:
@@ -29,3 +56,17 @@
     if not all(number.isdigit() for number in numbers):
         return 0
     return sum(map(int, numbers))
+
+
+def _shared(text):
+    pairs = [part.partition(":") for part in text.split(",")]
+    named = ((part.strip(), tokens) for part, _, tokens in pairs[:-1])
+    return [(part, tokens) for part, tokens in named if part]
+
+
+def _count(text):
+    """Return a count of tokens, or None if invalid."""
+    digits = text.strip()
+    if not (digits.isascii() and digits.isdigit() and len(digits) <= 10):
+        return None
+    return min(int(digits), MAX_TOKENS)
