Decoders of rows raise only DecodeError

Cause: JSON readers accept NaN, Infinity, lone surrogates, integers of any length and nesting up to the recursion limit. decode_replica and decode_catalog let OverflowError, ValueError and RecursionError through, or returned values that failed later, for example a host that closes the UDP socket of the slot protocol when a datagram is sent to it. A text in place of a workspace's list of keys made every letter of it a key.

Change: row_fields reads each field by type and range. A row of the list with such a value names no replica; a route or workspace is left out; a configuration as a whole is refused only for its version, limits, services or missing lists. The agent's reader of reports uses the same functions.

--- a/dahliashunt/adapters/slots/client.py
+++ b/dahliashunt/adapters/slots/client.py
@@ -37,6 +37,9 @@
 """Probes of a silent agent; after these only renewals are sent to it, which
 bounds the traffic to an agent that does not return."""
 
+MAX_SLACK_MS = 2**31 - 1
+"""Longest slack that fits into a datagram, some 25 days."""
+
 _USE = {Use.ONLINE: SlotUse.ONLINE, Use.BATCH: SlotUse.BATCH}
 _VERDICT = {
     SlotVerdict.GRANTED: SlotDecision.GRANTED,
@@ -172,7 +175,7 @@
             attempt_id=attempt_id,
             use=_USE[attempt.use],
             wait_ms=wait_ms,
-            slack_ms=attempt.slack_ms,
+            slack_ms=min(attempt.slack_ms, MAX_SLACK_MS),
             rank=attempt.rank or None,
             run_id=attempt.run_id,
             workspace=attempt.workspace or None,
--- a/dahliashunt/platform/dialect.py
+++ b/dahliashunt/platform/dialect.py
@@ -1,7 +1,6 @@
 """HTTP dialect of replicas: requests, responses and load reports."""
 
 from dataclasses import dataclass
-import json
 
 from dahliashunt.adapters.http1 import encode_request
 from dahliashunt.adapters.http1 import ResponseHead
@@ -15,6 +14,9 @@
 from dahliashunt.platform.names import REQUEST_ID
 from dahliashunt.platform.names import SIGNATURE
 from dahliashunt.platform.names import WORKSPACE
+from dahliashunt.row_fields import FIELD_ERRORS
+from dahliashunt.row_fields import parse_json
+from dahliashunt.row_fields import text_field
 
 __all__ = ["PlatformDialect", "ReplicaReport", "decode_report"]
 
@@ -93,14 +95,19 @@
 def decode_report(body: bytes) -> ReplicaReport:
     """Return the report in `body`; raise `ValueError` if it is invalid."""
     try:
-        fields = json.loads(body)
+        fields = parse_json(body)
         # Each run is [id, tokens in memory, events sent, rank].
         runs = fields.get("runs") or ()
-        running = frozenset(str(run[0]) for run in runs)
+        running = frozenset(_run_id(run[0]) for run in runs)
         return ReplicaReport(
             running=running,
             running_count=int(fields["num-running"]),
             waiting=int(fields["num-waiting"]),
         )
-    except (KeyError, TypeError, IndexError, AttributeError) as error:
+    except FIELD_ERRORS as error:
         raise ValueError(f"invalid replica report: {error!r}") from None
+
+
+def _run_id(value):
+    # `str` of a list that is nested deeply raises `RecursionError`.
+    return str(value) if type(value) is int else text_field(value)
--- a/dahliashunt/platform/operator.py
+++ b/dahliashunt/platform/operator.py
@@ -1,7 +1,10 @@
-"""Decode the operator's configuration and the list of replicas."""
+"""Decode the operator's configuration and the list of replicas.
+
+Both have other writers. Whatever a row holds, only `DecodeError` is raised.
+"""
 
-import json
 import math
+import re
 
 from dahliashunt.forwarding.catalog import BrokenRoute
 from dahliashunt.forwarding.catalog import Catalog
@@ -19,6 +22,12 @@
 from dahliashunt.ids import SoftwareVersion
 from dahliashunt.ids import WorkspaceId
 from dahliashunt.key_digest import key_digest
+from dahliashunt.row_fields import FIELD_ERRORS
+from dahliashunt.row_fields import list_field
+from dahliashunt.row_fields import MAX_WHOLE
+from dahliashunt.row_fields import parse_json
+from dahliashunt.row_fields import text_field
+from dahliashunt.row_fields import whole_field
 
 __all__ = ["DecodeError", "decode_catalog", "decode_replica"]
 
@@ -29,6 +38,17 @@
     "batch": RouteKind.BATCH,
 }
 
+MAX_PORT = 65_535
+
+MAX_I32 = 2**31 - 1
+"""Largest number of slots, or rank, that fits into a datagram of nodes."""
+
+_HOST = re.compile(r"[0-9A-Za-z_:\[\]%-]{1,63}(\.[0-9A-Za-z_-]{1,63})*\.?")
+"""Names and addresses that the resolver can encode. Sending a datagram to
+another one closes the socket, and with it every agent's replies."""
+
+MAX_HOST_CHARACTERS = 253
+
 
 class DecodeError(ValueError):
     """A row's value is invalid."""
@@ -43,79 +63,101 @@
         If the text is not a valid configuration.
     """
     try:
-        fields = json.loads(text)
+        fields = parse_json(text)
         limits = fields.get("limits") or {}
-        found = [_route_or_broken(each) for each in fields["routes"]]
+        listed = list_field(fields["routes"])
+        found = [_route_or_broken(each) for each in listed]
+        services = list_field(fields["services"])
         return Catalog(
-            revision=Revision(fields["version"]),
+            revision=Revision(whole_field(fields["version"])),
             routes=tuple(r for r in found if isinstance(r, Route)),
-            services=tuple(_service(each) for each in fields["services"]),
+            services=tuple(_service(each) for each in services),
             limits=_limits(limits),
             broken=tuple(r for r in found if isinstance(r, BrokenRoute)),
             workspaces=_workspaces(fields.get("tenants")),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except FIELD_ERRORS as error:
         raise DecodeError(f"invalid configuration: {error!r}") from None
 
 
 def _limits(fields):
     default = IngressLimits()
     return IngressLimits(
-        header_bytes=fields.get("max-header-bytes", default.header_bytes),
-        body_bytes=fields.get("max-body-bytes", default.body_bytes),
-        header_ms=fields.get("header-timeout-ms", default.header_ms),
-        idle_ms=fields.get("idle-timeout-ms", default.idle_ms),
+        header_bytes=_number(fields, "max-header-bytes", default.header_bytes),
+        body_bytes=_number(fields, "max-body-bytes", default.body_bytes),
+        header_ms=_number(fields, "header-timeout-ms", default.header_ms),
+        idle_ms=_number(fields, "idle-timeout-ms", default.idle_ms),
     )
 
 
+def _number(fields, name, default):
+    value = fields.get(name)
+    return default if value is None else whole_field(value)
+
+
 def _route_or_broken(fields):
     try:
         return _route(fields)
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except FIELD_ERRORS as error:
         known = fields if isinstance(fields, dict) else {}
         name, host, prefix = (
-            str(known.get(key, "")) for key in ("name", "host", "prefix")
+            _text_or_empty(known.get(key))
+            for key in ("name", "host", "prefix")
         )
         return BrokenRoute(name, host, prefix, repr(error))
 
 
 def _route(fields):
     weights = {
-        share["service"]: share["weight"]
+        text_field(share["service"]): _weight(share["weight"])
         for share in fields.get("traffic-split") or ()
         if share["weight"] > 0
     }
     if not weights:
-        weights = {fields["service"]: 1}
+        weights = {text_field(fields["service"]): 1}
     return Route(
-        name=fields["name"],
-        host=_text(fields["host"]),
-        prefix=_text(fields["prefix"]),
+        name=text_field(fields["name"]),
+        host=text_field(fields["host"]),
+        prefix=text_field(fields["prefix"]),
         # Requests of an unknown kind are not safe to repeat.
         kind=_ROUTE_KIND_BY_NAME.get(fields["kind"], RouteKind.AT_MOST_ONCE),
         weight_by_service=weights,
-        timeout_ms=int(fields["timeout-ms"]),
+        timeout_ms=_int(fields["timeout-ms"]),
         # Objective for the response, or for a stream's first event.
-        objective_ms=int(fields.get("goal-ms") or fields["timeout-ms"]),
+        objective_ms=_int(fields.get("goal-ms") or fields["timeout-ms"]),
         # Objective for the pause between two events.
-        pause_ms=int(fields.get("gap-aim-ms") or 0),
-        rank=int(fields.get("priority") or 0),
-        max_attempts=int(fields.get("max-attempts") or 1),
+        pause_ms=_int(fields.get("gap-aim-ms") or 0),
+        rank=_int(fields.get("priority") or 0, MAX_I32),
+        max_attempts=_int(fields.get("max-attempts") or 1),
         resumable=bool(fields.get("resumable")),
         # From submission of the job until all results are due.
-        completion_ms=int(fields.get("completion-target-ms") or 0),
+        completion_ms=_int(fields.get("completion-target-ms") or 0),
         # From submission of the job until items may be abandoned.
-        abandon_ms=int(1000 * (fields.get("max-wait-s") or 0)),
-        max_waiting_tokens=int(fields.get("cap") or 0),
+        abandon_ms=_int(1000 * float(fields.get("max-wait-s") or 0)),
+        max_waiting_tokens=_int(fields.get("cap") or 0),
         public=bool(fields.get("public")),
     )
 
 
+def _int(value, most=MAX_WHOLE):
+    """Return a number without its fraction; digits in a string count."""
+    number = int(value)
+    if abs(number) > most:
+        raise ValueError("the number is too large")
+    return number
+
+
+def _weight(value):
+    if not 0 < value <= MAX_WHOLE:
+        raise ValueError("expected a finite weight")
+    return value
+
+
 def _workspaces(found):
     """Return the workspaces, or None if callers need no key."""
     if found is None:
         return None
-    decoded = [_workspace_or_broken(each) for each in found]
+    decoded = [_workspace_or_broken(each) for each in list_field(found)]
     return Workspaces(
         (each for each in decoded if isinstance(each, Workspace)),
         (each for each in decoded if isinstance(each, BrokenWorkspace)),
@@ -129,22 +171,23 @@
     """
     name, digests = "", None
     try:
-        name = str(fields.get("name", ""))
-        digests = tuple(key_digest(_text(k)) for k in fields["api-keys"])
+        name = _text_or_empty(fields.get("name"))
+        keys = list_field(fields["api-keys"])
+        digests = tuple(key_digest(text_field(key)) for key in keys)
         return _workspace(fields, digests)
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except FIELD_ERRORS as error:
         return BrokenWorkspace(name, digests, type(error).__name__)
 
 
 def _workspace(fields, digests):
     rank = fields.get("priority")
-    name = _text(fields["name"])
+    name = text_field(fields["name"])
     if not name:
         raise ValueError("expected a non-empty workspace name")
     return Workspace(
         workspace_id=WorkspaceId(name),
         digests=digests,
-        rank=None if rank is None else int(rank),
+        rank=None if rank is None else _int(rank, MAX_I32),
         rate=_limit(fields.get("rate-per-s")),
         burst=_limit(fields.get("burst")),
     )
@@ -158,23 +201,27 @@
     return number
 
 
-def _text(value):
-    if not isinstance(value, str):
-        raise TypeError(f"expected a string, got {value!r}")
-    return value
+def _text_or_empty(value):
+    try:
+        return text_field(value)
+    except (TypeError, ValueError):
+        return ""
 
 
 def _service(fields):
     engine = fields.get("engine")
     return Service(
-        name=fields["name"],
-        health_path=fields["health-path"],
-        max_connections=int(fields.get("max-conns") or 0),
-        engine=engine
-        and Engine(
-            slots=int(engine["slots"]),
-            kv_tokens=int(engine.get("kv-capacity") or 0),
-        ),
+        name=text_field(fields["name"]),
+        health_path=text_field(fields["health-path"]),
+        max_connections=_int(fields.get("max-conns") or 0),
+        engine=None if engine in (None, False) else _engine(engine),
+    )
+
+
+def _engine(fields):
+    return Engine(
+        slots=_int(fields["slots"]),
+        kv_tokens=_int(fields.get("kv-capacity") or 0),
     )
 
 
@@ -188,39 +235,39 @@
         writers.
     """
     try:
-        fields = json.loads(text)
-        host, _, port = fields["address"].rpartition(":")
-        state = fields["state"]
-        service = fields["service"]
-        slots = fields.get("slots", 1)
-        born_ms = fields.get("born", 0)
-        # Remaining warm-up time of a started replica.
-        warm_in_ms = fields.get("cold-left-ms", 0)
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise DecodeError(f"replica {replica_id}: {error!r}") from None
-    numbers = (slots, born_ms, warm_in_ms)
-    if (
-        state not in ("ready", "draining")
-        or not isinstance(service, str)
-        or not host
-        or not port.isdigit()
-        or any(type(number) not in (int, float) for number in numbers)
-        or slots < 1
-    ):
-        raise DecodeError(f"replica {replica_id}: invalid field value")
+        return _replica(replica_id, parse_json(text))
+    except FIELD_ERRORS as error:
+        raise DecodeError(f"replica {replica_id!r}: {error!r}") from None
+
+
+def _replica(replica_id, fields):
+    host, port = _address(fields["address"])
+    state = fields["state"]
+    if state not in ("ready", "draining"):
+        raise ValueError("expected the state ready or draining")
+    warm_in_ms = fields.get("cold-left-ms", 0)
+    zone = fields.get("zone")
     return Replica(
-        replica_id=replica_id,
-        born_ms=int(born_ms),
-        service=service,
+        replica_id=text_field(replica_id),
+        born_ms=whole_field(fields.get("born", 0)),
+        service=text_field(fields["service"]),
         host=host,
-        port=int(port),
-        data_centre=DataCentreId(str(fields.get("zone", ""))),
-        slots=int(slots),
+        port=port,
+        data_centre=DataCentreId("" if zone is None else text_field(zone)),
+        slots=whole_field(fields.get("slots", 1), 1, MAX_I32),
         leaving=state == "draining",
-        warm_in_ms=int(warm_in_ms),
-        version=_software_version(fields.get("version")),
+        # Remaining warm-up time of a started replica.
+        warm_in_ms=whole_field(warm_in_ms, -MAX_WHOLE),
+        version=SoftwareVersion(_text_or_empty(fields.get("version"))),
     )
 
 
-def _software_version(value):
-    return SoftwareVersion(value if isinstance(value, str) else "")
+def _address(value):
+    """Return the host and the port of HOST:PORT."""
+    host, _, port = text_field(value).rpartition(":")
+    if len(host) > MAX_HOST_CHARACTERS or not _HOST.fullmatch(host):
+        raise ValueError("expected a host that can be resolved")
+    # Digits of other scripts are digits for `str.isdigit`.
+    if not (port.isascii() and port.isdigit() and len(port) <= 5):
+        raise ValueError("expected a port number")
+    return host, whole_field(int(port), 1, MAX_PORT)
--- /dev/null
+++ b/dahliashunt/row_fields.py
@@ -0,0 +1,96 @@
+"""Checked reading of JSON values that another process has written.
+
+`json.loads` accepts NaN and Infinity, integers of any length and strings with
+lone surrogates, and it raises `RecursionError` on deep nesting. Later uses of
+such values raise errors of other types, far from the row they came from. The
+functions here raise only errors in `FIELD_ERRORS`.
+
+No message quotes a value: its text may be long, and `repr` of a value that is
+nested deeply raises `RecursionError` itself.
+"""
+
+import json
+
+__all__ = [
+    "FIELD_ERRORS",
+    "MAX_WHOLE",
+    "list_field",
+    "parse_json",
+    "text_field",
+    "whole_field",
+]
+
+FIELD_ERRORS = (
+    ArithmeticError,
+    AttributeError,
+    LookupError,
+    TypeError,
+    ValueError,
+)
+"""Types of the errors that a value of another type or range causes."""
+
+MAX_WHOLE = 2**53
+"""Largest absolute value of a number: JSON writers that keep numbers as
+floats are exact up to it, and it fits into the 64 bits of a datagram."""
+
+
+def parse_json(text: str | bytes):
+    """Return the value in `text`; raise `ValueError` if it can't be parsed.
+
+    Examples
+    --------
+    >>> parse_json("[" * 100_000)
+    Traceback (most recent call last):
+    ValueError: the JSON text is nested too deeply
+    """
+    try:
+        return json.loads(text)
+    except RecursionError:
+        raise ValueError("the JSON text is nested too deeply") from None
+
+
+def text_field(value) -> str:
+    """Return a string that UTF-8 can encode.
+
+    Raises
+    ------
+    TypeError, ValueError
+        The value is no string, or has a lone surrogate.
+    """
+    if not isinstance(value, str):
+        raise TypeError(f"expected a string, got {type(value).__name__}")
+    value.encode()
+    return value
+
+
+def list_field(value) -> list:
+    """Return a list; raise `TypeError` for any other value."""
+    if not isinstance(value, list):
+        raise TypeError(f"expected a list, got {type(value).__name__}")
+    return value
+
+
+def whole_field(value, least: int = 0, most: int = MAX_WHOLE) -> int:
+    """Return a whole number from `least` to `most`.
+
+    A float without a fraction counts, since some writers have no integers.
+
+    Raises
+    ------
+    TypeError, ValueError
+        The value is no number, or another one.
+
+    Examples
+    --------
+    >>> whole_field(8.0)
+    8
+    >>> whole_field(float("nan"))
+    Traceback (most recent call last):
+    ValueError: expected a whole number from 0 to 9007199254740992
+    """
+    if type(value) not in (int, float):
+        raise TypeError(f"expected a number, got {type(value).__name__}")
+    # A comparison with NaN is false.
+    if not (least <= value <= most and value == int(value)):
+        raise ValueError(f"expected a whole number from {least} to {most}")
+    return int(value)
