Estimate the expected time of a request at each replica

Free slots of a slow replica counted as much as those of a fast one, and the replica for a shared prompt part was chosen by hashing alone. Agents observe the time per token from successive load reports, entries estimate the time to the first token and to the end from it, and remember which prompt parts they sent where. The order is unchanged where speeds are unknown or equal and shared parts are short.

--- a/dahliashunt/adapters/slots/server.py
+++ b/dahliashunt/adapters/slots/server.py
@@ -11,6 +11,7 @@
 from dahliashunt.adapters.wire.gen.link.ttypes import SlotVerdict
 from dahliashunt.adapters.wire.gen.link.ttypes import StreamReply
 from dahliashunt.decisions.meter import Meter
+from dahliashunt.decisions.replica_speed import ReplicaSpeed
 from dahliashunt.decisions.slot_allocator import SlotAllocator
 from dahliashunt.decisions.slot_messages import SlotDecision
 from dahliashunt.decisions.slot_messages import SlotReply
@@ -26,6 +27,10 @@
 """Time without a datagram after which an entry gets no more states; entries
 renew every second."""
 
+LOGGED_SPEED_FACTOR = 1.4
+"""Ratio of two successive speeds from which on the change is logged: below it
+entries treat speeds as equal."""
+
 _USE = {SlotUse.ONLINE: Use.ONLINE, SlotUse.BATCH: Use.BATCH}
 _VERDICT = {
     SlotDecision.GRANTED: SlotVerdict.GRANTED,
@@ -55,6 +60,7 @@
         self._log = log
         self.meter = Meter()
         self.origins = OriginTable()
+        self.speed = ReplicaSpeed()
         self._datagrams = None
         self._heard_ms_by_requester: dict[tuple[str, int], int] = {}
         self._last_state = None
@@ -121,6 +127,19 @@
         now_ms = self._clock.now_ms()
         self._send_all(self.allocator.report(running, waiting, now_ms))
 
+    def report_progress(self, run_by_id: dict) -> None:
+        """Pass the progress of the replica's runs to the speed."""
+        before_us = self.speed.token_us
+        self.speed.report(run_by_id, self._clock.now_ms())
+        token_us = self.speed.token_us
+        self._metrics.gauge("replica_token_us", token_us)
+        reading = self.speed.read_tokens_per_ms
+        self._metrics.gauge("replica_read_tokens_per_ms", reading)
+        if _is_logged_change(before_us, token_us):
+            self._log.info(
+                "replica_speed_changed", before_us=before_us, token_us=token_us
+            )
+
     def _send_all(self, effects):
         for effect in effects:
             if isinstance(effect, SlotReply):
@@ -147,8 +166,8 @@
             wait_ms=state.wait_ms,
             away=state.away,
             instance_id=self.instance_id,
-            token_us=state.token_us or None,
-            read_tokens_per_ms=state.read_tokens_per_ms or None,
+            token_us=self.speed.token_us or None,
+            read_tokens_per_ms=self.speed.read_tokens_per_ms or None,
             waiting_tokens=state.waiting_tokens or None,
             free_tokens=_if_known(state.free_tokens),
             born_ms=state.born_ms or None,
@@ -185,5 +204,12 @@
     )
 
 
+def _is_logged_change(before_us, token_us):
+    if not (before_us and token_us):
+        return before_us != token_us
+    low_us, high_us = sorted((before_us, token_us))
+    return high_us > LOGGED_SPEED_FACTOR * low_us
+
+
 def _if_known(value):
     return None if value < 0 else value
--- /dev/null
+++ b/dahliashunt/decisions/expected_time.py
@@ -0,0 +1,241 @@
+"""Expected time of a request at a replica, to its first token and to its end.
+
+Load pattern
+------------
+Replicas of one service differ in speed several-fold, some of them for good
+and some for half a second. Prompts are short, or share parts of thousands of
+tokens that some replicas have cached.
+
+What goes wrong without it
+--------------------------
+Free slots of a slow replica count as much as those of a fast one, and a
+prompt of 32,000 tokens is read anew at one replica while it is cached at
+another. Separate rules for slots, speed and caches contradict each other.
+
+How
+---
+The time to the first token is the sum, in milliseconds, of the network path,
+the wait for a slot, the reading of the queued prompts and of this prompt
+except for its cached tokens, one step, and what a warm-up adds. The time to
+the end adds one step per output token. Speeds age towards the median of the
+service's replicas, so that an old observation loses its weight, and a
+replica never observed counts as an average one.
+
+Complexity: constant per replica, without allocations but the result.
+"""
+
+from dataclasses import dataclass
+import statistics
+
+__all__ = [
+    "Estimator",
+    "ReplicaInputs",
+    "RequestSize",
+    "SpeedPrior",
+    "aged",
+    "has_different_speeds",
+    "is_reading_relevant",
+    "service_prior",
+]
+
+DEFAULT_TOKEN_US = 3_000
+"""Microseconds per token of a service none of whose replicas was observed."""
+
+DEFAULT_READ_TOKENS_PER_MS = 125.0
+"""Prompt tokens read per millisecond where this was not observed: prompts of
+some hundred tokens are read between two reports."""
+
+DEFAULT_OUTPUT_TOKENS = 300
+"""Output tokens of a request that does not state its maximum."""
+
+SPEED_HALF_LIFE_MS = 2_000
+"""Age in ms at which an observed speed counts half. Agents that are reachable
+send a state at least every second, so that only lost ones age much."""
+
+STEP_GROWTH_PER_RUN = 0.02
+"""Relative growth of a step with each further running request: 0.025 where a
+step is 3.27 ms and 0.0823 ms a request, 0 at other engines."""
+
+FAR_NETWORK_MS = 3
+"""Milliseconds that a round trip to another data centre of the region adds."""
+
+COLD_SLOWDOWN = 3.0
+"""Factor on the time of work that is done while a replica warms up."""
+
+DIFFERENT_SPEED_FACTOR = 1.4
+"""Ratio of two token times above which speeds count as different. Eight
+running requests instead of one lengthen a step by up to 18 %, and agents
+publish changes above 10 %."""
+
+RELEVANT_READING_MS = 20
+"""Milliseconds of reading shared tokens from which on these are considered.
+Waits and runs of requests differ by hundreds of ms; 200 shared tokens are
+read in 2 ms, 8,000 in 64 ms."""
+
+
+@dataclass(frozen=True, slots=True)
+class RequestSize:
+    """Size of a request in tokens; 0 if unknown.
+
+    Attributes
+    ----------
+    prompt_tokens, output_tokens : int
+        Length of the prompt and stated maximum of the output.
+    shared_tokens : int
+        Tokens of the prompt's shared parts.
+    """
+
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    shared_tokens: int = 0
+
+    @property
+    def memory_tokens(self) -> int:
+        """Memory that the request may need at its end."""
+        return self.prompt_tokens + self.output_tokens
+
+
+@dataclass(frozen=True, slots=True)
+class ReplicaInputs:
+    """What an entry knows of one replica, besides its free slots.
+
+    Attributes
+    ----------
+    token_us : int
+        Microseconds per token of a running request; 0 if unknown.
+    read_tokens_per_ms : float
+        0 if unknown.
+    age_ms : int
+        Age of the speeds and of the queue.
+    wait_ms : int
+        Wait for a slot that the agent expects.
+    waiting_tokens : int
+        Prompt tokens of the requests queued there.
+    free_tokens : int
+        Memory that no request holds; -1 if unknown.
+    network_ms : int
+        Time of the network path, both ways.
+    warm_in_ms : int
+        Remaining warm-up time.
+    cached_tokens : float
+        Expected number of this prompt's tokens that are cached there.
+    """
+
+    token_us: int = 0
+    read_tokens_per_ms: float = 0.0
+    age_ms: int = 0
+    wait_ms: int = 0
+    waiting_tokens: int = 0
+    free_tokens: int = -1
+    network_ms: int = 0
+    warm_in_ms: int = 0
+    cached_tokens: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class SpeedPrior:
+    """Speeds that a replica without observations is expected to have."""
+
+    token_us: float = DEFAULT_TOKEN_US
+    read_tokens_per_ms: float = DEFAULT_READ_TOKENS_PER_MS
+
+
+def service_prior(inputs: list[ReplicaInputs]) -> SpeedPrior:
+    """Return the medians of the known speeds in `inputs`.
+
+    Examples
+    --------
+    >>> service_prior([ReplicaInputs(us) for us in (0, 2000, 2200, 4000)])
+    SpeedPrior(token_us=2200, read_tokens_per_ms=125.0)
+    """
+    token_us = [one.token_us for one in inputs if one.token_us > 0]
+    reading = [
+        one.read_tokens_per_ms for one in inputs if one.read_tokens_per_ms > 0
+    ]
+    return SpeedPrior(
+        statistics.median(token_us) if token_us else DEFAULT_TOKEN_US,
+        statistics.median(reading) if reading else DEFAULT_READ_TOKENS_PER_MS,
+    )
+
+
+def aged(value: float, prior: float, age_ms: int) -> float:
+    """Return `value`, moved towards `prior` by its age; 0 is unknown.
+
+    Examples
+    --------
+    >>> aged(4_000, 2_000, SPEED_HALF_LIFE_MS)
+    3000.0
+    >>> aged(0, 2_000, 0)
+    2000
+    """
+    if value <= 0:
+        return prior
+    return prior + (value - prior) * 0.5 ** (age_ms / SPEED_HALF_LIFE_MS)
+
+
+def has_different_speeds(inputs: list[ReplicaInputs]) -> bool:
+    """Return whether two replicas' speeds differ by more than their spread."""
+    known = [one.token_us for one in inputs if one.token_us > 0]
+    return len(known) > 1 and max(known) > DIFFERENT_SPEED_FACTOR * min(known)
+
+
+def is_reading_relevant(shared_tokens: int, prior: SpeedPrior) -> bool:
+    """Return whether reading the shared tokens takes a relevant time."""
+    return shared_tokens >= RELEVANT_READING_MS * prior.read_tokens_per_ms
+
+
+class Estimator:
+    """Estimates the time of one request at each of several replicas.
+
+    Parameters
+    ----------
+    size : RequestSize
+    prior : SpeedPrior
+    """
+
+    __slots__ = ("_caches", "_output_tokens", "_prior", "_prompt_tokens")
+
+    def __init__(self, size: RequestSize, prior: SpeedPrior):
+        self._prior = prior
+        self._output_tokens = size.output_tokens or DEFAULT_OUTPUT_TOKENS
+        self._prompt_tokens = max(size.prompt_tokens, size.shared_tokens)
+        self._caches = is_reading_relevant(size.shared_tokens, prior)
+
+    def estimate(
+        self, inputs: ReplicaInputs, slots: int, taken: int
+    ) -> tuple[float, float]:
+        """Return the ms to the first token and to the end.
+
+        Parameters
+        ----------
+        inputs : ReplicaInputs
+        slots, taken : int
+            Slots of the replica, and those that this request can't get.
+            Above `slots`, the rest are requests queued ahead.
+        """
+        weight = 0.5 ** (inputs.age_ms / SPEED_HALF_LIFE_MS)
+        prior = self._prior
+        step_ms, reading = prior.token_us / 1000, prior.read_tokens_per_ms
+        if inputs.token_us > 0:
+            step_ms += (inputs.token_us / 1000 - step_ms) * weight
+        if inputs.read_tokens_per_ms > 0:
+            reading += (inputs.read_tokens_per_ms - reading) * weight
+        unread = self._prompt_tokens
+        if self._caches:
+            unread = max(0.0, unread - inputs.cached_tokens)
+        run_ms = step_ms * self._output_tokens
+        first_ms = inputs.network_ms + step_ms
+        first_ms += (unread + inputs.waiting_tokens * weight) / reading
+        if taken >= slots:
+            expected_ms = (taken - slots + 1) * run_ms / max(1, slots)
+            first_ms += max(inputs.wait_ms * weight, expected_ms)
+        end_ms = first_ms + run_ms
+        if inputs.warm_in_ms > 0:
+            first_ms += _warm_up_ms(first_ms, inputs.warm_in_ms)
+            end_ms += _warm_up_ms(end_ms, inputs.warm_in_ms)
+        return first_ms, end_ms
+
+
+def _warm_up_ms(work_ms, warm_in_ms):
+    """Return what the warm-up adds to work that begins now."""
+    return min(work_ms * (COLD_SLOWDOWN - 1), warm_in_ms)
--- a/dahliashunt/decisions/replica_choice.py
+++ b/dahliashunt/decisions/replica_choice.py
@@ -23,14 +23,36 @@
 hashing of the deepest part, goes first if it has room and does not cost a
 revoked batch item that another replica would not.
 
-Complexity: O(n log n) to sort n replicas, and one hash per replica.
+Where the replicas' speeds are known and differ, or reading the shared parts
+takes a relevant time, `order_by_time` replaces this order. Suspicion, memory,
+idle slots and silent agents decide first, as above; then expected time, in
+steps, and only among similar ones the load. Cached parts are a term of the
+time instead of a rule. Batch items take the slowest replica at which they end
+in time, which leaves the fast ones to the next peak of online requests.
+
+Complexity: O(n log n) to sort n replicas, and one hash or estimate each.
 """
 
 from dataclasses import dataclass
 import hashlib
+import math
 import random
 
-__all__ = ["Candidate", "order_replicas"]
+from dahliashunt.decisions.expected_time import Estimator
+from dahliashunt.decisions.expected_time import has_different_speeds
+from dahliashunt.decisions.expected_time import is_reading_relevant
+from dahliashunt.decisions.expected_time import ReplicaInputs
+from dahliashunt.decisions.expected_time import RequestSize
+from dahliashunt.decisions.expected_time import service_prior
+from dahliashunt.decisions.slot_messages import Use
+
+__all__ = [
+    "Candidate",
+    "Placement",
+    "order_by_time",
+    "order_replicas",
+    "uses_expected_time",
+]
 
 MIN_FREE_FOR_AFFINITY = 2
 """Free slots that the replica preferred for its prompt cache needs to go
@@ -44,6 +66,18 @@
 MAX_LOAD_AGE_MS = 2_000
 """Age in milliseconds above which a replica's load counts as unknown."""
 
+FIRST_TOKEN_STEP_MS = 20
+"""Step in ms below which times to the first token count as similar. It is the
+relevant reading time; less is not worth a replica with less room."""
+
+END_STEP_FACTOR = 1.25
+"""Ratio below which times to the end count as similar, so that not every
+entry selects the one replica that looks fastest."""
+
+DUE_MARGIN = 2.0
+"""Factor on the expected time of a batch item that has to fit into its slack.
+An item that is revoked once ends within it."""
+
 
 @dataclass(frozen=True, slots=True)
 class Candidate:
@@ -70,6 +104,8 @@
         Whether its agent does not answer, so that its load is unknown.
     connected : bool
         Whether an idle connection to it is open.
+    inputs : ReplicaInputs or None
+        What its time is estimated from; None without estimates.
     """
 
     replica_id: str
@@ -82,6 +118,114 @@
     batch: int = 0
     agent_silent: bool = False
     connected: bool = False
+    inputs: ReplicaInputs | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Placement:
+    """Request to be placed by expected time.
+
+    Attributes
+    ----------
+    size : RequestSize
+    use : Use
+    slack_ms : int
+        Time until a batch item is due; not used for online requests.
+    """
+
+    size: RequestSize
+    use: Use = Use.ONLINE
+    slack_ms: int = 0
+
+
+def uses_expected_time(candidates: list[Candidate], size: RequestSize) -> bool:
+    """Return whether expected times can differ enough to decide.
+
+    They can if two known speeds differ by more than their spread, or if
+    reading the shared parts takes a relevant time.
+    """
+    inputs = [one.inputs for one in candidates if one.inputs is not None]
+    if not inputs:
+        return False
+    return has_different_speeds(inputs) or (
+        size.shared_tokens > 0
+        and is_reading_relevant(size.shared_tokens, service_prior(inputs))
+    )
+
+
+def order_by_time(
+    candidates: list[Candidate], placement: Placement, rng: random.Random
+) -> list[Candidate]:
+    """Return `candidates`, least expected time first.
+
+    Parameters
+    ----------
+    candidates : list of Candidate
+        Each with `inputs`.
+    placement : Placement
+    rng : random.Random
+        Breaks ties.
+    """
+    prior = service_prior([one.inputs for one in candidates])
+    estimator = Estimator(placement.size, prior)
+    rank = _rank_item if placement.use is Use.BATCH else _rank_online
+    ranks = []
+    for one in candidates:
+        times = estimator.estimate(one.inputs, one.slots, _known_taken(one))
+        ranks.append((rank(one, placement, times), rng.random(), one))
+    ranks.sort(key=lambda each: each[:2])
+    return [one for _, _, one in ranks]
+
+
+def _rank_online(one, placement, times):
+    first_ms, end_ms = times
+    return (
+        one.avoided,
+        _lacks_memory(one, placement),
+        _free_slots(one) == 0,
+        one.agent_silent,
+        not _has_idle_slot(one),
+        first_ms // FIRST_TOKEN_STEP_MS,
+        _similar_step(end_ms),
+        *_rank_load(one),
+    )
+
+
+def _rank_item(one, placement, times):
+    first_ms, end_ms = times
+    return (
+        one.avoided,
+        _lacks_memory(one, placement),
+        one.agent_silent,
+        not _has_idle_slot(one),
+        DUE_MARGIN * end_ms > placement.slack_ms,
+        -_similar_step(end_ms - first_ms),
+        first_ms // FIRST_TOKEN_STEP_MS,
+        *_rank_load(one),
+    )
+
+
+def _rank_load(one):
+    free = _free_slots(one)
+    return (
+        -(free // SIMILAR_LOAD_SLOTS),
+        not one.connected,
+        -free,
+        not one.near,
+    )
+
+
+def _similar_step(duration_ms):
+    return int(math.log(max(1.0, duration_ms)) / math.log(END_STEP_FACTOR))
+
+
+def _lacks_memory(one, placement):
+    free_tokens = one.inputs.free_tokens
+    return 0 <= free_tokens < placement.size.memory_tokens
+
+
+def _known_taken(one):
+    return one.slots - _free_slots(one) if one.taken < one.slots else one.taken
 
 
 def order_replicas(
--- a/dahliashunt/decisions/slot_allocator.py
+++ b/dahliashunt/decisions/slot_allocator.py
@@ -209,6 +209,9 @@
             waiting=len(self._waiting_by_id),
             wait_ms=self.expected_wait_ms(),
             away=self.away,
+            waiting_tokens=sum(
+                each.ask.prompt_tokens for each in self._waiting_by_id.values()
+            ),
         )
 
     def _revoke(self, now_ms):
--- a/dahliashunt/forwarding/known_replicas.py
+++ b/dahliashunt/forwarding/known_replicas.py
@@ -7,10 +7,13 @@
 from dahliashunt.decisions.replica_choice import order_replicas
 from dahliashunt.decisions.suspicion import Suspicion
 from dahliashunt.forwarding.partners import Partners
+from dahliashunt.forwarding.replica_estimates import ReplicaEstimates
 from dahliashunt.forwarding.replica_view import ReplicaState
 from dahliashunt.forwarding.replica_view import ReplicaView
 from dahliashunt.forwarding.replicas import Replica
 from dahliashunt.forwarding.replicas import ReplicaRegistry
+from dahliashunt.forwarding.reservation import SlotRequirements
+from dahliashunt.metrics import Metrics
 from dahliashunt.ports import Clock
 
 __all__ = ["KnownReplicas"]
@@ -36,6 +39,8 @@
         Port of the agents on their replicas' hosts.
     is_connected : callable
         Given an address, returns whether an idle connection to it exists.
+    metrics : Metrics or None
+        Count the placements by their order.
     """
 
     def __init__(
@@ -49,6 +54,7 @@
         data_centre: str,
         agent_port: int,
         is_connected=lambda address: False,
+        metrics: Metrics | None = None,
     ):
         self._registry = registry
         self._partners = partners
@@ -59,7 +65,9 @@
         self._data_centre = data_centre
         self._agent_port = agent_port
         self._is_connected = is_connected
+        self._metrics = metrics
         self._own_by_incarnation: dict[tuple, int] = {}
+        self._estimates = ReplicaEstimates(registry, rng)
 
     def services(self):
         """Return the services that have replicas."""
@@ -99,12 +107,48 @@
 
     def ordered(self, replicas, affinity: str) -> list[Replica]:
         """Return `replicas`, best first."""
-        by_id = {replica.replica_id: replica for replica in replicas}
         now_ms = self._clock.now_ms()
         candidates = [self._candidate(each, now_ms) for each in replicas]
+        return self._ordered_by_load(replicas, candidates, affinity)
+
+    def _ordered_by_load(self, replicas, candidates, affinity):
+        by_id = {replica.replica_id: replica for replica in replicas}
         ordered = order_replicas(candidates, affinity, self._rng)
         return [by_id[candidate.replica_id] for candidate in ordered]
 
+    def ordered_for(
+        self, replicas, requirements: SlotRequirements
+    ) -> list[Replica]:
+        """Return `replicas`, best first for a request to an engine.
+
+        Expected times decide where they can differ; otherwise the order is
+        that of `ordered`.
+        """
+        now_ms = self._clock.now_ms()
+        known = [
+            (each, self._candidate(each, now_ms), self.load(each))
+            for each in replicas
+        ]
+        ordered = self._estimates.order(known, requirements, now_ms)
+        order = "free_slots" if ordered is None else "expected_time"
+        if self._metrics is not None:
+            self._metrics.count("replica_orders", by=order)
+        if ordered is None:
+            candidates = [candidate for _, candidate, _ in known]
+            return self._ordered_by_load(
+                replicas, candidates, requirements.affinity
+            )
+        return ordered
+
+    def placed(self, replica: Replica, requirements: SlotRequirements) -> None:
+        """Record that a request was placed at `replica`."""
+        now_ms = self._clock.now_ms()
+        self._estimates.placed(replica, requirements, now_ms)
+
+    def keep_only_listed(self) -> None:
+        """Drop estimates of incarnations that are no longer listed."""
+        self._estimates.keep_only(self.incarnations())
+
     def _candidate(self, replica, now_ms):
         own = self.own(replica)
         known = self.load(replica)
--- a/dahliashunt/forwarding/replica_selector.py
+++ b/dahliashunt/forwarding/replica_selector.py
@@ -95,9 +95,10 @@
             No replica is free; nothing was run by this call.
         """
         replicas = self._untried(requirements)
-        ordered = self._known.ordered(replicas, requirements.affinity)
         if not with_agents:
+            ordered = self._known.ordered(replicas, requirements.affinity)
             return self._direct(ordered[0])
+        ordered = self._known.ordered_for(replicas, requirements)
         if self._has_no_agents(replicas, requirements):
             return self._direct_within_slots(ordered, requirements)
         chosen = self._with_outsiders(ordered, requirements)
@@ -108,6 +109,7 @@
         for replica in replies.absent:
             self._suspicion.failed(replica.incarnation, now_ms)
         if replies.granted is not None:
+            self._known.placed(replies.granted, requirements)
             return self._granted(replies.granted, replies.attempt)
         return await self._fall_back(replies, requirements, request_id)
 
@@ -161,6 +163,7 @@
             if requirements.use is Use.BATCH:
                 limit = max(1, limit // 2)
             if self._known.own(replica) < limit:
+                self._known.placed(replica, requirements)
                 return self._direct(replica)
         raise RequestError(
             ErrorKind.OVERLOADED,
@@ -177,6 +180,7 @@
                 # A batch item there could not be revoked.
                 limit = 0 if full else 1
             if self._known.own(replica) < limit:
+                self._known.placed(replica, requirements)
                 return self._direct(replica)
         full.sort(key=self._expected_wait_ms)
         if full and requirements.wait_ms > 0:
@@ -186,6 +190,7 @@
                 attempt, self._known.agent(replica), requirements.wait_ms
             )
             if verdict is SlotDecision.GRANTED:
+                self._known.placed(replica, requirements)
                 return self._granted(replica, attempt)
         wait_ms = min(map(self._expected_wait_ms, full), default=0)
         raise RequestError(
@@ -255,3 +260,4 @@
         self._slots.renew(self._renewed)
         self._slots.forget_but(self._renewed)
         self._suspicion.keep_only(self._known.incarnations())
+        self._known.keep_only_listed()
--- a/dahliashunt/forwarding/replicas.py
+++ b/dahliashunt/forwarding/replicas.py
@@ -182,6 +182,11 @@
         warm_at_ms = self._warm_at_ms_by_id.get(replica.replica_id)
         return warm_at_ms is not None and now_ms < warm_at_ms
 
+    def warm_in_ms(self, replica: Replica, now_ms: int) -> int:
+        """Return the remaining warm-up time of `replica`."""
+        warm_at_ms = self._warm_at_ms_by_id.get(replica.replica_id, now_ms)
+        return max(0, warm_at_ms - now_ms)
+
     def has_ended(self, replica: Replica) -> bool:
         """Return whether that incarnation of a replica is listed no more."""
         held = self._replica_by_id.get(replica.replica_id)
--- a/dahliashunt/platform/dialect.py
+++ b/dahliashunt/platform/dialect.py
@@ -1,10 +1,12 @@
 """HTTP dialect of replicas: requests, responses and load reports."""
 
 from dataclasses import dataclass
+from dataclasses import field
 import json
 
 from dahliashunt.adapters.http1 import encode_request
 from dahliashunt.adapters.http1 import ResponseHead
+from dahliashunt.decisions.replica_speed import RunProgress
 from dahliashunt.forwarding.call import Call
 from dahliashunt.forwarding.replicas import Replica
 from dahliashunt.platform.names import BUDGET
@@ -83,11 +85,18 @@
         Ids of running requests.
     running_count, waiting : int
         Numbers of running and of queued requests.
+    run_by_id : dict
+        `RunProgress` of each run that states its tokens and events.
+    kv_used, kv_total : int
+        Memory in tokens that can't be reclaimed, and in all; -1 if unknown.
     """
 
     running: frozenset
     running_count: int
     waiting: int
+    run_by_id: dict[str, RunProgress] = field(default_factory=dict)
+    kv_used: int = -1
+    kv_total: int = -1
 
 
 def decode_report(body: bytes) -> ReplicaReport:
@@ -101,6 +110,25 @@
             running=running,
             running_count=int(fields["num-running"]),
             waiting=int(fields["num-waiting"]),
+            run_by_id=_run_by_id(runs),
+            kv_used=_count(fields.get("kv-used")),
+            kv_total=_count(fields.get("kv-total")),
         )
     except (KeyError, TypeError, IndexError, AttributeError) as error:
         raise ValueError(f"invalid replica report: {error!r}") from None
+
+
+def _run_by_id(runs):
+    """Return the progress of runs that state it; other runs are left out."""
+    run_by_id = {}
+    for run in runs:
+        tokens, events = map(_count, (*run[1:3], None, None)[:2])
+        if tokens >= 0 and events >= 0:
+            run_by_id[str(run[0])] = RunProgress(tokens, events)
+    return run_by_id
+
+
+def _count(value):
+    """Return a count, or -1 for anything else."""
+    is_count = isinstance(value, int) and not isinstance(value, bool)
+    return value if is_count and value >= 0 else -1
--- a/dahliashunt/platform/serve_agent.py
+++ b/dahliashunt/platform/serve_agent.py
@@ -177,6 +177,7 @@
             self._log.info("replica_back", missing=self._missed_reports)
         self._missed_reports = 0
         allocator.away = False
+        self._server.report_progress(report.run_by_id)
         self._server.report(report.running, report.waiting)
 
     async def _fetch_report(self):
--- a/dahliashunt/platform/serve_entry.py
+++ b/dahliashunt/platform/serve_entry.py
@@ -205,6 +205,7 @@
             self._settings.data_centre,
             self._settings.first_port,
             self._pool.has_idle,
+            self.node.metrics,
         )
 
     def _make_forwarder(self):
