Agents count the tokens of granted requests against the replica's memory

Cause: a replica crashes when its requests exceed its memory, and agents counted slots alone. Eight long requests fit the slots and not the memory.

Change: each hold counts with prompt plus stated maximum output, or what the report shows if that is more; runs without a hold count as shown, against kv-total of the report (decode_report reads kv-used, kv-total and the tokens of each run where they are there). A request that does not fit revokes the fewest items that make room or waits, and smaller ones may pass it. Agents publish free_tokens; entries skip replicas that cannot hold a request where others can, and refuse one above the configured memory with 413, not run.

The baseline NeverRevokes of shared_fleet.py follows the new signature of SlotAllocator._revoke.

--- a/dahliashunt/adapters/slots/server.py
+++ b/dahliashunt/adapters/slots/server.py
@@ -11,6 +11,7 @@
 from dahliashunt.adapters.wire.gen.link.ttypes import SlotVerdict
 from dahliashunt.adapters.wire.gen.link.ttypes import StreamReply
 from dahliashunt.decisions.meter import Meter
+from dahliashunt.decisions.replica_memory import MemoryReport
 from dahliashunt.decisions.slot_allocator import SlotAllocator
 from dahliashunt.decisions.slot_messages import SlotDecision
 from dahliashunt.decisions.slot_messages import SlotReply
@@ -116,10 +117,15 @@
         reply = SlotFrame(stream_reply=StreamReply(stream, origin))
         self._datagrams.send(reply, requester)
 
-    def report(self, running: frozenset, waiting: int) -> None:
+    def report(
+        self,
+        running: frozenset,
+        waiting: int,
+        memory: MemoryReport | None = None,
+    ) -> None:
         """Pass the replica's load report to the allocator."""
         now_ms = self._clock.now_ms()
-        self._send_all(self.allocator.report(running, waiting, now_ms))
+        self._send_all(self.allocator.report(running, waiting, now_ms, memory))
 
     def _send_all(self, effects):
         for effect in effects:
--- a/dahliashunt/decisions/slot_allocator.py
+++ b/dahliashunt/decisions/slot_allocator.py
@@ -29,6 +29,10 @@
 - Among these the lower `SlotRequest.rank` goes first, except that each
   `LOW_PRIORITY_INTERVAL`-th slot goes to a less urgent request, which
   prevents starvation.
+- A request that does not fit into the replica's memory (`replica_memory`) is
+  treated like one without a slot: it revokes the fewest items that make room,
+  or waits; smaller requests may pass it. One that exceeds the whole memory is
+  refused at once.
 - Holds are reconciled with the replica's own list (`slot_holds`).
 
 Complexity: each step is linear in the slots and the queued requests.
@@ -37,6 +41,8 @@
 from dataclasses import dataclass
 from dataclasses import field
 
+from dahliashunt.decisions.replica_memory import MemoryReport
+from dahliashunt.decisions.replica_memory import ReplicaMemory
 from dahliashunt.decisions.slot_holds import SlotHolds
 from dahliashunt.decisions.slot_messages import AllocatorState
 from dahliashunt.decisions.slot_messages import Revoked
@@ -85,12 +91,16 @@
         Whether the replica is unavailable; nothing is granted then.
     hold_ms : float
         Moving average of the time an online request holds a slot.
+    short_of_memory : int
+        Number of requests that found a slot but not enough memory.
     """
 
     slots: int
     away: bool = False
     hold_ms: float = INITIAL_HOLD_MS
+    short_of_memory: int = 0
     _holds: SlotHolds = field(default_factory=SlotHolds)
+    _memory: ReplicaMemory = field(default_factory=ReplicaMemory)
     _waiting_by_id: dict[AttemptId, _Waiting] = field(default_factory=dict)
     # Pairs of the time until which it counts, and the online holds.
     _recent_online: list[tuple[int, int]] = field(default_factory=list)
@@ -111,6 +121,8 @@
             return [_reply(ask, SlotDecision.QUEUED)]
         if self.away:
             return [_reply(ask, SlotDecision.AWAY)]
+        if self._memory.exceeds_total(ask):
+            return [_reply(ask, SlotDecision.FULL)]
         if ask.use is Use.BATCH:
             return self._ask_batch(ask, now_ms)
         return self._ask_online(ask, now_ms)
@@ -121,6 +133,8 @@
         taken = online + holds.count(Use.BATCH) + holds.unmatched
         if self._waiting_by_id or taken >= self.slots:
             return [_reply(ask, SlotDecision.FULL)]
+        if not self._has_memory(ask):
+            return [_reply(ask, SlotDecision.FULL)]
         return [self._grant(ask, now_ms)]
 
     def _peak_online(self, now_ms):
@@ -132,12 +146,12 @@
         return max(self._holds.count(Use.ONLINE), *counts, 0)
 
     def _ask_online(self, ask, now_ms):
-        if not self._waiting_by_id:
-            if self._holds.used < self.slots:
+        if not self._grantable():
+            if self._holds.used < self.slots and self._has_memory(ask):
                 return [self._grant(ask, now_ms)]
-            revoked = self._revoke(now_ms)
-            if revoked is not None:
-                return [revoked, self._grant(ask, now_ms)]
+            revoked = self._revoke(ask, now_ms)
+            if revoked:
+                return [*revoked, self._grant(ask, now_ms)]
         # A slack of 0: the request can't meet its deadline any more.
         max_delay_ms = min(ask.slack_ms, ask.wait_ms) or ask.wait_ms
         if self._expected_delay_ms(ask, now_ms) > max_delay_ms:
@@ -147,6 +161,27 @@
         )
         return [_reply(ask, SlotDecision.QUEUED)]
 
+    def _has_memory(self, ask):
+        """Return whether `ask` fits, and count it if not."""
+        fits = self._memory.fits(ask, self._holds.by_id.values())
+        self.short_of_memory += not fits
+        return fits
+
+    def _grantable(self):
+        """Return those of the queue that fit if all items were revoked."""
+        if self._holds.used >= self.slots:
+            return {}
+        online = [
+            hold
+            for hold in self._holds.by_id.values()
+            if hold.ask.use is Use.ONLINE
+        ]
+        asks = [waiting.ask for waiting in self._waiting_by_id.values()]
+        return {
+            ask.attempt_id: self._waiting_by_id[ask.attempt_id]
+            for ask in self._memory.fitting(asks, online)
+        }
+
     def _expected_delay_ms(self, ask, now_ms):
         """Return the expected queueing delay of `ask`, in ms."""
         ahead = [
@@ -187,9 +222,17 @@
         """Renew the holds of `attempt_ids` that belong to `requester`."""
         self._holds.renew(attempt_ids, requester, now_ms)
 
-    def report(self, running: frozenset, waiting: int, now_ms: int) -> list:
+    def report(
+        self,
+        running: frozenset,
+        waiting: int,
+        now_ms: int,
+        memory: MemoryReport | None = None,
+    ) -> list:
         """Reconcile the holds with what the replica runs and queues."""
         self._holds.reconcile(running, waiting, now_ms)
+        unheld = self._holds.unheld(running)
+        self._memory.update(memory or MemoryReport(), unheld)
         return self._grant_waiting(now_ms)
 
     def expected_wait_ms(self) -> int:
@@ -209,12 +252,20 @@
             waiting=len(self._waiting_by_id),
             wait_ms=self.expected_wait_ms(),
             away=self.away,
+            free_tokens=self._memory.free_tokens(self._holds.by_id.values()),
         )
 
-    def _revoke(self, now_ms):
-        """Revoke a batch hold; return None if there is none."""
-        ask = self._holds.revoke_batch(now_ms)
-        return ask and Revoked(ask.attempt_id, ask.requester)
+    def _revoke(self, ask, now_ms):
+        """Revoke the fewest batch holds that make room; [] if none do."""
+        holds = self._holds
+        chosen = self._memory.fewest_to_revoke(
+            ask, holds.by_id.values(), holds.batch()
+        )
+        for hold in chosen:
+            holds.revoke(hold, now_ms)
+        return [
+            Revoked(hold.ask.attempt_id, hold.ask.requester) for hold in chosen
+        ]
 
     def _grant(self, ask, now_ms):
         self._holds.grant(ask, now_ms)
@@ -226,25 +277,28 @@
             if waiting.expires_ms < now_ms:
                 del self._waiting_by_id[attempt_id]
                 answers.append(_reply(waiting.ask, SlotDecision.FULL))
-        while self._waiting_by_id and self._holds.used < self.slots:
-            waiting = self._waiting_by_id.pop(self._next_attempt_id(now_ms))
-            answers.append(self._grant(waiting.ask, now_ms))
+        while grantable := self._grantable():
+            attempt_id = self._next_attempt_id(grantable, now_ms)
+            ask = self._waiting_by_id.pop(attempt_id).ask
+            if not self._memory.fits(ask, self._holds.by_id.values()):
+                answers += self._revoke(ask, now_ms)
+            answers.append(self._grant(ask, now_ms))
         return answers
 
-    def _next_attempt_id(self, now_ms):
+    def _next_attempt_id(self, waiting_by_id, now_ms):
         """Return the attempt to grant next; first come among equals."""
         self._grants += 1
-        top_rank = min(each.ask.rank for each in self._waiting_by_id.values())
+        top_rank = min(each.ask.rank for each in waiting_by_id.values())
         is_low_priority_turn = self._grants % LOW_PRIORITY_INTERVAL == 0
 
         def sort_key(attempt_id):
-            waiting = self._waiting_by_id[attempt_id]
+            waiting = waiting_by_id[attempt_id]
             rank = waiting.ask.rank
             if is_low_priority_turn:
                 rank = rank == top_rank
             return waiting.is_late(now_ms), rank
 
-        return min(self._waiting_by_id, key=sort_key)
+        return min(waiting_by_id, key=sort_key)
 
 
 def _reply(ask, decision):
--- a/dahliashunt/decisions/slot_holds.py
+++ b/dahliashunt/decisions/slot_holds.py
@@ -89,17 +89,16 @@
             if hold is not None and hold.ask.requester == requester:
                 hold.renewed_ms = now_ms
 
-    def revoke_batch(self, now_ms: int) -> SlotRequest | None:
-        """Drop the batch hold with the most slack; None if there is none."""
-        batch = [
+    def batch(self) -> list[Hold]:
+        """Return the holds of batch items."""
+        return [
             hold for hold in self.by_id.values() if hold.ask.use is Use.BATCH
         ]
-        if not batch:
-            return None
-        ask = max(batch, key=lambda hold: hold.due_ms).ask
-        del self.by_id[ask.attempt_id]
-        self._revoked_ms_by_run[ask.run_id] = now_ms
-        return ask
+
+    def revoke(self, hold: Hold, now_ms: int) -> None:
+        """Drop `hold`, whose run ends within `REVOKE_GRACE_MS`."""
+        del self.by_id[hold.ask.attempt_id]
+        self._revoked_ms_by_run[hold.ask.run_id] = now_ms
 
     def reconcile(self, running: frozenset, waiting: int, now_ms: int) -> None:
         """Drop stale holds and count the runs without a hold.
@@ -126,8 +125,13 @@
                 del self._revoked_ms_by_run[run_id]
         self.unmatched = self._count_unmatched(running, waiting)
 
+    def unheld(self, running: frozenset) -> frozenset:
+        """Return the runs that no hold, and no recent one, accounts for."""
+        held = {hold.ask.run_id for hold in self.by_id.values()}
+        return running - held - self._revoked_ms_by_run.keys()
+
     def _count_unmatched(self, running, waiting):
         held = {hold.ask.run_id for hold in self.by_id.values()}
-        unknown = len(running - held - self._revoked_ms_by_run.keys())
+        unknown = len(self.unheld(running))
         queued = len(held - running)
         return unknown + max(0, waiting - queued)
--- a/dahliashunt/decisions/tests/shared_fleet.py
+++ b/dahliashunt/decisions/tests/shared_fleet.py
@@ -81,8 +81,8 @@
 
     __slots__ = ()
 
-    def _revoke(self, now_ms):
-        return None
+    def _revoke(self, ask, now_ms):
+        return []
 
 
 @dataclass(frozen=True, slots=True)
--- a/dahliashunt/forwarding/known_replicas.py
+++ b/dahliashunt/forwarding/known_replicas.py
@@ -15,6 +15,10 @@
 
 __all__ = ["KnownReplicas"]
 
+FREE_TOKENS_TTL_MS = 2_500
+"""Age at which an agent's count of free memory becomes unknown: states are
+renewed every second, so that two renewals may be lost."""
+
 UNHEARD_AGE_MS = 3_600_000
 """Assumed age of the load of a replica whose agent was never heard of."""
 
@@ -85,6 +89,27 @@
         """Return the last load its agent reported, with time, or None."""
         return self._slots.known_by_address.get(self.agent(replica))
 
+    def free_tokens(self, replica: Replica) -> int:
+        """Return the memory that no request holds there; -1 if unknown."""
+        known = self.load(replica)
+        if known is None:
+            return -1
+        if self._clock.now_ms() - known.at_ms > FREE_TOKENS_TTL_MS:
+            return -1
+        return known.state.free_tokens
+
+    def able_to_hold(self, replicas, tokens: int) -> list[Replica]:
+        """Return the replicas with memory for `tokens`, or all if none has.
+
+        Without one, an agent decides whether to make room.
+        """
+        able = [
+            replica
+            for replica in replicas
+            if not 0 <= self.free_tokens(replica) < tokens
+        ]
+        return able or list(replicas)
+
     def own(self, replica: Replica) -> int:
         """Return the number of this entry's requests at the replica."""
         return self._own_by_incarnation.get(replica.incarnation, 0)
--- a/dahliashunt/forwarding/node.py
+++ b/dahliashunt/forwarding/node.py
@@ -272,6 +272,12 @@
         found = self.catalog.service_by_name.get(service)
         return found is not None and found.engine is not None
 
+    def kv_tokens(self, service: str) -> int:
+        """Return the memory of each replica of `service`; 0 if unknown."""
+        found = self.catalog.service_by_name.get(service)
+        engine = found.engine if found is not None else None
+        return engine.kv_tokens if engine is not None else 0
+
     async def forward(
         self,
         call: Call,
--- a/dahliashunt/forwarding/replica_selector.py
+++ b/dahliashunt/forwarding/replica_selector.py
@@ -53,6 +53,9 @@
     suspicion : Suspicion
     clock : Clock
     rng : random.Random
+    kv_tokens_of : callable
+        Given a service, returns the memory of each of its replicas as the
+        configuration states it, in tokens; 0 if unknown.
     """
 
     def __init__(
@@ -62,12 +65,14 @@
         suspicion: Suspicion,
         clock: Clock,
         rng: random.Random,
+        kv_tokens_of=lambda service: 0,
     ):
         self._known = known
         self._slots = slots
         self._suspicion = suspicion
         self._clock = clock
         self._rng = rng
+        self._kv_tokens_of = kv_tokens_of
         self._slot_requester = SlotRequester(slots, known.agent)
         self._holds = HoldTimes()
         self._started_ms = clock.now_ms()
@@ -92,9 +97,13 @@
         Raises
         ------
         RequestError
-            No replica is free; nothing was run by this call.
+            No replica is free, or none is large enough; nothing was run by
+            this call.
         """
         replicas = self._untried(requirements)
+        if requirements.tokens:
+            self._refuse_too_large(replicas, requirements)
+            replicas = self._known.able_to_hold(replicas, requirements.tokens)
         ordered = self._known.ordered(replicas, requirements.affinity)
         if not with_agents:
             return self._direct(ordered[0])
@@ -128,6 +137,23 @@
             retry_after_ms=NO_REPLICA_RETRY_MS,
         )
 
+    def _refuse_too_large(self, replicas, requirements):
+        """Refuse a request that exceeds the memory of each replica.
+
+        A replica with more free memory than configured takes it.
+        """
+        total = self._kv_tokens_of(requirements.service)
+        tokens = requirements.tokens
+        if not 0 < total < tokens:
+            return
+        if any(self._known.free_tokens(each) >= tokens for each in replicas):
+            return
+        raise RequestError(
+            ErrorKind.TOO_LARGE,
+            f"the request was not run: prompt and maximum output are {tokens}"
+            f" tokens, and a replica of {requirements.service} holds {total}",
+        )
+
     def _with_outsiders(self, ordered, requirements):
         """Return the best partners, followed by some other replicas."""
         listed = self._known.listed(requirements.service)
--- a/dahliashunt/forwarding/reservation.py
+++ b/dahliashunt/forwarding/reservation.py
@@ -55,6 +55,11 @@
     output_tokens: int = 0
     shared_parts: tuple[tuple[str, int], ...] = ()
 
+    @property
+    def tokens(self) -> int:
+        """Memory that the request may take; 0 if unknown."""
+        return self.prompt_tokens + self.output_tokens
+
     def admits(self, replica: Replica) -> bool:
         """Return whether `replica` is untried and of a fitting version."""
         if replica.incarnation in self.avoid:
--- a/dahliashunt/forwarding/tests/test_replica_selector.py
+++ b/dahliashunt/forwarding/tests/test_replica_selector.py
@@ -6,13 +6,16 @@
 import pytest
 
 from dahliashunt.adapters.clock import VirtualClock
+from dahliashunt.adapters.slots.client import KnownState
 from dahliashunt.decisions.partners import MAX_PARTNERS
 from dahliashunt.decisions.partners import NON_PARTNER_SAMPLES
+from dahliashunt.decisions.slot_messages import AllocatorState
 from dahliashunt.decisions.slot_messages import SlotDecision
 from dahliashunt.decisions.slot_messages import Use
 from dahliashunt.decisions.suspicion import Suspicion
 from dahliashunt.errors import ErrorKind
 from dahliashunt.errors import RequestError
+from dahliashunt.forwarding.known_replicas import FREE_TOKENS_TTL_MS
 from dahliashunt.forwarding.known_replicas import KnownReplicas
 from dahliashunt.forwarding.partners import Partners
 from dahliashunt.forwarding.replica_selector import DIRECT_SLOT_DIVISOR
@@ -231,3 +234,38 @@
 
     asyncio.run(renew_once())
     assert len(renewed[0]) == MAX_PARTNERS
+
+
+@pytest.mark.parametrize(
+    ("free_by_host", "age_ms", "asked"),
+    [
+        ({"a": 100, "b": 5_000}, 0, {"b"}),
+        ({"a": 100, "b": -1}, 0, {"b"}),
+        ({"a": 100, "b": 100}, 0, {"a", "b"}),
+        ({"a": 100, "b": 5_000}, FREE_TOKENS_TTL_MS + 1, {"a", "b"}),
+    ],
+)
+def test_replicas_without_memory_are_skipped_where_others_have_it(
+    places, slots, clock, free_by_host, age_ms, asked
+):
+    """Guards against long requests sent where they can only wait."""
+    for host, free in free_by_host.items():
+        state = AllocatorState(SLOTS, 0, 0, 0, 0, False, free_tokens=free)
+        slots.known_by_address[host, 7000] = KnownState(state, clock.now_ms())
+        slots.verdict_by_host[host] = SlotDecision.FULL
+    asyncio.run(clock.advance(age_ms))
+    requirements = SlotRequirements(
+        "s",
+        Use.ONLINE,
+        "",
+        0,
+        0,
+        frozenset(),
+        lambda: None,
+        prompt_tokens=900,
+        output_tokens=200,
+    )
+    with pytest.raises(RequestError) as refusal:
+        asyncio.run(places.find(requirements, "r", True))
+    assert refusal.value.kind is ErrorKind.OVERLOADED
+    assert {host for host, _ in slots.asked} == asked
--- a/dahliashunt/platform/dialect.py
+++ b/dahliashunt/platform/dialect.py
@@ -1,6 +1,7 @@
 """HTTP dialect of replicas: requests, responses and load reports."""
 
 from dataclasses import dataclass
+from dataclasses import field
 import json
 
 from dahliashunt.adapters.http1 import encode_request
@@ -15,6 +16,7 @@
 from dahliashunt.platform.names import REQUEST_ID
 from dahliashunt.platform.names import SIGNATURE
 from dahliashunt.platform.names import WORKSPACE
+from dahliashunt.platform.prompts import MAX_TOKENS
 
 __all__ = ["PlatformDialect", "ReplicaReport", "decode_report"]
 
@@ -100,15 +102,26 @@
         Ids of running requests.
     running_count, waiting : int
         Numbers of running and of queued requests.
+    kv_used, kv_total : int
+        Tokens of memory that cannot be reclaimed, and of all memory; 0 if
+        unknown.
+    tokens_by_run : dict
+        Tokens in memory of each running request, where known.
     """
 
     running: frozenset
     running_count: int
     waiting: int
+    kv_used: int = 0
+    kv_total: int = 0
+    tokens_by_run: dict[str, int] = field(default_factory=dict)
 
 
 def decode_report(body: bytes) -> ReplicaReport:
-    """Return the report in `body`; raise `ValueError` if it is invalid."""
+    """Return the report in `body`; raise `ValueError` if it is invalid.
+
+    Missing or invalid counts of tokens are unknown, not an error.
+    """
     try:
         fields = json.loads(body)
         # Each run is [id, tokens in memory, events sent, rank].
@@ -118,6 +131,20 @@
             running=running,
             running_count=int(fields["num-running"]),
             waiting=int(fields["num-waiting"]),
+            kv_used=_tokens(fields.get("kv-used")),
+            kv_total=_tokens(fields.get("kv-total")),
+            tokens_by_run={
+                str(run[0]): _tokens(run[1]) for run in runs if len(run) > 1
+            },
         )
     except (KeyError, TypeError, IndexError, AttributeError) as error:
         raise ValueError(f"invalid replica report: {error!r}") from None
+
+
+def _tokens(value):
+    """Return a count of tokens; 0 for any other value."""
+    if isinstance(value, float) and value.is_integer():
+        value = int(value)
+    if type(value) is not int or value < 0:
+        return 0
+    return min(value, MAX_TOKENS)
--- a/dahliashunt/platform/prompts.py
+++ b/dahliashunt/platform/prompts.py
@@ -1,6 +1,12 @@
 """Headers that describe a request's prompt."""
 
-__all__ = ["prompt_and_output", "shared_parts", "shared_tokens", "token_sum"]
+__all__ = [
+    "MAX_TOKENS",
+    "prompt_and_output",
+    "shared_parts",
+    "shared_tokens",
+    "token_sum",
+]
 
 MAX_TOKENS = 2**31 - 1
 """Largest count that is read; a slot request carries 32 bits."""
--- a/dahliashunt/platform/serve_agent.py
+++ b/dahliashunt/platform/serve_agent.py
@@ -9,6 +9,7 @@
 from dahliashunt.adapters.http1 import encode_request
 from dahliashunt.adapters.http1 import exchange_whole
 from dahliashunt.adapters.slots import SlotServer
+from dahliashunt.decisions.replica_memory import MemoryReport
 from dahliashunt.decisions.slot_allocator import SlotAllocator
 from dahliashunt.errors import PlatformUnavailable
 from dahliashunt.metrics import Metrics
@@ -111,6 +112,7 @@
         )
         self._server = None
         self._missed_reports = 0
+        self._kv_total = 0
         self.started = asyncio.Event()
 
     def apply(self, settings):
@@ -134,6 +136,9 @@
             await self._poll_replica(allocator)
             self._server.publish()
             self._update_gauges(allocator.state())
+            self.metrics.gauge(
+                "asks_short_of_memory", allocator.short_of_memory
+            )
             await self._clock.sleep_ms(REPORT_INTERVAL_MS)
 
     def _update_gauges(self, state):
@@ -142,6 +147,7 @@
         self.metrics.gauge("slots_batch", state.batch)
         self.metrics.gauge("slots_waiting", state.waiting)
         self.metrics.gauge("replica_away", int(state.away))
+        self.metrics.gauge("memory_free_tokens", state.free_tokens)
 
     async def _find_replica(self):
         """Return the replica listed with this machine's address."""
@@ -177,7 +183,23 @@
             self._log.info("replica_back", missing=self._missed_reports)
         self._missed_reports = 0
         allocator.away = False
-        self._server.report(report.running, report.waiting)
+        self._note_memory(report)
+        self._server.report(
+            report.running,
+            report.waiting,
+            MemoryReport(report.kv_total, report.tokens_by_run),
+        )
+
+    def _note_memory(self, report):
+        if report.kv_total != self._kv_total:
+            self._log.info(
+                "memory_size_changed",
+                before=self._kv_total,
+                tokens=report.kv_total,
+            )
+            self._kv_total = report.kv_total
+        self.metrics.gauge("memory_total_tokens", report.kv_total)
+        self.metrics.gauge("memory_used_tokens", report.kv_used)
 
     async def _fetch_report(self):
         """Return the replica's load report, or None if it is missed."""
--- a/dahliashunt/platform/serve_entry.py
+++ b/dahliashunt/platform/serve_entry.py
@@ -171,6 +171,7 @@
             self._suspicion,
             self._clock,
             self._rng,
+            self.node.kv_tokens,
         )
         self.node.forwarder = self._make_forwarder()
         self.jobs = JobParts(
--- a/dahliashunt/platform/standins/caller.py
+++ b/dahliashunt/platform/standins/caller.py
@@ -14,6 +14,7 @@
 from dahliashunt.platform.names import PROMPT_PARTS
 from dahliashunt.platform.names import REQUEST_ID
 from dahliashunt.platform.names import RESUMES
+from dahliashunt.platform.names import TOKENS
 from dahliashunt.platform.names import WORKSPACE
 
 __all__ = [
@@ -36,6 +37,7 @@
     "prompt_parts": PROMPT_PARTS,
     "authorization": AUTHORIZATION,
     "workspace": WORKSPACE,
+    "tokens": TOKENS,
 }
 
 
@@ -88,7 +90,8 @@
     ----------
     **fields
         ``request_id``, ``budget_ms``, ``wait_ms``, ``last_event``,
-        ``resumes``, ``prompt_parts``, ``authorization``, ``workspace``.
+        ``resumes``, ``prompt_parts``, ``authorization``, ``workspace``,
+        ``tokens``.
     """
     fields = {"request_id": "r1", "budget_ms": "3000", **fields}
     headers = [("Host", host)]
