A job whose acceptance conflicts is not reported as not accepted

Cause: a conflict with another copy of the same submission, followed by a failed read, ended with 503 and "not run", although the other copy may have been accepted and its items run.

Change: if the job's row cannot be read after the conflict, the outcome is unknown and the response is 502.

Measured: the new test in test_ledger.py fails on the old code with Ran.NO.

--- a/dahliashunt/decisions/replica_memory.py
+++ b/dahliashunt/decisions/replica_memory.py
@@ -23,7 +23,8 @@
 A revoked run is not counted while it ends, like its slot: for that round trip
 the output that the other requests have not written yet leaves room.
 
-Complexity: linear in the holds for each check or list, quadratic for a revocation.
+Complexity: linear in the holds for each check or list, quadratic for a
+revocation.
 """
 
 from collections.abc import Collection
--- a/dahliashunt/jobs/ledger.py
+++ b/dahliashunt/jobs/ledger.py
@@ -182,8 +182,8 @@
         )
         try:
             versions = await self._table.transact(writes)
-        except TransactionConflict:
-            return await self.find(job.job_id) is not None
+        except TransactionConflict as error:
+            return await self._was_accepted(job, error)
         except PlatformUnavailable as error:
             raise _store_unavailable(error, Ran.NO) from None
         except WriteOutcomeUnknown as error:
@@ -197,13 +197,20 @@
         A write that isn't visible yet may still be applied, so that a
         missing row doesn't prove that the job was not accepted.
         """
+        if await self._was_accepted(job, error):
+            return True
+        raise _store_unavailable(error, Ran.UNKNOWN)
+
+    async def _was_accepted(self, job, error):
+        """Return whether the job's row exists after a failed acceptance.
+
+        If that cannot be read, the job may have been accepted, by another
+        copy of the request too.
+        """
         try:
-            found = await self.find(job.job_id)
+            return await self.find(job.job_id) is not None
         except RequestError:
             raise _store_unavailable(error, Ran.UNKNOWN) from None
-        if found is not None:
-            return True
-        raise _store_unavailable(error, Ran.UNKNOWN)
 
     # Reads.
 
--- a/dahliashunt/jobs/tests/test_ledger.py
+++ b/dahliashunt/jobs/tests/test_ledger.py
@@ -7,6 +7,7 @@
 
 from dahliashunt.adapters.objects.memory import MemoryObjectStore
 from dahliashunt.adapters.table.memory import MemoryTableService
+from dahliashunt.errors import ErrorKind
 from dahliashunt.errors import PlatformUnavailable
 from dahliashunt.errors import Ran
 from dahliashunt.errors import RequestError
@@ -207,3 +208,27 @@
 def _other(name):
     fields = {f: getattr(JOB, f) for f in Job.__slots__}
     return Job(**{**fields, "job_id": JobId(name)})
+
+
+def test_a_conflict_that_cannot_be_resolved_promises_nothing(
+    make_ledger, table, monkeypatch
+):
+    """Guards against "not run" for a job that its other copy has accepted."""
+    transact, ledger = table.transact, make_ledger(SECOND)
+
+    async def read_nothing(key, ran):
+        raise RequestError(ErrorKind.STORE_UNAVAILABLE, "", ran=ran)
+
+    async def transact_after_the_other_copy(writes):
+        monkeypatch.setattr(table, "transact", transact)
+        await make_ledger(FIRST).accept(JOB, b"payload", 0)
+        monkeypatch.setattr(ledger, "_read", read_nothing)
+        return await transact(writes)
+
+    async def main():
+        with pytest.raises(RequestError) as refusal:
+            await ledger.accept(JOB, b"payload", 0)
+        assert refusal.value.ran is Ran.UNKNOWN
+
+    monkeypatch.setattr(table, "transact", transact_after_the_other_copy)
+    asyncio.run(main())
