--- a/dahliashunt/platform/tests/test_memory.py
+++ b/dahliashunt/platform/tests/test_memory.py
@@ -8,9 +8,12 @@
 import structlog
 
 from dahliashunt.platform.dialect import decode_report
+from dahliashunt.platform.names import TOKENS
 from dahliashunt.platform.serve_agent import _Agent
 from dahliashunt.platform.settings import load_settings
+from dahliashunt.platform.standins.caller import results_target
 from dahliashunt.platform.standins.settings import agent_fields
+from dahliashunt.platform.standins.settings import job_route
 from dahliashunt.platform.standins.settings import route_fields
 
 IDEMPOTENT = route_fields(kind="idempotent", resumable=False)
@@ -82,3 +85,31 @@
         assert "memory_total_tokens" in lines
 
     platform(scenario, IDEMPOTENT, engine=True)
+
+
+def test_an_item_larger_than_each_replica_is_listed_as_dead(platform):
+    """Guards against an item that waits for its whole time in vain."""
+    item = {
+        "id": "i",
+        "path": "/j/i",
+        "headers": {TOKENS: "99000,1001"},
+        "body": "e30=",
+        "tokens": 100,
+    }
+
+    async def scenario(p):
+        body = json.dumps({"requests": [item]}).encode()
+        async with p.agent():
+            await p.until(lambda: p.hears_agents(p.entries[0]))
+            submitted = await p.call("POST", "/j/j1", body, request_id="j1")
+            assert submitted.status == 202
+            results = []
+            async with asyncio.timeout(20):
+                while not results:
+                    target = results_target("j1", 0)
+                    page = await p.call("GET", target, wait_ms=1000)
+                    results = page.json()["results"]
+        assert [each["state"] for each in results] == ["dead"]
+        assert p.replicas[0].arrivals == []
+
+    platform(scenario, job_route("/j/", 18_000, 2), engine=True)
