--- a/dahliashunt/adapters/slots/server.py
+++ b/dahliashunt/adapters/slots/server.py
@@ -11,6 +11,7 @@
 from dahliashunt.adapters.wire.gen.link.ttypes import SlotVerdict
 from dahliashunt.adapters.wire.gen.link.ttypes import StreamReply
 from dahliashunt.decisions.meter import Meter
+from dahliashunt.decisions.replica_memory import MemoryReport
 from dahliashunt.decisions.replica_speed import ReplicaSpeed
 from dahliashunt.decisions.slot_allocator import SlotAllocator
 from dahliashunt.decisions.slot_messages import SlotDecision
@@ -122,10 +123,15 @@
         reply = SlotFrame(stream_reply=StreamReply(stream, origin))
         self._datagrams.send(reply, requester)
 
-    def report(self, running: frozenset, waiting: int) -> None:
+    def report(
+        self,
+        running: frozenset,
+        waiting: int,
+        memory: MemoryReport | None = None,
+    ) -> None:
         """Pass the replica's load report to the allocator."""
         now_ms = self._clock.now_ms()
-        self._send_all(self.allocator.report(running, waiting, now_ms))
+        self._send_all(self.allocator.report(running, waiting, now_ms, memory))
 
     def report_progress(self, run_by_id: dict) -> None:
         """Pass the progress of the replica's runs to the speed."""
--- a/dahliashunt/platform/dialect.py
+++ b/dahliashunt/platform/dialect.py
@@ -16,6 +16,7 @@
 from dahliashunt.platform.names import REQUEST_ID
 from dahliashunt.platform.names import SIGNATURE
 from dahliashunt.platform.names import WORKSPACE
+from dahliashunt.platform.prompts import MAX_TOKENS
 from dahliashunt.row_fields import FIELD_ERRORS
 from dahliashunt.row_fields import parse_json
 from dahliashunt.row_fields import text_field
@@ -107,19 +108,26 @@
     run_by_id : dict
         `RunProgress` of each run that states its tokens and events.
     kv_used, kv_total : int
-        Memory in tokens that can't be reclaimed, and in all; -1 if unknown.
+        Tokens of memory that cannot be reclaimed, and of all memory; 0 if
+        unknown.
+    tokens_by_run : dict
+        Tokens in memory of each running request, where known.
     """
 
     running: frozenset
     running_count: int
     waiting: int
     run_by_id: dict[str, RunProgress] = field(default_factory=dict)
-    kv_used: int = -1
-    kv_total: int = -1
+    kv_used: int = 0
+    kv_total: int = 0
+    tokens_by_run: dict[str, int] = field(default_factory=dict)
 
 
 def decode_report(body: bytes) -> ReplicaReport:
-    """Return the report in `body`; raise `ValueError` if it is invalid."""
+    """Return the report in `body`; raise `ValueError` if it is invalid.
+
+    Missing or invalid counts of tokens are unknown, not an error.
+    """
     try:
         fields = parse_json(body)
         # Each run is [id, tokens in memory, events sent, rank].
@@ -130,8 +138,13 @@
             running_count=int(fields["num-running"]),
             waiting=int(fields["num-waiting"]),
             run_by_id=_run_by_id(runs),
-            kv_used=_count(fields.get("kv-used")),
-            kv_total=_count(fields.get("kv-total")),
+            kv_used=_tokens(fields.get("kv-used")),
+            kv_total=_tokens(fields.get("kv-total")),
+            tokens_by_run={
+                _run_id(run[0]): _tokens(run[1])
+                for run in runs
+                if len(run) > 1
+            },
         )
     except FIELD_ERRORS as error:
         raise ValueError(f"invalid replica report: {error!r}") from None
@@ -156,3 +169,12 @@
     """Return a count, or -1 for anything else."""
     is_count = isinstance(value, int) and not isinstance(value, bool)
     return value if is_count and value >= 0 else -1
+
+
+def _tokens(value):
+    """Return a count of tokens; 0 for any other value."""
+    if isinstance(value, float) and value.is_integer():
+        value = int(value)
+    if type(value) is not int or value < 0:
+        return 0
+    return min(value, MAX_TOKENS)
