Rows of other writers end no follower and no owner of jobs

Cause: RecursionError and errors of later uses passed the decoders of jobs, progress, heartbeats, partial texts, losses, quotas and results. One row in any of these tables ended the follower, the search for lost owners, or a request with an internal error. A loss dated far ahead never expired.

Change: all these rows are read by type and range; a row under another job's key is skipped; a heartbeat that can't be decoded neither renews nor ends its owner; a quota that can't be decoded counts as 0 and is replaced by the next write; foreign rows between the rows of a result don't hide it. An error of a listener that remains is reported (follower_failed, follower_failures), makes the entry unready and starts the follower anew after a pause; the rows known so far stay in use.

--- a/dahliashunt/forwarding/follower.py
+++ b/dahliashunt/forwarding/follower.py
@@ -7,6 +7,7 @@
 from dahliashunt.decisions.feed_pace import pause_ms
 from dahliashunt.errors import HistoryLost
 from dahliashunt.errors import PlatformUnavailable
+from dahliashunt.metrics import Metrics
 from dahliashunt.ports import Clock
 from dahliashunt.ports import TableFeed
 
@@ -22,9 +23,18 @@
 With the upper one 64 nodes make under 400 calls a second."""
 
 
+RESTART_BOUNDS_MS = (500, 10_000)
+"""Bounds of the doubling pause after an error of the listener. The whole
+table is read then, and many entries may fail on one row."""
+
+
 class TableFollower:
     """Reads a table and its changes and passes the rows to `listener`.
 
+    A listener catches what a row causes at that row. Any other error is a
+    fault of the program: the rows known so far stay in use, the follower
+    counts as failed, and after a pause it reads the whole table again.
+
     Parameters
     ----------
     feed : TableFeed
@@ -38,9 +48,13 @@
     clock : Clock
     rng : random.Random
     log : structlog logger
+    metrics : Metrics or None
+        Counts errors of the listener as ``follower_failures``.
 
     Attributes
     ----------
+    failed : bool
+        Whether the last rows could not be applied.
     heard_ms : int or None
         Time of the table's last response.
     known : asyncio.Event
@@ -56,6 +70,7 @@
         clock: Clock,
         rng: random.Random,
         log,
+        metrics: Metrics | None = None,
     ):
         self._feed = feed
         self._prefixes = prefixes
@@ -67,6 +82,9 @@
         self._log = log
         self._after: int | None = None
         self._failures = 0
+        self._metrics = metrics
+        self._restart_ms, _ = RESTART_BOUNDS_MS
+        self.failed = False
         self.heard_ms: int | None = None
         self.known = asyncio.Event()
 
@@ -82,6 +100,32 @@
                 self._after = None
             except PlatformUnavailable as error:
                 await self._back_off(error)
+            except Exception as error:  # A fault of the listener, of any type.
+                await self._restart(error)
+            else:
+                self._note_success()
+
+    async def _restart(self, error):
+        """Report the error of a listener and read the whole table later."""
+        self.failed = True
+        self._after = None
+        if self._metrics is not None:
+            self._metrics.count("follower_failures", table=self._table)
+        self._log.error(
+            "follower_failed",
+            table=self._table,
+            reason=repr(error),
+            exc_info=error,
+        )
+        most_ms = self._restart_ms
+        self._restart_ms = min(2 * most_ms, RESTART_BOUNDS_MS[1])
+        await self._clock.sleep_ms(self._rng.randint(most_ms // 2, most_ms))
+
+    def _note_success(self):
+        if self.failed:
+            self.failed = False
+            self._restart_ms, _ = RESTART_BOUNDS_MS
+            self._log.info("follower_recovered", table=self._table)
 
     async def _step(self):
         if self._after is None:
--- a/dahliashunt/forwarding/losses.py
+++ b/dahliashunt/forwarding/losses.py
@@ -36,6 +36,12 @@
 from dahliashunt.ports.table import MustBe
 from dahliashunt.ports.table import Row
 from dahliashunt.ports.table import Write
+from dahliashunt.row_fields import FIELD_ERRORS
+from dahliashunt.row_fields import list_field
+from dahliashunt.row_fields import MAX_WHOLE
+from dahliashunt.row_fields import parse_json
+from dahliashunt.row_fields import text_field
+from dahliashunt.row_fields import whole_field
 
 __all__ = [
     "LOSSES_PREFIX",
@@ -61,6 +67,10 @@
 """Correction of the store's clock from which it is followed. A smaller one
 could make a run seem to begin before the end of the one before it."""
 
+MAX_CLOCK_ERROR_MS = 10_000
+"""Time ahead of this entry's clock from which a run or trial in a row is
+ignored: it would not expire. Entries' clocks differ by one call's duration."""
+
 CLAIM_PAUSE_MS = 1_000
 """Time after a failed claim without another one: a request that waits for
 the store holds a slot."""
@@ -372,8 +382,12 @@
     def _learn(self, digest, stored):
         if stored.runs:
             self._learn_beside(digest, stored.beside)
-        losses = self._counts.learn(digest, stored.runs, self._now_ms())
-        self._learn_trials(digest, stored.trials)
+        now_ms = self._now_ms()
+        latest_ms = now_ms + MAX_CLOCK_ERROR_MS
+        runs = [run for run in stored.runs if run.lost_ms <= latest_ms]
+        losses = self._counts.learn(digest, runs, now_ms)
+        trials = [one for one in stored.trials if one.claimed_ms <= latest_ms]
+        self._learn_trials(digest, trials)
         return losses
 
     def _write_later(self, digest, cleared):
@@ -508,8 +522,8 @@
     if row is None:
         return _Losses()
     try:
-        fields = json.loads(row.value)
-        runs = fields["runs"]
+        fields = parse_json(row.value)
+        runs = list_field(fields["runs"])
         replicas = fields.get("replicas") or [""] * len(runs)
         trials = fields.get("trials")
         if trials is None:
@@ -517,13 +531,20 @@
         beside = fields.get("beside")
         return _Losses(
             tuple(
-                LostRun(int(lost_ms), int(began_ms), str(replica))
+                LostRun(_time(lost_ms), _time(began_ms), text_field(replica))
                 for (began_ms, lost_ms), replica in zip(
                     runs, replicas, strict=True
                 )
             ),
-            tuple(Trial(int(at_ms), str(token)) for at_ms, token in trials),
-            None if beside is None else frozenset(map(str, beside)),
+            tuple(
+                Trial(_time(at_ms), text_field(token))
+                for at_ms, token in trials
+            ),
+            None if beside is None else frozenset(map(text_field, beside)),
         )
-    except (AttributeError, KeyError, TypeError, ValueError):
+    except FIELD_ERRORS:
         return _Losses()
+
+
+def _time(value):
+    return whole_field(value, -MAX_WHOLE)
--- a/dahliashunt/forwarding/node.py
+++ b/dahliashunt/forwarding/node.py
@@ -83,6 +83,7 @@
         self.caps: RateLimiter | None = None
         self.leaving = asyncio.Event()
         self.config_read_ms = lambda: None
+        self.follows_tables = lambda: True
         self.losses_known = asyncio.Event()
         self.losses_known.set()
         self._in_flight = 0
@@ -109,13 +110,15 @@
         """Whether the node should get new connections.
 
         A node that is cut off from the store still serves the routes it
-        knows, but takes no jobs and misses changes.
+        knows, but takes no jobs and misses changes; so does one that can't
+        apply the rows of a table.
         """
         return (
             self.catalog is not None
             and not self._waits_for_losses()
             and not self.leaving.is_set()
             and not self.is_stale()
+            and self.follows_tables()
         )
 
     def _waits_for_losses(self):
--- a/dahliashunt/forwarding/tests/test_follower.py
+++ b/dahliashunt/forwarding/tests/test_follower.py
@@ -9,7 +9,9 @@
 from dahliashunt.adapters.clock import VirtualClock
 from dahliashunt.decisions.feed_pace import FeedUse
 from dahliashunt.decisions.feed_pace import pause_ms
+from dahliashunt.forwarding.follower import RESTART_BOUNDS_MS
 from dahliashunt.forwarding.follower import TableFollower
+from dahliashunt.metrics import Metrics
 from dahliashunt.ports.table import Changes
 from dahliashunt.ports.table import Row
 
@@ -55,10 +57,11 @@
 
 
 class Listener:
-    """Records when each row was received."""
+    """Records when each row was received; fails on that of `failing_key`."""
 
     def __init__(self, clock):
         self._clock = clock
+        self.failing_key = None
         self.heard_ms_by_key = {}
 
     def replaced(self, rows):
@@ -66,6 +69,8 @@
             self.changed(row)
 
     def changed(self, row):
+        if row.key == self.failing_key:
+            raise TypeError
         self.heard_ms_by_key[row.key] = self._clock.now_ms()
 
     def removed(self, key):
@@ -81,7 +86,7 @@
 
     def follow(use, scenario):
         async def main():
-            clock = VirtualClock()
+            clock, metrics = VirtualClock(), Metrics("n")
             feed, listener = Feed(clock), Listener(clock)
             follower = TableFollower(
                 feed,
@@ -91,7 +96,9 @@
                 clock,
                 random.Random(1),
                 structlog.get_logger(),
+                metrics,
             )
+            listener.follower, listener.metrics = follower, metrics
             task = asyncio.create_task(follower.run())
             await clock.advance(10)
             try:
@@ -147,3 +154,21 @@
             assert key in listener.heard_ms_by_key
 
     run_follower(FeedUse.CONFIGURATION, scenario)
+
+
+def test_an_error_of_the_listener_shows_and_the_follower_goes_on(run_follower):
+    # Guards against a follower that ends unnoticed and follows no row.
+    async def scenario(clock, feed, listener):
+        listener.failing_key = "progress/0/bad"
+        feed.write("progress/0/bad")
+        feed.write("progress/0/a")
+        await clock.advance(100)
+        assert listener.follower.failed
+        assert listener.metrics.counts_by_name
+        assert "progress/0/a" not in listener.heard_ms_by_key
+        listener.failing_key = None
+        await clock.advance(RESTART_BOUNDS_MS[1])
+        assert not listener.follower.failed
+        assert "progress/0/a" in listener.heard_ms_by_key
+
+    run_follower(FeedUse.REPLICAS, scenario)
--- a/dahliashunt/forwarding/tests/test_losses.py
+++ b/dahliashunt/forwarding/tests/test_losses.py
@@ -15,6 +15,7 @@
 from dahliashunt.forwarding.losses import LOSSES_PREFIX
 from dahliashunt.forwarding.losses import SharedLosses
 from dahliashunt.forwarding.losses import SWEEP_MS
+from dahliashunt.ports.table import Row
 
 LOG = structlog.get_logger()
 DIGEST = "bad"
@@ -291,3 +292,22 @@
             error_ms[0] -= 2
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        "[" * 100_000,
+        '{"runs": [[0, Infinity]], "trial_ms": 0}',
+        '{"runs": [[0, 1e400]], "trials": [[NaN, ""]]}',
+        '{"runs": "ab", "trials": []}',
+        # These would never expire.
+        f'{{"runs": {[[0, 2**52 + n] for n in range(9)]}, "trials": []}}',
+    ],
+)
+def test_a_row_of_another_writer_counts_no_losses(value):
+    # Guards against a row that ends the follower, or holds a request back
+    # without end.
+    losses = Fleet(random.Random(1), entries=1).entries[0]
+    losses.changed(Row(f"{LOSSES_PREFIX}{DIGEST}", value, 1))
+    assert losses.losses(DIGEST) == 0
--- a/dahliashunt/jobs/beats.py
+++ b/dahliashunt/jobs/beats.py
@@ -18,6 +18,10 @@
 from dahliashunt.ports import TableService
 from dahliashunt.ports.table import MustBe
 from dahliashunt.ports.table import Write
+from dahliashunt.row_fields import FIELD_ERRORS
+from dahliashunt.row_fields import list_field
+from dahliashunt.row_fields import parse_json
+from dahliashunt.row_fields import text_field
 
 __all__ = ["HEARTBEAT_MS", "BeatReader", "BeatWriter", "period_ms"]
 
@@ -100,6 +104,7 @@
 @dataclass(slots=True)
 class _Observation:
     value: str
+    incarnation: str
     since_ms: int
 
 
@@ -117,7 +122,7 @@
     Attributes
     ----------
     owners : int
-        Number of rows at the last poll.
+        Number of rows at the last poll that could be decoded.
     """
 
     def __init__(self, table: TableService, own: Owner, clock: Clock, log):
@@ -126,6 +131,7 @@
         self._clock = clock
         self._log = log
         self._observation_by_node: dict[NodeId, _Observation] = {}
+        self._unreadable_by_key: dict[str, int] = {}
         self._watched_since_ms_by_owner: dict[Owner, int] = {}
         self._restart_timeouts = True
         self.owners = 0
@@ -153,16 +159,30 @@
         self._watched_since_ms_by_owner = {
             owner: watched.get(owner, now_ms) for owner in owners
         }
-        for row in rows:
-            self._observe(NodeId(row.key.removeprefix("beats//")), row, now_ms)
-        self.owners = len(rows)
+        self.owners = sum(self._observe(row, now_ms) for row in rows)
 
-    def _observe(self, node_id, row, now_ms):
+    def _observe(self, row, now_ms):
+        """Note the row's change; return whether it could be decoded.
+
+        A row that can't be decoded renews nothing and ends nothing: its
+        owner's timeout goes on.
+        """
+        try:
+            incarnation = _incarnation(row.value)
+        except FIELD_ERRORS as error:
+            if self._unreadable_by_key.get(row.key) != row.version:
+                self._unreadable_by_key[row.key] = row.version
+                self._log.error(
+                    "row_unreadable", key=row.key, reason=repr(error)
+                )
+            return False
+        node_id = NodeId(row.key.removeprefix("beats//"))
         seen = self._observation_by_node.get(node_id)
         if seen is None or seen.value != row.value:
             self._observation_by_node[node_id] = _Observation(
-                row.value, now_ms
+                row.value, incarnation, now_ms
             )
+        return True
 
     def is_gone(self, owner: Owner) -> bool:
         """Tell whether that incarnation of the node has ended."""
@@ -173,8 +193,14 @@
             return False
         seen = self._observation_by_node.get(owner.node_id)
         if seen is not None:
-            if json.loads(seen.value)[0] != owner.incarnation:
+            if seen.incarnation != owner.incarnation:
                 return True
             since_ms = max(since_ms, seen.since_ms)
         term_ms = SILENCE_TIMEOUT_MS * period_ms(self.owners) // HEARTBEAT_MS
         return self._clock.now_ms() - since_ms > term_ms
+
+
+def _incarnation(value):
+    """Return the incarnation in a row's text, beside its count."""
+    incarnation, _ = list_field(parse_json(value))
+    return text_field(incarnation)
--- a/dahliashunt/jobs/ledger.py
+++ b/dahliashunt/jobs/ledger.py
@@ -28,11 +28,16 @@
 from dahliashunt.jobs.model import Outcome
 from dahliashunt.jobs.model import Owner
 from dahliashunt.jobs.model import Progress
+from dahliashunt.jobs.model import UnreadableRow
 from dahliashunt.jobs.view import JobView
 from dahliashunt.ports import ObjectStore
 from dahliashunt.ports import TableService
 from dahliashunt.ports.table import MustBe
 from dahliashunt.ports.table import Write
+from dahliashunt.row_fields import FIELD_ERRORS
+from dahliashunt.row_fields import parse_json
+from dahliashunt.row_fields import text_field
+from dahliashunt.row_fields import whole_field
 
 __all__ = ["Finished", "JobLedger", "OwnershipLost", "Result"]
 
@@ -53,6 +58,9 @@
 MAX_LISTING_ROWS = 90
 """Rows that are written together; the store's limit is a hundred."""
 
+MAX_FOREIGN_ROWS = 100
+"""Rows of other writers between a page's rows that do not hide it."""
+
 MAX_DELETES = 90
 """Rows removed per transaction; the store's limit is a hundred."""
 
@@ -160,7 +168,7 @@
 
     async def _try_accept(self, job, max_tokens):
         quota = await self._read(_quota_key(job), Ran.NO)
-        held = json.loads(quota.value)["tokens"] if quota else 0
+        held = self._held_tokens(quota)
         waiting = held - self._view.finished_tokens(job.route, job.workspace)
         if max_tokens and max(0, waiting) + job.tokens > max_tokens:
             self._log.info(
@@ -227,14 +235,15 @@
         row = await self._read(job_key(job_id), Ran.NO)
         if row is None:
             return None
-        self._view.update_job(decode_job(row.value), row.version)
+        job = self._decoded(decode_job, row, Ran.NO)
+        self._view.update_job(job, row.version)
         return self._view.job(job_id)
 
     async def refresh_progress(self, job: Job) -> Progress:
         """Read the job's progress from the store and return it."""
         row = await self._read(progress_key(job.job_id), Ran.NO)
         if row is not None:
-            progress = decode_progress(row.value)
+            progress = self._decoded(decode_progress, row, Ran.NO)
             self._view.update_progress(job.job_id, progress, row.version)
         return self._view.progress(job)
 
@@ -255,19 +264,30 @@
         start, end = results_range(job.job_id, first, last)
         wanted = sum(each.pieces for each in listed[first:last])
         try:
-            rows = await self._table.read_range(start, end, wanted)
+            rows = await self._table.read_range(
+                start, end, wanted + MAX_FOREIGN_ROWS
+            )
         except PlatformUnavailable as error:
             raise _store_unavailable(error, Ran.NO) from None
-        if len(rows) < wanted:
-            # Another node is removing the job.
-            raise _store_unavailable("results are missing", Ran.NO)
-        texts = iter(json.loads(row.value) for row in rows)
-        results = []
-        for each in listed[first:last]:
-            pieces = [next(texts) for _ in range(each.pieces)]
-            item = job.items[each.index]
-            results.append(Result(item.item_id, each.outcome, "".join(pieces)))
-        return results
+        text_by_key = {row.key: row.value for row in rows}
+        try:
+            return [
+                self._result(job, position, listed[position], text_by_key)
+                for position in range(first, last)
+            ]
+        except FIELD_ERRORS as error:
+            # Another node is removing the job, or has written other rows.
+            raise _store_unavailable(
+                f"results are missing: {error!r}", Ran.NO
+            ) from None
+
+    def _result(self, job, position, listed, text_by_key):
+        pieces = []
+        for piece in range(listed.pieces):
+            key = result_key(job.job_id, position, piece)
+            pieces.append(text_field(parse_json(text_by_key[key])))
+        item = job.items[listed.index]
+        return Result(item.item_id, listed.outcome, "".join(pieces))
 
     async def payload(self, job: Job) -> bytes:
         """Return the items' requests as submitted."""
@@ -287,6 +307,31 @@
         except PlatformUnavailable as error:
             raise _store_unavailable(error, ran) from None
 
+    def _decoded(self, decode, row, ran):
+        """Decode a row; raise `RequestError` if it can't be decoded."""
+        try:
+            return decode(row.value)
+        except UnreadableRow as error:
+            self._note_unreadable(row, error)
+            raise _store_unavailable(error, ran) from None
+
+    def _note_unreadable(self, row, error):
+        self._log.error("row_unreadable", key=row.key, reason=str(error))
+
+    def _held_tokens(self, quota):
+        """Return the tokens in a row; 0 if it can't be decoded.
+
+        The next write replaces such a row. Until the jobs of now have ended
+        the route accepts more, but it does not refuse all jobs.
+        """
+        if quota is None:
+            return 0
+        try:
+            return whole_field(parse_json(quota.value)["tokens"])
+        except FIELD_ERRORS as error:
+            self._note_unreadable(quota, repr(error))
+            return 0
+
     # Changes of state.
 
     async def set_state(self, job_id: JobId, state: JobState) -> bool:
@@ -301,7 +346,7 @@
             row = await self._read(job_key(job_id), Ran.NO)
             if row is None:
                 return False
-            job = decode_job(row.value)
+            job = self._decoded(decode_job, row, Ran.NO)
             self._view.update_job(job, row.version)
             if job.state is not JobState.OPEN:
                 return True
@@ -311,7 +356,7 @@
 
     async def _try_state(self, job, version, state):
         quota = await self._read(_quota_key(job), Ran.NO)
-        held = json.loads(quota.value)["tokens"] if quota else 0
+        held = self._held_tokens(quota)
         changed = replace(job, state=state)
         writes = (
             Write(job_key(job.job_id), encode_job(changed), version),
@@ -446,7 +491,11 @@
     async def _reread_progress(self, job):
         row = await self._table.read(progress_key(job.job_id))
         if row is not None:
-            progress = decode_progress(row.value)
+            try:
+                progress = decode_progress(row.value)
+            except UnreadableRow as error:
+                self._note_unreadable(row, error)
+                raise PlatformUnavailable(str(error)) from None
             self._view.update_progress(job.job_id, progress, row.version)
 
 
--- a/dahliashunt/jobs/model.py
+++ b/dahliashunt/jobs/model.py
@@ -13,6 +13,12 @@
 from dahliashunt.ids import JobId
 from dahliashunt.ids import NodeId
 from dahliashunt.ids import WorkspaceId
+from dahliashunt.row_fields import FIELD_ERRORS
+from dahliashunt.row_fields import list_field
+from dahliashunt.row_fields import MAX_WHOLE
+from dahliashunt.row_fields import parse_json
+from dahliashunt.row_fields import text_field
+from dahliashunt.row_fields import whole_field
 
 __all__ = [
     "Item",
@@ -185,23 +191,33 @@
 def decode_job(text: str) -> Job:
     """Decode a job from a row's text."""
     try:
-        fields = json.loads(text)
+        fields = parse_json(text)
         return Job(
-            job_id=JobId(fields["id"]),
-            route=fields["route"],
-            host=fields["host"],
-            items=tuple(Item(ItemId(i), t) for i, t in fields["items"]),
-            payload=fields["payload"],
-            accepted_ms=fields["accepted_ms"],
-            accepted_by=Owner(*fields["accepted_by"]),
-            state=JobState(fields["state"]),
+            job_id=JobId(text_field(fields["id"])),
+            route=text_field(fields["route"]),
+            host=text_field(fields["host"]),
+            items=tuple(map(_item, list_field(fields["items"]))),
+            payload=text_field(fields["payload"]),
+            accepted_ms=whole_field(fields["accepted_ms"], -MAX_WHOLE),
+            accepted_by=_owner(fields["accepted_by"]),
+            state=JobState(text_field(fields["state"])),
             # Rows of older versions have no workspace.
-            workspace=WorkspaceId(fields.get("workspace", "")),
+            workspace=WorkspaceId(text_field(fields.get("workspace", ""))),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except FIELD_ERRORS as error:
         raise UnreadableRow(f"job row can't be decoded: {error!r}") from None
 
 
+def _item(fields):
+    item_id, tokens = list_field(fields)
+    return Item(ItemId(text_field(item_id)), whole_field(tokens))
+
+
+def _owner(fields):
+    node_id, incarnation = list_field(fields)
+    return Owner(NodeId(text_field(node_id)), text_field(incarnation))
+
+
 def encode_progress(progress: Progress) -> str:
     """Encode `progress` as a row's text."""
     return json.dumps(
@@ -219,15 +235,22 @@
 def decode_progress(text: str) -> Progress:
     """Decode progress from a row's text."""
     try:
-        fields = json.loads(text)
+        fields = parse_json(text)
         return Progress(
-            owner=Owner(*fields["owner"]),
-            listed=tuple(
-                ListedResult(index, Outcome(outcome), pieces, size)
-                for index, outcome, pieces, size in fields["listed"]
-            ),
+            owner=_owner(fields["owner"]),
+            listed=tuple(map(_listed, list_field(fields["listed"]))),
         )
-    except (KeyError, TypeError, ValueError) as error:
+    except FIELD_ERRORS as error:
         raise UnreadableRow(
             f"progress row can't be decoded: {error!r}"
         ) from None
+
+
+def _listed(fields):
+    index, outcome, pieces, size = list_field(fields)
+    return ListedResult(
+        whole_field(index),
+        Outcome(text_field(outcome)),
+        whole_field(pieces),
+        whole_field(size),
+    )
--- a/dahliashunt/jobs/partials.py
+++ b/dahliashunt/jobs/partials.py
@@ -28,6 +28,12 @@
 from dahliashunt.jobs.keys import shard_of
 from dahliashunt.ports import TableService
 from dahliashunt.ports.table import Write
+from dahliashunt.row_fields import FIELD_ERRORS
+from dahliashunt.row_fields import list_field
+from dahliashunt.row_fields import MAX_WHOLE
+from dahliashunt.row_fields import parse_json
+from dahliashunt.row_fields import text_field
+from dahliashunt.row_fields import whole_field
 
 __all__ = ["Partial", "PartialTexts", "fits_row", "without_text"]
 
@@ -127,19 +133,19 @@
 
     def _decoded(self, job_id, row):
         try:
-            last_event, text, *numbers = json.loads(row.value)
+            last_event, text, *numbers = list_field(parse_json(row.value))
             failures, origin = (*numbers, 0, 0)[: max(2, len(numbers))]
-            index = partial_index(row.key)
-            numbers = (last_event, failures, origin)
-            is_valid = all(type(number) is int for number in numbers)
-            if is_valid and isinstance(text, str):
-                return Partial(
-                    job_id, index, last_event, text, failures, origin
-                )
-        except (TypeError, ValueError):
-            pass
-        self._log.error("partial_unreadable", key=row.key)
-        return None
+            return Partial(
+                job_id,
+                partial_index(row.key),
+                whole_field(last_event),
+                text_field(text),
+                whole_field(failures),
+                whole_field(origin, -MAX_WHOLE),
+            )
+        except FIELD_ERRORS:
+            self._log.error("partial_unreadable", key=row.key)
+            return None
 
 
 def fits_row(partial: Partial) -> bool:
--- a/dahliashunt/jobs/view.py
+++ b/dahliashunt/jobs/view.py
@@ -5,6 +5,7 @@
 
 from dahliashunt.ids import JobId
 from dahliashunt.ids import WorkspaceId
+from dahliashunt.jobs.keys import job_key
 from dahliashunt.jobs.keys import JOBS_PREFIX
 from dahliashunt.jobs.keys import PROGRESS_PREFIXES
 from dahliashunt.jobs.model import decode_job
@@ -30,7 +31,8 @@
     """Newest known versions of jobs and progress, by id.
 
     Updated by the change feeds and by this node's own transactions. A row
-    of the feed that is older than a known version is ignored.
+    of the feed that is older than a known version is ignored, and so is one
+    that can't be decoded.
 
     Parameters
     ----------
@@ -55,7 +57,10 @@
         """Update the view with one row."""
         try:
             if row.key.startswith(JOBS_PREFIX):
-                self.update_job(decode_job(row.value), row.version)
+                job = decode_job(row.value)
+                if row.key != job_key(job.job_id):
+                    raise UnreadableRow("the row names another job")
+                self.update_job(job, row.version)
             elif row.key.startswith(PROGRESS_PREFIXES):
                 job_id = JobId(row.key.rsplit("/", 1)[1])
                 progress = decode_progress(row.value)
@@ -133,6 +138,8 @@
                 total += sum(
                     job.items[listed.index].tokens
                     for listed in self.progress(job).listed
+                    # A row of another writer may list items of no job.
+                    if listed.index < len(job.items)
                 )
         return total
 
--- a/dahliashunt/platform/serve_entry.py
+++ b/dahliashunt/platform/serve_entry.py
@@ -188,6 +188,9 @@
         self._followers = self._make_followers()
         config = self._followers[0]
         self.node.config_read_ms = lambda: config.heard_ms
+        self.node.follows_tables = lambda: (
+            not any(follower.failed for follower in self._followers)
+        )
         self.node.losses_known = self._followers[2].known
         self._servers = []
         self.bounds = HttpBounds()
@@ -280,6 +283,7 @@
             self._clock,
             self._rng,
             self._log,
+            self.node.metrics,
         )
 
     async def start(self):
--- a/dahliashunt/platform/store.py
+++ b/dahliashunt/platform/store.py
@@ -25,6 +25,8 @@
 from dahliashunt.ports.table import MustBe
 from dahliashunt.ports.table import Row
 from dahliashunt.ports.table import Write
+from dahliashunt.row_fields import FIELD_ERRORS
+from dahliashunt.row_fields import parse_json
 
 __all__ = ["PlatformStore"]
 
@@ -55,7 +57,7 @@
     body: bytes
 
     def json(self):
-        return json.loads(self.body)
+        return parse_json(self.body)
 
 
 class PlatformStore:
@@ -204,7 +206,8 @@
         self._metrics.count("store_calls", verb=verb, table=table)
 
     async def _read_json(self, path, query, wait_ms=0):
-        target = f"{path}?{urlencode(query)}"
+        # A key of another writer may hold characters that UTF-8 has not.
+        target = f"{path}?{urlencode(query, errors='surrogatepass')}"
         reply = await self._call("GET", target, b"", wait_ms)
         if reply is None:
             raise PlatformUnavailable(f"no answer to GET {path}")
@@ -221,11 +224,15 @@
             fields = reply.json()
         except ValueError:
             raise PlatformUnavailable("the answer is not JSON") from None
-        if "now-ms" in fields:
-            now_ms = int(fields["now-ms"])
-            self._clock_offset_ms = now_ms - self._clock.now_ms()
+        if not isinstance(fields, dict):
+            raise PlatformUnavailable("the answer is not a JSON object")
+        self._note_clock(fields.get("now-ms"))
         return fields
 
+    def _note_clock(self, now_ms):
+        if type(now_ms) is int:
+            self._clock_offset_ms = now_ms - self._clock.now_ms()
+
     async def _write(self, method, target, body):
         reply = await self._call(method, target, body, 0)
         if reply is None:
@@ -300,13 +307,19 @@
 
 
 def _row(fields):
+    try:
+        return Row(_key(fields), _value(fields), fields["ver"])
+    except FIELD_ERRORS:
+        raise PlatformUnavailable("a row of the answer is broken") from None
+
+
+def _value(fields):
     try:
         value = base64.b64decode(fields.get("value") or "", validate=True)
-        text = value.decode("utf-8")
-    except (binascii.Error, ValueError):
+        return value.decode("utf-8")
+    except (binascii.Error, TypeError, ValueError):
         # Rows of other writers may not decode; their value reads as empty.
-        text = ""
-    return Row(_key(fields), text, fields["ver"])
+        return ""
 
 
 def _encode_transaction(writes):
