--- a/dahliashunt/adapters/http1/__init__.py
+++ b/dahliashunt/adapters/http1/__init__.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 client that tells whether a request was sent."""
 
+from dahliashunt.adapters.http1.bounds import Bound
 from dahliashunt.adapters.http1.connection import ConnectFailed
 from dahliashunt.adapters.http1.connection import End
 from dahliashunt.adapters.http1.connection import HttpConnection
@@ -11,6 +12,7 @@
 from dahliashunt.adapters.http1.request import encode_request
 
 __all__ = [
+    "Bound",
     "ConnectFailed",
     "ConnectionPool",
     "End",
--- a/dahliashunt/adapters/http1/connection.py
+++ b/dahliashunt/adapters/http1/connection.py
@@ -12,6 +12,9 @@
 
 import httptools
 
+from dahliashunt.adapters.http1.bounds import Bound
+from dahliashunt.adapters.http1.bounds import BoundExceeded
+from dahliashunt.adapters.http1.bounds import MessageMeter
 from dahliashunt.errors import DahliashuntError
 from dahliashunt.mailbox import Mailbox
 
@@ -81,6 +84,11 @@
                 return value
         return None
 
+    def stated_bytes(self) -> int | None:
+        """Return the body's length by its header, or None without one."""
+        value = self.get("content-length") or ""
+        return int(value) if value.isdecimal() else None
+
 
 class HttpConnection(asyncio.Protocol):
     """HTTP/1.1 client connection.
@@ -94,6 +102,8 @@
         Whether the connection may carry another request.
     idle_since_ms : int
         Time since when it is idle; set by the pool.
+    exceeded : Bound or None
+        The bound at which reading ended.
     """
 
     def __init__(self):
@@ -102,6 +112,8 @@
         self.used = 0
         self.keep_alive_ms = None
         self.transport = None
+        self.exceeded: Bound | None = None
+        self._meter = MessageMeter()
         self._parser = None
         self._mailbox = None
         self._accept = None
@@ -122,9 +134,16 @@
         if self._mailbox is None:
             self.abort()
             return
+        self._meter.received(len(data))
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError:
+            self._meter.check()
+        except (
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+            BoundExceeded,
+        ):
+            self.exceeded = self.exceeded or self._meter.exceeded
             self._finish(End.BROKEN)
 
     def eof_received(self):
@@ -147,9 +166,11 @@
             return
         self._headers = []
         self._framed = False
+        self._meter.begin()
 
     def on_header(self, name, value):
-        """Collect a header."""
+        """Collect a header; stop at too many or too large ones."""
+        self._meter.field(len(name) + len(value))
         if self._headers is None:
             return
         key = name.decode("latin-1").lower()
@@ -165,6 +186,7 @@
         head = ResponseHead(status, tuple(self._headers))
         self._headers = None
         if status < 200:
+            self._meter.interim()
             self._skipping = True
             return
         self._skipping = not self._accept(head)
@@ -177,8 +199,12 @@
 
     def on_body(self, data):
         """Deliver a part of the body."""
-        if self._mailbox is None or self._skipping:
+        if self._mailbox is None:
             return
+        if self._skipping:
+            self._meter.skipped(len(data))
+            return
+        self._meter.body(len(data))
         self._mailbox.put(data)
         self._unread += len(data)
         if self._unread > READ_HIGH_WATER_BYTES and not self._paused:
@@ -226,6 +252,8 @@
             Returns whether a given `ResponseHead` answers this request.
         """
         self._parser = httptools.HttpResponseParser(self)
+        self._meter = MessageMeter()
+        self.exceeded = None
         self._mailbox = Mailbox()
         self._accept = accept or (lambda head: True)
         self._headers = []
@@ -257,6 +285,11 @@
             if not self.transport.is_closing():
                 self.transport.resume_reading()
 
+    def exceed(self, bound: Bound) -> None:
+        """Close at once, since the response exceeds `bound`."""
+        self.exceeded = self.exceeded or bound
+        self.abort()
+
     def abort(self) -> None:
         """Close at once, which breaks an exchange in progress."""
         self.usable = False
--- a/dahliashunt/forwarding/attempt.py
+++ b/dahliashunt/forwarding/attempt.py
@@ -1,5 +1,6 @@
 """Send a call to one replica and relay the response to the caller."""
 
+from dahliashunt.adapters.http1 import Bound
 from dahliashunt.adapters.http1 import ConnectFailed
 from dahliashunt.adapters.http1 import End
 from dahliashunt.adapters.http1 import ResponseHead
@@ -9,6 +10,8 @@
 from dahliashunt.forwarding.catalog import RouteKind
 from dahliashunt.forwarding.events import EventOutOfOrder
 from dahliashunt.forwarding.events import EventSplitter
+from dahliashunt.forwarding.events import EventTooLong
+from dahliashunt.forwarding.excess import report_excess
 from dahliashunt.forwarding.ports import ResponseSink
 from dahliashunt.forwarding.replicas import Replica
 
@@ -26,6 +29,18 @@
 """Longest response that is buffered whole; a buffered response can be
 retried at another replica if it breaks off."""
 
+MAX_UNSTATED_BODY_BYTES = 4_194_304
+"""Longest body without a stated length. It is buffered whole, so that a few
+of them at once fit into the smallest instance."""
+
+MAX_STATED_BODY_BYTES = 67_108_864
+"""Longest body with a stated length. Above `MAX_BUFFERED_BYTES` it is relayed
+in parts, so that this bounds traffic and not memory."""
+
+MAX_REFUSAL_BODY_BYTES = 65_536
+"""Longest body of a response that says that the request has not run; it is
+dropped. Honest ones are a line of text."""
+
 MAX_IDLE_NOT_REPEATABLE_MS = 500
 """Longest idle time of a connection used for a non-repeatable request: a
 reset of a stale connection would leave the outcome unknown."""
@@ -95,6 +110,14 @@
         end = None
         try:
             end = await self._relay(connection, mailbox)
+            if connection.exceeded is not None:
+                report_excess(
+                    forwarder.metrics,
+                    forwarder.log,
+                    connection.exceeded,
+                    self._state.call.request_id,
+                    replica.replica_id,
+                )
         finally:
             # Closing the connection makes the replica stop its work.
             if end not in (
@@ -111,8 +134,13 @@
         if not isinstance(head, ResponseHead):
             return head
         if self._forwarder.dialect.proves_not_run(head):
-            await self._read_body(connection, mailbox)
-            return AttemptEnd.NOT_RUN
+            await self._read_body(
+                connection, mailbox, head, MAX_REFUSAL_BODY_BYTES
+            )
+            if connection.exceeded is None:
+                return AttemptEnd.NOT_RUN
+            self._state.ran += 1
+            return AttemptEnd.LOST
         self._state.ran += 1
         if head.status >= 500:
             return await self._hold_failure(connection, mailbox, head)
@@ -173,8 +201,15 @@
             return AttemptEnd.TIMED_OUT
         return AttemptEnd.SILENT
 
-    async def _read_body(self, connection, mailbox):
-        """Return the rest of the body, or None if it is incomplete."""
+    async def _read_body(self, connection, mailbox, head, max_bytes):
+        """Return the rest of the body, or None if it is incomplete.
+
+        A body that is, or is stated to be, longer than `max_bytes` ends the
+        connection.
+        """
+        if (head.stated_bytes() or 0) > max_bytes:
+            connection.exceed(Bound.BODY)
+            return None
         parts = []
         size = 0
         while True:
@@ -187,22 +222,30 @@
                 connection.taken(len(event))
                 parts.append(event)
                 size += len(event)
+                if size > max_bytes:
+                    connection.exceed(Bound.BODY)
+                    return None
             if size > MAX_BUFFERED_BYTES and self._state.started:
                 await self._sink.send(b"".join(parts))
                 parts.clear()
 
     async def _hold_failure(self, connection, mailbox, head):
-        body = await self._read_body(connection, mailbox)
+        body = await self._read_body(
+            connection, mailbox, head, MAX_BUFFERED_BYTES
+        )
         if body is None:
             return AttemptEnd.LOST
         self._state.held = HeldResponse(head, body)
         return AttemptEnd.FAILED
 
     async def _relay_whole(self, connection, mailbox, head):
-        length = head.get("content-length")
-        if length is not None and int(length) > MAX_BUFFERED_BYTES:
-            await self._start_response(head, int(length))
-        body = await self._read_body(connection, mailbox)
+        length = head.stated_bytes()
+        max_bytes = MAX_UNSTATED_BODY_BYTES
+        if length is not None:
+            max_bytes = MAX_STATED_BODY_BYTES
+            if MAX_BUFFERED_BYTES < length <= max_bytes:
+                await self._start_response(head, length)
+        body = await self._read_body(connection, mailbox, head, max_bytes)
         if body is None:
             return self._timed_out_or_lost()
         if not self._state.started:
@@ -238,6 +281,9 @@
                 end = await self._relay_events(
                     connection, splitter, events, head
                 )
+            except EventTooLong:
+                connection.exceed(Bound.EVENT)
+                return AttemptEnd.LOST
             except EventOutOfOrder as error:
                 forwarder = self._forwarder
                 forwarder.metrics.count("stream_out_of_order")
--- a/dahliashunt/forwarding/events.py
+++ b/dahliashunt/forwarding/events.py
@@ -9,16 +9,23 @@
 
 from dahliashunt.errors import EngineError
 
-__all__ = ["Event", "EventOutOfOrder", "EventSplitter"]
+__all__ = ["Event", "EventOutOfOrder", "EventSplitter", "EventTooLong"]
 
 MAX_EVENT_BYTES = 1_048_576
 """Longest event; a longer one ends the attempt."""
 
 
+_CRLF_BLANK_LINE = b"\r\n\r\n"
+
+
 class EventOutOfOrder(EngineError):
     """A stream's events are not consecutive, or one is too long."""
 
 
+class EventTooLong(EventOutOfOrder):
+    """An event exceeds `MAX_EVENT_BYTES`."""
+
+
 @dataclass(frozen=True, slots=True)
 class Event:
     """One server-sent event.
@@ -60,40 +67,50 @@
     """
 
     def __init__(self):
-        self.rest = b""
+        self._buffer = bytearray()
+        self._has_cr = False
+
+    @property
+    def rest(self) -> bytes:
+        """Bytes of the event that is not complete yet."""
+        return bytes(self._buffer)
 
     def feed(self, data: bytes) -> list[Event]:
         """Return the events that `data` completes.
 
+        Bytes that were searched before are not searched again, so that an
+        event in many small parts costs no more than in one.
+
         Raises
         ------
-        EventOutOfOrder
+        EventTooLong
             An event exceeds `MAX_EVENT_BYTES`.
         """
-        data = self.rest + data
+        searched = max(0, len(self._buffer) - len(_CRLF_BLANK_LINE) + 1)
+        self._buffer += data
+        self._has_cr = self._has_cr or b"\r" in data
         events = []
         offset = 0
         while True:
-            end, size = _find_blank_line(data, offset)
+            end, size = self._find_blank_line(max(offset, searched))
             if end < 0:
                 break
-            raw = data[offset : end + size]
+            raw = bytes(self._buffer[offset : end + size])
             events.append(Event(_event_id(raw), raw))
             offset = end + size
-        self.rest = data[offset:]
-        if len(self.rest) > MAX_EVENT_BYTES:
-            raise EventOutOfOrder(f"event exceeds {MAX_EVENT_BYTES} bytes")
+        del self._buffer[:offset]
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            raise EventTooLong(f"event exceeds {MAX_EVENT_BYTES} bytes")
         return events
 
-
-def _find_blank_line(data, offset):
-    lf_end = data.find(b"\n\n", offset)
-    if b"\r" not in data:
+    def _find_blank_line(self, offset):
+        lf_end = self._buffer.find(b"\n\n", offset)
+        if not self._has_cr:
+            return lf_end, 2
+        crlf_end = self._buffer.find(_CRLF_BLANK_LINE, offset)
+        if crlf_end >= 0 and (lf_end < 0 or crlf_end < lf_end):
+            return crlf_end, 4
         return lf_end, 2
-    crlf_end = data.find(b"\r\n\r\n", offset)
-    if crlf_end >= 0 and (lf_end < 0 or crlf_end < lf_end):
-        return crlf_end, 4
-    return lf_end, 2
 
 
 def _event_id(raw):
--- a/dahliashunt/jobs/item_run.py
+++ b/dahliashunt/jobs/item_run.py
@@ -2,6 +2,7 @@
 
 import enum
 
+from dahliashunt.adapters.http1 import Bound
 from dahliashunt.adapters.http1 import ConnectFailed
 from dahliashunt.adapters.http1 import ConnectionPool
 from dahliashunt.adapters.http1 import End
@@ -10,6 +11,7 @@
 from dahliashunt.forwarding.call import Call
 from dahliashunt.forwarding.events import EventOutOfOrder
 from dahliashunt.forwarding.events import EventSplitter
+from dahliashunt.forwarding.events import EventTooLong
 from dahliashunt.forwarding.ports import ReplicaDialect
 from dahliashunt.forwarding.reservation import Reservation
 from dahliashunt.ids import Fingerprint
@@ -38,6 +40,14 @@
 MAX_IDLE_MS = 3_000
 """Longest idle time of a pooled connection that an attempt reuses."""
 
+MAX_TEXT_CHARACTERS = 1_048_576
+"""Longest text of an item, one hundred times that of an item of 2,100 tokens.
+A node runs up to 128 items at once."""
+
+MAX_DROPPED_BYTES = 262_144
+"""Bytes of one attempt that add no text: the body of an error response, and
+comments and other events without a number."""
+
 
 class ItemEnd(enum.Enum):
     """How an attempt at a replica ended."""
@@ -94,6 +104,8 @@
         unknown, or without a text.
     saved : bool
         Whether the store may hold a row of this item.
+    exceeded : Bound or None
+        The bound at which the latest attempt was ended.
     """
 
     def __init__(
@@ -119,7 +131,10 @@
         self.origin = 0
         self.saved = False
         self.status: int | None = None
+        self.exceeded: Bound | None = None
         self._texts: list[str] = []
+        self._characters = 0
+        self._dropped_bytes = 0
         self._connection = None
         self._attempt_origin = 0
         self._revoked = False
@@ -147,6 +162,7 @@
         self.origin = partial.origin
         self.saved = True
         self._texts = [partial.text] if partial.last_event else []
+        self._characters = len(self.text)
 
     def note_saved(self, partial: Partial) -> None:
         """Note that `partial` is in the store."""
@@ -158,6 +174,7 @@
         """Drop the text: no replica can continue it."""
         self.last_event = self.saved_event = self.origin = 0
         self._texts = []
+        self._characters = 0
 
     def is_ready(self, now_ms: int) -> bool:
         """Tell whether the item may be attempted, or is to be given up."""
@@ -213,6 +230,7 @@
             end = await self._relay(connection, mailbox, dialect)
         finally:
             self._connection = None
+            self.exceeded = connection.exceeded
             self.ran_ms += clock.now_ms() - began_ms
             if end in (ItemEnd.LOST, ItemEnd.REVOKED):
                 connection.abort()
@@ -237,6 +255,7 @@
 
     async def _relay(self, connection, mailbox, dialect):
         self.status = head = None
+        self._dropped_bytes = 0
         splitter = EventSplitter()
         while True:
             events = await mailbox.take(SILENCE_MS)
@@ -247,29 +266,55 @@
                     head = event
                     self.status = head.status
                 elif isinstance(event, End):
+                    if connection.exceeded is not None:
+                        return ItemEnd.LOST
                     return self._classify_end(event, head, splitter, dialect)
                 else:
                     connection.taken(len(event))
-                    if 200 <= head.status < 300 and not self._append_events(
-                        splitter, event
-                    ):
+                    if 200 <= head.status < 300:
+                        is_good = self._append_events(
+                            connection, splitter, event
+                        )
+                    else:
+                        is_good = self._drop(connection, len(event))
+                    if not is_good:
                         return ItemEnd.LOST
 
-    def _append_events(self, splitter, data):
+    def _drop(self, connection, size):
+        """Count bytes that make no text; return False past their bound."""
+        self._dropped_bytes += size
+        if self._dropped_bytes > MAX_DROPPED_BYTES:
+            connection.exceed(Bound.BODY)
+            return False
+        return True
+
+    def _append_events(self, connection, splitter, data):
         """Append the whole events; return False if one is malformed."""
         try:
             for event in splitter.feed(data):
                 if event.number is None:
+                    if not self._drop(connection, len(event.raw)):
+                        return False
                     continue
                 if event.number != self.last_event + 1:
                     return False
-                self._texts.append(event.data())
-                self.origin = self._attempt_origin
-                self.last_event = event.number
+                self._append_text(event.data())
+        except EventTooLong:
+            connection.exceed(Bound.EVENT)
+            return False
         except (EventOutOfOrder, UnicodeDecodeError):
             return False
+        if self._characters > MAX_TEXT_CHARACTERS:
+            connection.exceed(Bound.TEXT)
+            return False
         return True
 
+    def _append_text(self, text):
+        self._texts.append(text)
+        self._characters += len(text) + 1
+        self.origin = self._attempt_origin
+        self.last_event += 1
+
     def _classify_end(self, end, head, splitter, dialect):
         if end is End.UNSENT:
             return ItemEnd.NOT_RUN
--- a/dahliashunt/jobs/worker.py
+++ b/dahliashunt/jobs/worker.py
@@ -19,6 +19,7 @@
 from dahliashunt.forwarding.catalog import Route
 from dahliashunt.forwarding.catalog import RouteKind
 from dahliashunt.forwarding.crash_guard import crash_keys
+from dahliashunt.forwarding.excess import report_excess
 from dahliashunt.forwarding.node import Node
 from dahliashunt.forwarding.ports import ReplicaDialect
 from dahliashunt.forwarding.replica_selector import ReplicaSelector
@@ -403,6 +404,7 @@
             reservation.release()
             self._running -= 1
         self.node.metrics.count("item_attempts", end=end.value)
+        self._report_excess(item, reservation.replica)
         if end not in _UNLOGGED_ENDS:
             self.log.info(
                 "item_attempt_ended",
@@ -420,6 +422,18 @@
             )
         self._handle_end(job_run, item, reservation, end)
 
+    def _report_excess(self, item, replica):
+        """Count and log a response that was not read past a bound."""
+        exceeded, item.exceeded = item.exceeded, None
+        if exceeded is not None:
+            report_excess(
+                self.node.metrics,
+                self.log,
+                exceeded,
+                item.call.request_id,
+                replica.replica_id,
+            )
+
     async def _run_item(self, job_run, item, reservation):
         """Attempt the item, unless it is held back for lost runs."""
         guard = self.node.forwarder.crash_guard
--- a/dahliashunt/platform/dialect.py
+++ b/dahliashunt/platform/dialect.py
@@ -102,5 +102,12 @@
             running_count=int(fields["num-running"]),
             waiting=int(fields["num-waiting"]),
         )
-    except (KeyError, TypeError, IndexError, AttributeError) as error:
+    except (
+        KeyError,
+        TypeError,
+        IndexError,
+        AttributeError,
+        OverflowError,
+        RecursionError,
+    ) as error:
         raise ValueError(f"invalid replica report: {error!r}") from None
--- a/dahliashunt/platform/serve_agent.py
+++ b/dahliashunt/platform/serve_agent.py
@@ -193,6 +193,8 @@
             connection, request, self._clock, REPORT_TIMEOUT_MS
         )
         self._pool.give_back(self._settings.replica, connection)
+        if connection.exceeded is not None:
+            self._report_excess(connection.exceeded)
         if answer is None or answer.head.status != 200:
             return None
         try:
@@ -201,6 +203,12 @@
             self._log.warning("report_unreadable", reason=str(error))
             return None
 
+    def _report_excess(self, exceeded):
+        """Count a report that is too long, and log the first in a row."""
+        self.metrics.count("responses_over_bound", bound=exceeded.value)
+        if self._missed_reports == 0:
+            self._log.warning("report_over_bound", exceeded=exceeded.value)
+
     def stop(self):
         if self._server is not None:
             self._server.stop()
--- a/dahliashunt/platform/serve_entry.py
+++ b/dahliashunt/platform/serve_entry.py
@@ -152,7 +152,11 @@
         self._pool = ConnectionPool(self._clock)
         self._store_pool = ConnectionPool(self._clock)
         self._store = PlatformStore(
-            settings.store.address, self._store_pool, self._clock, metrics
+            settings.store.address,
+            self._store_pool,
+            self._clock,
+            metrics,
+            settings.store.object_bytes,
         )
         self._slots = SlotClient(self._clock)
         self._suspicion = Suspicion()
--- a/dahliashunt/platform/store.py
+++ b/dahliashunt/platform/store.py
@@ -11,6 +11,7 @@
 from urllib.parse import quote
 from urllib.parse import urlencode
 
+from dahliashunt.adapters.http1 import Bound
 from dahliashunt.adapters.http1 import ConnectFailed
 from dahliashunt.adapters.http1 import ConnectionPool
 from dahliashunt.adapters.http1 import encode_request
@@ -26,7 +27,7 @@
 from dahliashunt.ports.table import Row
 from dahliashunt.ports.table import Write
 
-__all__ = ["PlatformStore"]
+__all__ = ["PlatformStore", "ReplyTooLong"]
 
 WRITE_TIMEOUT_MS = 1_000
 """Timeout of a write, above the latency of a slow store: the outcome of a
@@ -43,12 +44,24 @@
 MAX_PAGE_ROWS = 500
 """Maximum number of rows in one response of the store."""
 
+MAX_REPLY_BYTES = 16_777_216
+"""Longest answer of the store: 190 rows of the usual limit of 65,536 bytes in
+base64, or two objects of the usual limit. Rows of the platform itself are
+far smaller. A longer page is read again with fewer rows."""
+
+PAGE_DIVISOR = 8
+"""Divisor of the number of rows after a page that was too long."""
+
 _REFUSED_STATUSES = (429, 503)
 
 OBJECTS_LABEL = "objects"
 """Value of the ``table`` label for calls about objects."""
 
 
+class ReplyTooLong(PlatformUnavailable):
+    """The body of the store's answer to a read exceeds its bound."""
+
+
 @dataclass(frozen=True, slots=True)
 class _Reply:
     status: int
@@ -69,11 +82,19 @@
     pool : ConnectionPool
     clock : Clock
     metrics : Metrics
-        Counts calls by verb and table as ``store_calls``.
+        Counts calls by verb and table as ``store_calls``, and answers that
+        were not read past a bound as ``store_replies_over_bound``.
+    object_bytes : int
+        Longest object of this store.
     """
 
     def __init__(
-        self, address, pool: ConnectionPool, clock: Clock, metrics: Metrics
+        self,
+        address,
+        pool: ConnectionPool,
+        clock: Clock,
+        metrics: Metrics,
+        object_bytes: int = 0,
     ):
         self.address = address
         self._pool = pool
@@ -81,6 +102,8 @@
         self._metrics = metrics
         self._clock_offset_ms = 0
         self._latency_ms = INITIAL_LATENCY_MS
+        self._max_reply_bytes = max(MAX_REPLY_BYTES, object_bytes)
+        self._tables_read_again: set[str] = set()
 
     def now_ms(self) -> int:
         """Return the store's monotonic clock, estimated from its last answer.
@@ -113,8 +136,18 @@
         return tuple(rows)
 
     async def _page(self, table, part, first, last, limit):
-        query = {"table": table, "part": part}
-        query["limit"] = min(limit, MAX_PAGE_ROWS)
+        """Return a page; read fewer rows if they exceed the bound."""
+        limit = min(limit, MAX_PAGE_ROWS)
+        try:
+            return await self._read_page(table, part, first, last, limit)
+        except ReplyTooLong:
+            limit //= PAGE_DIVISOR
+            if not limit:
+                raise
+        return await self._read_page(table, part, first, last, limit)
+
+    async def _read_page(self, table, part, first, last, limit):
+        query = {"table": table, "part": part, "limit": limit}
         self._count("get", table)
         if first:
             query["from"] = first
@@ -157,7 +190,16 @@
         """Return the changes in `table` after version `after`."""
         query = {"table": table, "after": after, "wait-ms": wait_ms}
         self._count("feed", table)
-        found = await self._read_json("/api/rows-feed", query, wait_ms)
+        try:
+            found = await self._read_json("/api/rows-feed", query, wait_ms)
+        except ReplyTooLong:
+            # The table is read in pages instead, but not at each excess.
+            if table in self._tables_read_again:
+                self._tables_read_again.discard(table)
+                raise
+            self._tables_read_again.add(table)
+            raise HistoryLost(f"the changes of {table} are too long") from None
+        self._tables_read_again.discard(table)
         row_by_key = {}
         for each in found["rows"]:
             key = _key(each)
@@ -219,7 +261,7 @@
             return {}
         try:
             fields = reply.json()
-        except ValueError:
+        except (ValueError, RecursionError):
             raise PlatformUnavailable("the answer is not JSON") from None
         if "now-ms" in fields:
             now_ms = int(fields["now-ms"])
@@ -250,7 +292,11 @@
         sent_ms = self._clock.now_ms()
         try:
             answer = await exchange_whole(
-                connection, request, self._clock, timeout_ms + wait_ms
+                connection,
+                request,
+                self._clock,
+                timeout_ms + wait_ms,
+                self._max_reply_bytes,
             )
         except BaseException:
             # A late answer must not be read by the connection's next call.
@@ -259,6 +305,12 @@
         self._pool.give_back(address, connection)
         if not wait_ms:
             self._update_latency(self._clock.now_ms() - sent_ms)
+        if connection.exceeded is not None:
+            self._metrics.count(
+                "store_replies_over_bound", bound=connection.exceeded.value
+            )
+            if method == "GET":
+                raise _excess_error(connection.exceeded)
         if answer is None:
             return None
         return _Reply(answer.head.status, answer.body)
@@ -283,6 +335,11 @@
             self._latency_ms += LATENCY_EWMA_WEIGHT * change_ms
 
 
+def _excess_error(bound):
+    kind = ReplyTooLong if bound is Bound.BODY else PlatformUnavailable
+    return kind(f"the store's answer exceeds its bound of {bound.value}")
+
+
 def _content_type(method):
     if method == "PUT":
         return "application/octet-stream"
