Bound callers' requests and what slow readers leave buffered

One field, a chunk extension or pipelined requests of a caller were read without end, and each slow caller held up to a few MB, with no bound of their sum. The server counts framing, pipelined requests and dropped bodies; bodies of all requests share a bound; what is being sent counts as unread, so that a slow caller pauses the replica. Above an eighth of the memory the connections that drain most slowly are ended.

A response that a replica cut off while its caller did not read ended as lost, which made the replica suspect and counted as a crash. It ends as unread now.

--- a/dahliashunt/adapters/http1/bounds.py
+++ b/dahliashunt/adapters/http1/bounds.py
@@ -126,6 +126,10 @@
         self._head_bytes = 0
         self._field_count = 0
 
+    def end(self) -> None:
+        """Note that a message is complete, so that its framing has ended."""
+        self._framing_bytes = 0
+
     def received(self, size: int) -> None:
         """Count `size` bytes before the parser gets them."""
         self._framing_bytes += size
--- a/dahliashunt/adapters/http1/connection.py
+++ b/dahliashunt/adapters/http1/connection.py
@@ -15,6 +15,7 @@
 from dahliashunt.adapters.http1.bounds import Bound
 from dahliashunt.adapters.http1.bounds import BoundExceeded
 from dahliashunt.adapters.http1.bounds import MessageMeter
+from dahliashunt.adapters.write_backlog import ReadBacklog
 from dahliashunt.errors import DahliashuntError
 from dahliashunt.mailbox import Mailbox
 
@@ -39,6 +40,10 @@
 """Unconsumed body bytes above which reading pauses, to bound the memory of
 a connection with a slow reader."""
 
+UNREAD_MS = 1_000
+"""Pause of reading after which the end of a response is put down to its
+reader. Replicas cut off responses that stay unread for some seconds."""
+
 _NO_BODY = (204, 304)
 """Statuses of responses without a body."""
 
@@ -93,6 +98,11 @@
 class HttpConnection(asyncio.Protocol):
     """HTTP/1.1 client connection.
 
+    Parameters
+    ----------
+    backlog : ReadBacklog, optional
+        Counts the unconsumed body bytes of several connections.
+
     The events of an exchange are a `ResponseHead`, parts of the body as
     bytes, and an `End`.
 
@@ -106,7 +116,7 @@
         The bound at which reading ended.
     """
 
-    def __init__(self):
+    def __init__(self, backlog: ReadBacklog | None = None):
         self.usable = True
         self.idle_since_ms = 0
         self.used = 0
@@ -120,8 +130,11 @@
         self._headers = []
         self._framed = False
         self._skipping = False
+        self._backlog = backlog or ReadBacklog()
         self._unread = 0
         self._paused = False
+        self._paused_s = 0.0
+        self._longest_pause_s = 0.0
 
     # Callbacks of asyncio.
 
@@ -207,8 +220,10 @@
         self._meter.body(len(data))
         self._mailbox.put(data)
         self._unread += len(data)
+        self._backlog.size += len(data)
         if self._unread > READ_HIGH_WATER_BYTES and not self._paused:
             self._paused = True
+            self._paused_s = asyncio.get_running_loop().time()
             self.transport.pause_reading()
 
     def on_message_complete(self):
@@ -258,7 +273,8 @@
         self._accept = accept or (lambda head: True)
         self._headers = []
         self._skipping = False
-        self._unread = 0
+        self.release()
+        self._longest_pause_s = 0.0
         self.used += 1
         mailbox = self._mailbox
         if not self._try_write(request):
@@ -279,12 +295,28 @@
 
     def taken(self, size: int) -> None:
         """Mark `size` bytes of the body as consumed; resume paused reads."""
+        size = min(size, self._unread)
         self._unread -= size
+        self._backlog.size -= size
         if self._paused and self._unread <= READ_HIGH_WATER_BYTES // 2:
             self._paused = False
+            now_s = asyncio.get_running_loop().time()
+            self._longest_pause_s = max(
+                self._longest_pause_s, now_s - self._paused_s
+            )
             if not self.transport.is_closing():
                 self.transport.resume_reading()
 
+    def release(self) -> None:
+        """Stop counting body bytes that nobody will consume."""
+        self._backlog.size -= self._unread
+        self._unread = 0
+
+    @property
+    def was_unread(self) -> bool:
+        """Whether reading was paused for long enough that a peer gives up."""
+        return self._longest_pause_s * 1000 >= UNREAD_MS
+
     def exceed(self, bound: Bound) -> None:
         """Close at once, since the response exceeds `bound`."""
         self.exceeded = self.exceeded or bound
@@ -298,7 +330,10 @@
 
 
 async def open_connection(
-    host: str, port: int, timeout_ms: int
+    host: str,
+    port: int,
+    timeout_ms: int,
+    backlog: ReadBacklog | None = None,
 ) -> HttpConnection:
     """Connect and set the socket's timeouts.
 
@@ -311,7 +346,7 @@
     try:
         async with asyncio.timeout(timeout_ms / 1000):
             _, connection = await loop.create_connection(
-                HttpConnection, host, port
+                lambda: HttpConnection(backlog), host, port
             )
     except (OSError, TimeoutError) as error:
         raise ConnectFailed(
--- a/dahliashunt/adapters/http1/pool.py
+++ b/dahliashunt/adapters/http1/pool.py
@@ -2,6 +2,7 @@
 
 from dahliashunt.adapters.http1.connection import HttpConnection
 from dahliashunt.adapters.http1.connection import open_connection
+from dahliashunt.adapters.write_backlog import ReadBacklog
 from dahliashunt.ports import Clock
 
 __all__ = ["ConnectionPool"]
@@ -28,11 +29,19 @@
     ----------
     clock : Clock
     connect_ms : int
+    backlog : ReadBacklog, optional
+        Counts the unconsumed bytes of all its connections.
     """
 
-    def __init__(self, clock: Clock, connect_ms: int = CONNECT_TIMEOUT_MS):
+    def __init__(
+        self,
+        clock: Clock,
+        connect_ms: int = CONNECT_TIMEOUT_MS,
+        backlog: ReadBacklog | None = None,
+    ):
         self._clock = clock
         self._connect_ms = connect_ms
+        self._backlog = backlog
         self._idle_by_address: dict[tuple[str, int], list] = {}
         self.opened = 0
 
@@ -55,7 +64,7 @@
             connection.abort()
         self._idle_by_address.pop(address, None)
         self.opened += 1
-        return await open_connection(*address, self._connect_ms)
+        return await open_connection(*address, self._connect_ms, self._backlog)
 
     def has_idle(self, address: tuple[str, int]) -> bool:
         """Return whether `take` would reuse a connection."""
@@ -77,6 +86,7 @@
         self, address: tuple[str, int], connection: HttpConnection
     ) -> None:
         """Keep `connection` for reuse if it is usable, else close it."""
+        connection.release()
         if not connection.usable or connection.transport.is_closing():
             connection.abort()
             return
--- a/dahliashunt/adapters/http_server.py
+++ b/dahliashunt/adapters/http_server.py
@@ -1,6 +1,7 @@
 """HTTP server: runs an ASGI application under uvicorn in the running loop."""
 
 import asyncio
+from collections.abc import Callable
 import contextlib
 from dataclasses import dataclass
 
@@ -8,12 +9,24 @@
 from uvicorn import Server
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+from dahliashunt.adapters.http1.bounds import Bound
+from dahliashunt.adapters.http1.bounds import BoundExceeded
+from dahliashunt.adapters.http1.bounds import MessageMeter
 from dahliashunt.adapters.sockets import listening_socket
+from dahliashunt.adapters.write_backlog import WriteBacklog
 
 __all__ = ["HttpBounds", "HttpServer"]
 
 MAX_HEADERS = 100
 
+MAX_PIPELINED = 16
+"""Requests that wait on one connection for the end of the one before. Honest
+callers send the next request after the response."""
+
+MAX_DISCARDED_BYTES = 4_194_304
+"""Body bytes read after the response was sent, which are dropped: a caller
+may send the rest of a refused body before it reads."""
+
 
 @dataclass(slots=True)
 class HttpBounds:
@@ -27,15 +40,21 @@
         Largest request line and headers together.
     header_timeout_s : float
         Time from the connection to the end of its first headers.
+    on_exceeded : callable or None
+        Called with the `Bound` at which a connection is ended.
+    backlog : WriteBacklog or None
+        Ends connections that are read too slowly.
     """
 
     keep_alive_s: int = 75
     header_bytes: int = 32_768
     header_timeout_s: float = 10.0
+    on_exceeded: Callable[[Bound], None] | None = None
+    backlog: WriteBacklog | None = None
 
 
 class _BoundedProtocol(HttpToolsProtocol):
-    """Aborts a connection whose headers are too large or too slow.
+    """Aborts a connection whose requests are too large or too slow.
 
     The parser accepts any number of headers, so one caller could exhaust
     the memory or hold connections open. The request is aborted before it
@@ -45,6 +64,8 @@
     def connection_made(self, transport):
         self.timeout_keep_alive = self.config.bounds.keep_alive_s
         super().connection_made(transport)
+        self._meter = MessageMeter(self.config.bounds.header_bytes)
+        self._discarded_bytes = 0
         self._header_bytes = 0
         self._header_count = 0
         self._start_header_timer()
@@ -60,8 +81,36 @@
 
     def connection_lost(self, exc):
         self._header_timer.cancel()
+        self._leave_backlog()
         super().connection_lost(exc)
 
+    def data_received(self, data):
+        self._meter.received(len(data))
+        super().data_received(data)
+        if not self.transport.is_closing():
+            try:
+                self._meter.check()
+            except BoundExceeded as error:
+                self._end(error.bound)
+
+    def pause_writing(self):
+        super().pause_writing()
+        if self.config.bounds.backlog is not None:
+            self.config.bounds.backlog.paused(self.transport)
+
+    def resume_writing(self):
+        self._leave_backlog()
+        super().resume_writing()
+
+    def _leave_backlog(self):
+        if self.config.bounds.backlog is not None:
+            self.config.bounds.backlog.resumed(self.transport)
+
+    def _end(self, bound):
+        if self.config.bounds.on_exceeded and not self.transport.is_closing():
+            self.config.bounds.on_exceeded(bound)
+        self.transport.abort()
+
     def on_message_begin(self):
         self._header_bytes = 0
         self._header_count = 0
@@ -82,7 +131,7 @@
             self._header_bytes > self.config.bounds.header_bytes
             or self._header_count > MAX_HEADERS
         ):
-            self.transport.abort()
+            self._end(Bound.HEAD)
             # An exception in a callback stops the parser.
             raise ValueError(
                 f"request headers exceed {self.config.bounds.header_bytes}"
@@ -93,6 +142,23 @@
         self._header_timer.cancel()
         self._header_bytes = 0
         super().on_headers_complete()
+        if len(self.pipeline) > MAX_PIPELINED:
+            self._end(Bound.PIPELINE)
+            raise BoundExceeded(Bound.PIPELINE)
+
+    def on_body(self, body):
+        self._meter.body(len(body))
+        if self.cycle.response_complete:
+            self._discarded_bytes += len(body)
+            if self._discarded_bytes > MAX_DISCARDED_BYTES:
+                self._end(Bound.SKIPPED)
+                raise BoundExceeded(Bound.SKIPPED)
+        super().on_body(body)
+
+    def on_message_complete(self):
+        self._meter.end()
+        self._discarded_bytes = 0
+        super().on_message_complete()
 
 
 class _Server(Server):
--- a/dahliashunt/forwarding/attempt.py
+++ b/dahliashunt/forwarding/attempt.py
@@ -219,15 +219,23 @@
             for event in events:
                 if isinstance(event, End):
                     return None if event is End.BROKEN else b"".join(parts)
-                connection.taken(len(event))
                 parts.append(event)
                 size += len(event)
                 if size > max_bytes:
                     connection.exceed(Bound.BODY)
                     return None
-            if size > MAX_BUFFERED_BYTES and self._state.started:
-                await self._sink.send(b"".join(parts))
-                parts.clear()
+            await self._pass_on(connection, parts, events)
+
+    async def _pass_on(self, connection, parts, events):
+        """Send the parts of a response that has started, else keep them.
+
+        What is being sent counts as unread, so that a slow caller pauses
+        the replica.
+        """
+        if self._state.started:
+            await self._sink.send(b"".join(parts))
+            parts.clear()
+        connection.taken(sum(map(len, events)))
 
     async def _hold_failure(self, connection, mailbox, head):
         body = await self._read_body(
@@ -247,17 +255,17 @@
                 await self._start_response(head, length)
         body = await self._read_body(connection, mailbox, head, max_bytes)
         if body is None:
-            return self._timed_out_or_lost()
+            return self._timed_out_or_lost(connection)
         if not self._state.started:
             await self._start_response(head, len(body))
         await self._sink.send(body)
         await self._sink.end()
         return AttemptEnd.SERVED
 
-    def _timed_out_or_lost(self):
+    def _timed_out_or_lost(self, connection):
         if self._clock.now_ms() >= self._state.deadline_ms:
             return AttemptEnd.TIMED_OUT
-        return AttemptEnd.LOST
+        return _broken_end(connection)
 
     async def _start_response(self, head, length):
         if self._state.started:
@@ -307,21 +315,25 @@
     async def _relay_events(self, connection, splitter, events, head):
         """Relay complete events; return the attempt's end or None."""
         whole = []
+        size = 0
         end = None
         for event in events:
             if isinstance(event, End):
                 end = event
                 break
-            connection.taken(len(event))
+            size += len(event)
             whole += self._in_order(splitter.feed(event))
         if whole:
             self._note_version()
             await self._start_response(head, None)
             await self._sink.send(b"".join(whole))
+        # What is being sent counts as unread, so that a slow caller pauses
+        # the replica.
+        connection.taken(size)
         if end is None:
             return None
         if end is End.BROKEN or splitter.rest:
-            return AttemptEnd.LOST
+            return _broken_end(connection)
         await self._start_response(head, None)
         await self._sink.end()
         return AttemptEnd.SERVED
@@ -346,3 +358,10 @@
                 self._state.last_event = event.number
             raw.append(event.raw)
         return raw
+
+
+def _broken_end(connection):
+    """Return the end of an attempt whose response broke off."""
+    if connection.was_unread and connection.exceeded is None:
+        return AttemptEnd.UNREAD
+    return AttemptEnd.LOST
--- a/dahliashunt/forwarding/call_state.py
+++ b/dahliashunt/forwarding/call_state.py
@@ -24,6 +24,9 @@
     LOST = "lost"
     """The connection broke; whether the call completed is unknown."""
 
+    UNREAD = "unread"
+    """The response broke off after the caller had not read it for a while."""
+
     SILENT = "silent"
     """Abandoned for another replica that is already reserved."""
 
--- a/dahliashunt/forwarding/forwarder.py
+++ b/dahliashunt/forwarding/forwarder.py
@@ -375,7 +375,7 @@
             guard.ended_unharmed(permit)
         else:
             guard.left(permit, request_id, replica)
-        if end is not AttemptEnd.TIMED_OUT:
+        if end not in (AttemptEnd.TIMED_OUT, AttemptEnd.UNREAD):
             now_ms = self._clock.now_ms()
             self._forwarder.suspicion.failed(replica.incarnation, now_ms)
         self._record(
--- a/dahliashunt/platform/ingress.py
+++ b/dahliashunt/platform/ingress.py
@@ -41,6 +41,10 @@
 DEFAULT_RETRY_MS = 250
 """Retry-After for errors that carry no delay of their own."""
 
+MAX_HELD_BYTES = 33_554_432
+"""Bodies of all requests in progress: eight of the usual limit, or 8,000 of
+prompts of 4 KB. A fifth of the smallest instance."""
+
 UNKNOWN_OUTCOME_STATUS = 502
 """Replaces a status of `NOT_RUN_STATUSES` if the request may have run."""
 
@@ -58,6 +62,8 @@
     send: object
     leaving: bool
     header_by_name: dict
+    held: "_HeldBodies"
+    held_bytes: int = 0
 
     async def body(self, limits: IngressLimits) -> bytes:
         """Return the complete body.
@@ -67,7 +73,8 @@
         CallerDisconnected
             If the caller closes the connection first.
         RequestError
-            If the body exceeds the limit.
+            If the body exceeds the limit, or all bodies the memory for
+            them.
         """
         parts, size = [], 0
         while True:
@@ -81,9 +88,23 @@
                     ErrorKind.TOO_LARGE,
                     f"the body exceeds {limits.body_bytes} bytes",
                 )
+            self._hold(len(parts[-1]))
             if not message.get("more_body"):
                 return b"".join(parts)
 
+    def _hold(self, size):
+        if self.held.size + size > self.held.max_bytes:
+            raise RequestError(
+                ErrorKind.OVERLOADED, "too many large requests at once"
+            )
+        self.held.size += size
+        self.held_bytes += size
+
+    def release(self) -> None:
+        """Stop counting the body: the request has ended."""
+        self.held.size -= self.held_bytes
+        self.held_bytes = 0
+
     async def wait_for_disconnect(self) -> None:
         """Wait until the caller closes its connection."""
         while (await self.receive())["type"] != "http.disconnect":
@@ -112,6 +133,14 @@
         await self.send_part(body, False)
 
 
+@dataclass(slots=True)
+class _HeldBodies:
+    """Bytes of the bodies of all requests in progress, and their bound."""
+
+    max_bytes: int
+    size: int = 0
+
+
 class _Sink:
     """Implementation of `ResponseSink` over one exchange."""
 
@@ -134,9 +163,18 @@
     node : Node
     jobs : JobCalls
         Handles requests for batch jobs.
+    max_held_bytes : int
+        Bound of the bodies of all requests in progress; above it a request
+        is refused as not run.
     """
 
-    def __init__(self, node: Node, jobs: JobCalls):
+    def __init__(
+        self,
+        node: Node,
+        jobs: JobCalls,
+        max_held_bytes: int = MAX_HELD_BYTES,
+    ):
+        self._held = _HeldBodies(max_held_bytes)
         self._node = node
         self._jobs = jobs
 
@@ -147,7 +185,12 @@
             key = name.decode("latin-1")
             headers.setdefault(key, value.decode("latin-1"))
         exchange = _Exchange(
-            scope, receive, send, self._node.leaving.is_set(), headers
+            scope,
+            receive,
+            send,
+            self._node.leaving.is_set(),
+            headers,
+            self._held,
         )
         with self._node.in_flight():
             try:
@@ -156,6 +199,8 @@
                 await self._send_error(exchange, error)
             except CallerDisconnected:
                 self._node.metrics.count("callers_left")
+            finally:
+                exchange.release()
 
     async def _serve(self, exchange):
         arrived_ms = self._node.clock.now_ms()
--- a/dahliashunt/platform/serve_entry.py
+++ b/dahliashunt/platform/serve_entry.py
@@ -9,6 +9,8 @@
 from dahliashunt.adapters.http_server import HttpBounds
 from dahliashunt.adapters.http_server import HttpServer
 from dahliashunt.adapters.slots import SlotClient
+from dahliashunt.adapters.write_backlog import ReadBacklog
+from dahliashunt.adapters.write_backlog import WriteBacklog
 from dahliashunt.decisions.feed_pace import FeedUse
 from dahliashunt.decisions.rate_limits import RATE_LIMIT_POLICIES
 from dahliashunt.decisions.suspicion import Suspicion
@@ -62,6 +64,10 @@
 SHUTDOWN_MARGIN_MS = 700
 """Time reserved for closing before the platform kills the process."""
 
+BACKLOG_BYTES_PER_MB = 125_000
+"""Share of the instance's memory, an eighth, for responses that callers have
+not read yet: 20 MB of the smallest instance."""
+
 NEEDED_TABLES = 3
 """Number of tables that requests need: the first of the followers."""
 
@@ -149,7 +155,8 @@
         self._registry = ReplicaRegistry()
         metrics = Metrics(settings.node_id)
         self.node = Node(self._clock, self._rng, metrics, log, self._registry)
-        self._pool = ConnectionPool(self._clock)
+        self._read_backlog = ReadBacklog()
+        self._pool = ConnectionPool(self._clock, backlog=self._read_backlog)
         self._store_pool = ConnectionPool(self._clock)
         self._store = PlatformStore(
             settings.store.address,
@@ -194,10 +201,33 @@
         self.node.config_read_ms = lambda: config.heard_ms
         self.node.losses_known = self._followers[2].known
         self._servers = []
-        self.bounds = HttpBounds()
+        self.bounds = self._make_bounds()
         self.first_port = settings.first_port
         self.ports: tuple[int, ...] = ()
 
+    def _make_bounds(self):
+        """Return the bounds of callers' connections."""
+        metrics, log = self.node.metrics, self._log
+
+        def report_excess(bound):
+            metrics.count("callers_over_bound", bound=bound.value)
+            log.warning("caller_over_bound", exceeded=bound.value)
+
+        def report_slow(peer, unread_bytes):
+            metrics.count("slow_readers_ended")
+            log.warning(
+                "slow_reader_ended", peer=str(peer), unread=unread_bytes
+            )
+
+        return HttpBounds(
+            on_exceeded=report_excess,
+            backlog=WriteBacklog(
+                self._settings.memory_mb * BACKLOG_BYTES_PER_MB,
+                self._read_backlog,
+                report_slow,
+            ),
+        )
+
     def _make_known_replicas(self):
         return KnownReplicas(
             self._registry,
@@ -350,6 +380,7 @@
             self._pool.sweep()
             self._registry.expire(self._clock.now_ms())
             self._apply_connection_limits()
+            self.node.metrics.gauge("backlog_bytes", self.bounds.backlog.size)
 
     def _apply_connection_limits(self):
         """Apply the configuration's limits to callers' connections.
--- a/dahliashunt/platform/standins/endless.py
+++ b/dahliashunt/platform/standins/endless.py
@@ -20,7 +20,7 @@
 _LATE = _HEAD + REQUEST_ID.encode() + b": other\r\n"
 _CHUNK = b"400\r\n" + b"x" * 1024 + b"\r\n"
 _NUMBERED = b"id: 1\ndata: "
-_COMMENTS = b": waiting\n\n"
+_COMMENT = b":" + b"x" * 4_000 + b"\n\n"
 
 
 class Endless(enum.Enum):
@@ -38,10 +38,7 @@
     TRAILER = (_CHUNKED + b"2\r\nok\r\n0\r\nX-T: ", b"x")
     TRAILERS = (_CHUNKED + b"2\r\nok\r\n0\r\n", b"X-T: b\r\n")
     EVENT = (_CHUNKED + b"c\r\n" + _NUMBERED + b"\r\n", _CHUNK)
-    COMMENTS = (
-        _CHUNKED,
-        b"%x\r\n%s\r\n" % (len(_COMMENTS) * 99, _COMMENTS * 99),
-    )
+    COMMENTS = (_CHUNKED, b"%x\r\n%s\r\n" % (len(_COMMENT), _COMMENT))
     BODY = (_CHUNKED, _CHUNK)
     BODY_TO_CLOSE = (_HEAD + b"\r\n", b"x")
     STATED_BODY = (_HEAD + b"Content-Length: 999999999999\r\n\r\n", b"x")
