--- a/dahliashunt/decisions/slot_allocator.py
+++ b/dahliashunt/decisions/slot_allocator.py
@@ -261,6 +261,23 @@
             free_tokens=self._memory.free_tokens(self._holds.by_id.values()),
         )
 
+    def unread_tokens(self, run_by_id: dict) -> int:
+        """Return the prompt tokens that granted requests have yet to read.
+
+        Parameters
+        ----------
+        run_by_id : dict
+            `RunProgress` of the runs in the replica's last report.
+        """
+        unread = 0
+        for held in self._holds.by_id.values():
+            run = run_by_id.get(held.ask.run_id)
+            if run is None:
+                unread += held.ask.prompt_tokens
+            elif not run.events:
+                unread += max(0, held.ask.prompt_tokens - run.tokens)
+        return unread
+
     def _revoke(self, ask, now_ms):
         """Revoke the fewest batch holds that make room; [] if none do."""
         holds = self._holds
