State of a replica's earlier incarnation is dropped at a restart

Cause: an agent looked its replica up once and kept to that incarnation; loads were taken by the agent's address, idle connections by the replica's address, and the end of a drain by its id. A stream could go on at a replica that had restarted at another software version while the row still stated the one before. A row of an unknown service could take the address of a sound replica.

Change: the agent reads its replica's row after a sign of a restart, drops the earlier grants and announces born_ms; entries ignore a load of another incarnation, close the idle connections to it and reuse none that are in use; a request bound to a software version goes to no replica whose agent announces another incarnation than its row; is_leaving compares incarnations; the registry uses only replicas of the configuration's services.

--- a/dahliashunt/adapters/http1/connection.py
+++ b/dahliashunt/adapters/http1/connection.py
@@ -92,13 +92,14 @@
     ----------
     usable : bool
         Whether the connection may carry another request.
-    idle_since_ms : int
-        Time since when it is idle; set by the pool.
+    idle_since_ms, opened_ms : int
+        Time since when it is idle, and when it was opened; set by the pool.
     """
 
     def __init__(self):
         self.usable = True
         self.idle_since_ms = 0
+        self.opened_ms = 0
         self.used = 0
         self.keep_alive_ms = None
         self.transport = None
--- a/dahliashunt/adapters/http1/pool.py
+++ b/dahliashunt/adapters/http1/pool.py
@@ -17,6 +17,10 @@
 """Margin below the peer's keep-alive timeout, so that a request does not
 cross the peer's close."""
 
+FORGOTTEN_MS = 600_000
+"""Time for which connections opened before `ConnectionPool.forget` are told
+apart; above the longest time for which one carries a single stream."""
+
 MAX_IDLE_PER_ADDRESS = 16
 """Most idle connections kept for one address."""
 
@@ -34,6 +38,7 @@
         self._clock = clock
         self._connect_ms = connect_ms
         self._idle_by_address: dict[tuple[str, int], list] = {}
+        self._forgotten_ms_by_address: dict[tuple[str, int], int] = {}
         self.opened = 0
 
     async def take(
@@ -55,7 +60,9 @@
             connection.abort()
         self._idle_by_address.pop(address, None)
         self.opened += 1
-        return await open_connection(*address, self._connect_ms)
+        connection = await open_connection(*address, self._connect_ms)
+        connection.opened_ms = now_ms
+        return connection
 
     def has_idle(self, address: tuple[str, int]) -> bool:
         """Return whether `take` would reuse a connection."""
@@ -80,15 +87,34 @@
         if not connection.usable or connection.transport.is_closing():
             connection.abort()
             return
+        if self._is_forgotten(address, connection):
+            connection.abort()
+            return
         connection.idle_since_ms = self._clock.now_ms()
         idle = self._idle_by_address.setdefault(address, [])
         idle.append(connection)
         if len(idle) > MAX_IDLE_PER_ADDRESS:
             idle.pop(0).abort()
 
+    def forget(self, address: tuple[str, int]) -> None:
+        """Close the idle connections to `address`; reuse none in use now.
+
+        They were opened to an earlier incarnation of the server there.
+        """
+        for connection in self._idle_by_address.pop(address, ()):
+            connection.abort()
+        self._forgotten_ms_by_address[address] = self._clock.now_ms()
+
+    def _is_forgotten(self, address, connection):
+        forgotten_ms = self._forgotten_ms_by_address.get(address)
+        return forgotten_ms is not None and connection.opened_ms < forgotten_ms
+
     def sweep(self) -> None:
         """Close connections that were idle for too long."""
         now_ms = self._clock.now_ms()
+        for address, at_ms in list(self._forgotten_ms_by_address.items()):
+            if now_ms - at_ms > FORGOTTEN_MS:
+                del self._forgotten_ms_by_address[address]
         for address, idle in list(self._idle_by_address.items()):
             kept = []
             for connection in idle:
--- a/dahliashunt/adapters/http1/tests/test_connection.py
+++ b/dahliashunt/adapters/http1/tests/test_connection.py
@@ -8,6 +8,7 @@
 import pytest
 
 from dahliashunt.adapters.clock import SystemClock
+from dahliashunt.adapters.clock import VirtualClock
 from dahliashunt.adapters.http1 import ConnectFailed
 from dahliashunt.adapters.http1 import ConnectionPool
 from dahliashunt.adapters.http1 import encode_request
@@ -196,3 +197,24 @@
             pool.close()
 
     asyncio.run(main())
+
+
+def test_a_forgotten_servers_connections_are_not_reused():
+    # Guards against a request sent to an earlier incarnation's connection.
+    async def main():
+        clock = VirtualClock(1)
+        async with server() as address:
+            pool = ConnectionPool(clock)
+            idle, in_use = [await pool.take(address) for _ in range(2)]
+            pool.give_back(address, idle)
+            await clock.advance(1)
+            pool.forget(address)
+            assert not pool.has_idle(address)
+            pool.give_back(address, in_use)
+            assert not pool.has_idle(address)
+            later = await pool.take(address)
+            pool.give_back(address, later)
+            assert await pool.take(address) is later
+            pool.close()
+
+    asyncio.run(main())
--- a/dahliashunt/adapters/slots/server.py
+++ b/dahliashunt/adapters/slots/server.py
@@ -121,6 +121,22 @@
         now_ms = self._clock.now_ms()
         self._send_all(self.allocator.report(running, waiting, now_ms))
 
+    def replica_restarted(
+        self, replica_id: str, born_ms: int, slots: int, since_ms: int
+    ) -> None:
+        """Drop the earlier incarnation's grants; announce the new one.
+
+        Meters and notes of streams stay: they count workspaces' requests and
+        name software versions, not what a replica holds.
+        """
+        self.instance_id = replica_id
+        now_ms = self._clock.now_ms()
+        allocator = self.allocator
+        self._send_all(
+            allocator.replica_restarted(born_ms, slots, since_ms, now_ms)
+        )
+        self.publish()
+
     def _send_all(self, effects):
         for effect in effects:
             if isinstance(effect, SlotReply):
--- a/dahliashunt/decisions/slot_allocator.py
+++ b/dahliashunt/decisions/slot_allocator.py
@@ -85,11 +85,14 @@
         Whether the replica is unavailable; nothing is granted then.
     hold_ms : float
         Moving average of the time an online request holds a slot.
+    born_ms : int
+        Wall-clock start of the replica's incarnation; 0 if unknown.
     """
 
     slots: int
     away: bool = False
     hold_ms: float = INITIAL_HOLD_MS
+    born_ms: int = 0
     _holds: SlotHolds = field(default_factory=SlotHolds)
     _waiting_by_id: dict[AttemptId, _Waiting] = field(default_factory=dict)
     # Pairs of the time until which it counts, and the online holds.
@@ -209,8 +212,31 @@
             waiting=len(self._waiting_by_id),
             wait_ms=self.expected_wait_ms(),
             away=self.away,
+            born_ms=self.born_ms,
         )
 
+    def replica_restarted(
+        self, born_ms: int, slots: int, since_ms: int, now_ms: int
+    ) -> list:
+        """Drop what belongs to the replica's earlier incarnation.
+
+        Queued requests stay: they were not sent yet. So does `hold_ms`,
+        which ages with each request.
+
+        Parameters
+        ----------
+        born_ms, slots : int
+            Of the new incarnation.
+        since_ms : int
+            Time from which grants are for the new incarnation.
+        now_ms : int
+        """
+        self.born_ms = born_ms
+        self.slots = slots
+        self._recent_online.clear()
+        self._holds.drop_before(since_ms)
+        return self._grant_waiting(now_ms)
+
     def _revoke(self, now_ms):
         """Revoke a batch hold; return None if there is none."""
         ask = self._holds.revoke_batch(now_ms)
--- a/dahliashunt/decisions/slot_holds.py
+++ b/dahliashunt/decisions/slot_holds.py
@@ -126,6 +126,14 @@
                 del self._revoked_ms_by_run[run_id]
         self.unmatched = self._count_unmatched(running, waiting)
 
+    def drop_before(self, since_ms: int) -> None:
+        """Drop the holds granted before `since_ms`, and all runs without."""
+        for attempt_id, hold in list(self.by_id.items()):
+            if hold.since_ms < since_ms:
+                del self.by_id[attempt_id]
+        self._revoked_ms_by_run.clear()
+        self.unmatched = 0
+
     def _count_unmatched(self, running, waiting):
         held = {hold.ask.run_id for hold in self.by_id.values()}
         unknown = len(running - held - self._revoked_ms_by_run.keys())
--- a/dahliashunt/decisions/tests/test_slot_allocator.py
+++ b/dahliashunt/decisions/tests/test_slot_allocator.py
@@ -274,3 +274,23 @@
     low_priority = [share[f"l{n}"] for n in range(LOW_WORKSPACES)]
     assert share["u"] >= max(low_priority)
     assert min(low_priority) >= mean / 4
+
+
+def test_a_restarted_replica_holds_nothing_of_before(allocator):
+    # Guards against slots that stay taken by runs of an earlier incarnation.
+    allocator.report(frozenset({"unknown"}), 0, 0)
+    allocator.ask(online("a"), 10)
+    allocator.ask(online("waits", wait_ms=900), 20)
+    allocator.ask(batch("late"), 30)
+    effects = allocator.replica_restarted(7, 3, 40, 50)
+    assert verdicts(effects) == [SlotDecision.GRANTED]
+    assert allocator.held == ("waits",)
+    assert (allocator.state().born_ms, allocator.state().slots) == (7, 3)
+
+
+def test_grants_for_the_new_incarnation_stay_at_a_restart(allocator):
+    # Guards against a slot that is granted twice after a restart.
+    allocator.ask(online("before"), 10)
+    allocator.ask(online("after"), 60)
+    allocator.replica_restarted(7, 2, 50, 100)
+    assert allocator.held == ("after",)
--- a/dahliashunt/forwarding/attempt.py
+++ b/dahliashunt/forwarding/attempt.py
@@ -1,5 +1,7 @@
 """Send a call to one replica and relay the response to the caller."""
 
+from dataclasses import replace
+
 from dahliashunt.adapters.http1 import ConnectFailed
 from dahliashunt.adapters.http1 import End
 from dahliashunt.adapters.http1 import ResponseHead
@@ -11,6 +13,7 @@
 from dahliashunt.forwarding.events import EventSplitter
 from dahliashunt.forwarding.ports import ResponseSink
 from dahliashunt.forwarding.replicas import Replica
+from dahliashunt.ids import SoftwareVersion
 
 __all__ = ["Attempt"]
 
@@ -282,9 +285,13 @@
 
     def _note_version(self):
         if not self._state.started:
-            self._state.version = self._replica.version
+            replica = self._replica
+            if not self._forwarder.places.is_announced(replica):
+                # The row may state the version before a restart.
+                replica = replace(replica, version=SoftwareVersion(""))
+            self._state.version = replica.version
             self._forwarder.origins.note(
-                self._state.call, self._route, self._replica
+                self._state.call, self._route, replica
             )
 
     def _in_order(self, events):
--- a/dahliashunt/forwarding/catalog.py
+++ b/dahliashunt/forwarding/catalog.py
@@ -223,6 +223,11 @@
                 yield route
             end = path.rfind("/", 0, end)
 
+    def service_names(self) -> frozenset[str]:
+        """Return the names of all services, also of those only in routes."""
+        routed = (each.weight_by_service for each in self.routes)
+        return frozenset(self.service_by_name).union(*routed)
+
     def hosts(self) -> list[str]:
         """Return the hosts that have routes, sorted."""
         return sorted(self._by_prefix_by_host)
--- a/dahliashunt/forwarding/known_replicas.py
+++ b/dahliashunt/forwarding/known_replicas.py
@@ -82,8 +82,22 @@
         return (replica.host, self._agent_port)
 
     def load(self, replica: Replica):
-        """Return the last load its agent reported, with time, or None."""
-        return self._slots.known_by_address.get(self.agent(replica))
+        """Return the last load its agent reported, with time, or None.
+
+        A load of another incarnation than the listed one is not its load.
+        """
+        known = self._slots.known_by_address.get(self.agent(replica))
+        return known if self.is_announced(replica) else None
+
+    def is_heard(self, replica: Replica) -> bool:
+        """Return whether a load of the replica's agent is known."""
+        return self.agent(replica) in self._slots.known_by_address
+
+    def is_announced(self, replica: Replica) -> bool:
+        """Return whether its agent does not announce another incarnation."""
+        known = self._slots.known_by_address.get(self.agent(replica))
+        born_ms = known.state.born_ms if known is not None else 0
+        return not (born_ms and replica.born_ms) or born_ms == replica.born_ms
 
     def own(self, replica: Replica) -> int:
         """Return the number of this entry's requests at the replica."""
--- a/dahliashunt/forwarding/node.py
+++ b/dahliashunt/forwarding/node.py
@@ -141,6 +141,8 @@
             self._first_adopted_ms = self.clock.now_ms()
         self._configured.set()
         self.adopted_ms = self.clock.now_ms()
+        if self.registry is not None:
+            self.registry.know_services(catalog.service_names())
         if self.forwarder is not None:
             names = {route.name for route in catalog.routes}
             self.forwarder.waits.keep_only(names)
--- a/dahliashunt/forwarding/replica_selector.py
+++ b/dahliashunt/forwarding/replica_selector.py
@@ -1,6 +1,7 @@
 """Select a replica with a free slot for a request."""
 
 import asyncio
+import functools
 import random
 
 from dahliashunt.adapters.slots import SlotClient
@@ -13,6 +14,7 @@
 from dahliashunt.errors import ErrorKind
 from dahliashunt.errors import RequestError
 from dahliashunt.forwarding.known_replicas import KnownReplicas
+from dahliashunt.forwarding.replicas import Replica
 from dahliashunt.forwarding.reservation import Reservation
 from dahliashunt.forwarding.reservation import SlotRequirements
 from dahliashunt.forwarding.slot_requests import SlotRequester
@@ -108,16 +110,31 @@
         for replica in replies.absent:
             self._suspicion.failed(replica.incarnation, now_ms)
         if replies.granted is not None:
-            return self._granted(replies.granted, replies.attempt)
+            return self._granted_if_current(replies, requirements)
         return await self._fall_back(replies, requirements, request_id)
 
+    def is_announced(self, replica: Replica) -> bool:
+        """Return whether its agent does not announce another incarnation."""
+        return self._known.is_announced(replica)
+
+    def _admits(self, requirements, replica):
+        """Return whether `replica` may run a request.
+
+        The row of a replica whose agent announces another incarnation may
+        state the version before a restart.
+        """
+        return requirements.admits(replica) and (
+            requirements.version is None or self._known.is_announced(replica)
+        )
+
     def _untried(self, requirements):
         """Return the admitted partners, or the other admitted replicas."""
+        admits = functools.partial(self._admits, requirements)
         for listed in (
             self._known.partners(requirements.service),
             self._known.listed(requirements.service),
         ):
-            untried = list(filter(requirements.admits, listed))
+            untried = list(filter(admits, listed))
             if untried:
                 return untried
         wanted = requirements.version
@@ -138,7 +155,7 @@
         outsiders = [
             replica
             for replica in sample_non_partners(listed, ids, self._rng)
-            if requirements.admits(replica)
+            if self._admits(requirements, replica)
         ]
         return ordered[:MAX_ASKED] + outsiders
 
@@ -148,7 +165,7 @@
             replicas = self._known.partners(requirements.service)
         waited_ms = self._clock.now_ms() - self._started_ms
         return waited_ms > NO_AGENTS_MS and not any(
-            self._known.load(replica) for replica in replicas
+            self._known.is_heard(replica) for replica in replicas
         )
 
     def _direct_within_slots(self, ordered, requirements):
@@ -202,6 +219,18 @@
         known = self._known.load(replica)
         return known.state.wait_ms if known is not None else 0
 
+    def _granted_if_current(self, replies, requirements):
+        """Reserve the granted slot unless the grant shows a restart."""
+        reservation = self._granted(replies.granted, replies.attempt)
+        if self._admits(requirements, replies.granted):
+            return reservation
+        reservation.release()
+        raise RequestError(
+            ErrorKind.NO_ENDPOINT,
+            f"a replica of {requirements.service} has just restarted",
+            retry_after_ms=NO_REPLICA_RETRY_MS,
+        )
+
     def _granted(self, replica, attempt):
         self._known.count(replica, 1)
         since_ms = self._clock.now_ms()
--- a/dahliashunt/forwarding/replicas.py
+++ b/dahliashunt/forwarding/replicas.py
@@ -81,6 +81,7 @@
         self._warm_at_ms_by_id: dict[str, int] = {}
         self._outage_ended_ms: int | None = None
         self._versions = ListedVersions()
+        self._known_services: frozenset[str] | None = None
 
     def outage_ended(self, now_ms: int) -> None:
         """Record the end of an outage of the list."""
@@ -122,8 +123,29 @@
             del self._ids_by_address[replica.address]
         self._update_current(replica.address)
 
+    def know_services(self, services: frozenset[str]) -> None:
+        """Use only replicas of `services`, those of the configuration.
+
+        A row of another service names no replica: it gets no messages and
+        does not take the address of a sound row.
+        """
+        if services == self._known_services:
+            return
+        self._known_services = services
+        for address in list(self._ids_by_address):
+            self._update_current(address)
+        self._note_change()
+
+    def _is_known(self, replica):
+        known = self._known_services
+        return known is None or replica.service in known
+
     def _update_current(self, address):
-        at_address = self._ids_by_address.get(address, ())
+        at_address = [
+            replica_id
+            for replica_id in self._ids_by_address.get(address, ())
+            if self._is_known(self._replica_by_id[replica_id])
+        ]
         newest = max(at_address, key=self._version_by_id.get, default=None)
         if newest == self._current_by_address.get(address):
             return
@@ -187,17 +209,24 @@
         held = self._replica_by_id.get(replica.replica_id)
         if held is None or held.incarnation != replica.incarnation:
             return True
-        return self._current_by_address[held.address] != replica.replica_id
+        current = self._current_by_address.get(held.address)
+        return current not in (None, replica.replica_id)
 
     def is_leaving(self, replica: Replica) -> bool:
         """Return whether that incarnation of a replica is being drained."""
         held = self._replica_by_id.get(replica.replica_id)
-        return held is not None and held.leaving
+        if held is None or held.incarnation != replica.incarnation:
+            return False
+        return held.leaving
 
     def get(self, replica_id: str) -> Replica | None:
         """Return the replica with the id `replica_id`, or None."""
         return self._replica_by_id.get(replica_id)
 
+    def at(self, address: tuple[str, int]) -> Replica | None:
+        """Return the replica that is used at `address`, or None."""
+        return self._replica_by_id.get(self._current_by_address.get(address))
+
     def of_service(self, service: str) -> tuple[Replica, ...]:
         """Return the replicas of `service` that take new requests.
 
@@ -214,7 +243,7 @@
         return usable
 
     def _is_usable(self, replica):
-        current = self._current_by_address[replica.address]
+        current = self._current_by_address.get(replica.address)
         return not replica.leaving and current == replica.replica_id
 
     def versions_since(
@@ -237,8 +266,8 @@
 
     def services(self) -> set[str]:
         """Return the services of all listed replicas."""
-        return {replica.service for replica in self._replica_by_id.values()}
+        return {replica.service for replica in self.all()}
 
     def all(self) -> list[Replica]:
-        """Return all listed replicas."""
-        return list(self._replica_by_id.values())
+        """Return all listed replicas of known services."""
+        return list(filter(self._is_known, self._replica_by_id.values()))
--- a/dahliashunt/forwarding/tests/test_replica_selector.py
+++ b/dahliashunt/forwarding/tests/test_replica_selector.py
@@ -6,8 +6,10 @@
 import pytest
 
 from dahliashunt.adapters.clock import VirtualClock
+from dahliashunt.adapters.slots.client import KnownState
 from dahliashunt.decisions.partners import MAX_PARTNERS
 from dahliashunt.decisions.partners import NON_PARTNER_SAMPLES
+from dahliashunt.decisions.slot_messages import AllocatorState
 from dahliashunt.decisions.slot_messages import SlotDecision
 from dahliashunt.decisions.slot_messages import Use
 from dahliashunt.decisions.suspicion import Suspicion
@@ -231,3 +233,67 @@
 
     asyncio.run(renew_once())
     assert len(renewed[0]) == MAX_PARTNERS
+
+
+def announce(slots, host, born_ms):
+    state = AllocatorState(SLOTS, 0, 0, 0, 0, False, born_ms=born_ms)
+    slots.known_by_address[host, 7000] = KnownState(state, 0)
+
+
+def make_born_places(slots, clock):
+    """Return places with the replicas a and b at version v, born at 1."""
+    registry = ReplicaRegistry()
+    for name in "ab":
+        replica = Replica(
+            name, 1, "s", name, 1, "d", SLOTS, False, version="v"
+        )
+        registry.put(replica, 1, 0)
+        slots.verdict_by_host[name] = SlotDecision.GRANTED
+        announce(slots, name, 1)
+    return make_places(registry, slots, clock)
+
+
+def find_version(places):
+    requirements = SlotRequirements(
+        "s", Use.ONLINE, "", 0, 0, frozenset(), lambda: None, version="v"
+    )
+    return asyncio.run(places.find(requirements, "r", True))
+
+
+def test_a_stream_goes_on_at_no_replica_that_has_restarted(slots, clock):
+    # Guards against a stream of two versions: the row of a replica that has
+    # restarted still states the version before.
+    places = make_born_places(slots, clock)
+    announce(slots, "a", 2)
+    for _ in range(8):
+        assert find_version(places).replica.replica_id == "b"
+    announce(slots, "b", 2)
+    with pytest.raises(RequestError) as caught:
+        find_version(places)
+    assert caught.value.kind is ErrorKind.NO_ENDPOINT
+    assert {find(places).replica.replica_id for _ in range(8)}
+
+
+def test_a_grant_that_shows_a_restart_is_given_back(slots, clock):
+    # Guards against the same where the grant is the first that says so.
+    places = make_born_places(slots, clock)
+
+    class Restarting(FakeSlots):
+        async def ask(self, attempt, address, wait_ms):
+            announce(slots, address[0], 2)
+            return await super().ask(attempt, address, wait_ms)
+
+    slots.__class__ = Restarting
+    with pytest.raises(RequestError):
+        find_version(places)
+    assert slots.released
+
+
+def test_loads_of_an_earlier_incarnation_do_not_hide_the_agents(slots, clock):
+    # Guards against requests without slots once all replicas have restarted
+    # and their agents have not noticed.
+    places = make_born_places(slots, clock)
+    for name in "ab":
+        announce(slots, name, 9)
+    asyncio.run(clock.advance(NO_AGENTS_MS + 1))
+    assert find(places).attempt_id
--- a/dahliashunt/forwarding/tests/test_replicas.py
+++ b/dahliashunt/forwarding/tests/test_replicas.py
@@ -91,3 +91,28 @@
     assert not registry.is_cold(registry.get("b"), 1_000)
     registry.put(replica("a", 0), 3, 2_000)
     assert not registry.is_cold(registry.get("a"), 2_000)
+
+
+def test_a_drained_restart_says_nothing_of_the_one_before(registry):
+    # Guards against a crash that is not counted, since the incarnation after
+    # it is drained.
+    before = registry.get("a")
+    registry.put(replica("a", 0, born_ms=5, leaving=True), 2, 0)
+    assert not registry.is_leaving(before)
+    assert registry.has_ended(before)
+    assert registry.is_leaving(registry.get("a"))
+
+
+def test_a_row_of_an_unknown_service_takes_no_address(registry):
+    # Guards against a row of another writer that hides a sound replica.
+    registry.put(replica("x", 0, service="other"), 9, 0)
+    assert names(registry) == ["b"]
+    registry.know_services(frozenset({"s"}))
+    assert names(registry) == ["a", "b"]
+    assert registry.services() == {"s"}
+    registry.put(replica("x", 1, service="other"), 10, 0)
+    assert names(registry) == ["a", "b"]
+    registry.know_services(frozenset({"s", "other"}))
+    assert names(registry) == ["a"]
+    registry.know_services(frozenset())
+    assert not registry.has_ended(registry.get("a"))
--- a/dahliashunt/platform/listeners.py
+++ b/dahliashunt/platform/listeners.py
@@ -51,17 +51,35 @@
 
 
 class ReplicaListener:
-    """Applies rows of the list of replicas to the registry."""
-
-    def __init__(self, registry: ReplicaRegistry, clock: Clock, log):
+    """Applies rows of the list of replicas to the registry.
+
+    Parameters
+    ----------
+    registry : ReplicaRegistry
+    clock : Clock
+    log : structlog logger
+    on_restart : callable
+        Called with the address of a replica that has started anew there.
+    """
+
+    def __init__(
+        self,
+        registry: ReplicaRegistry,
+        clock: Clock,
+        log,
+        on_restart=lambda address: None,
+    ):
         self._registry = registry
         self._clock = clock
         self._log = log
+        self._on_restart = on_restart
 
     def replaced(self, rows) -> None:
         """Apply a snapshot of the list."""
         decoded = [(self._decode(row), row.version) for row in rows]
         replicas = [pair for pair in decoded if pair[0] is not None]
+        for replica, _ in replicas:
+            self._note_restart(replica)
         self._registry.replace_all(replicas, self._clock.now_ms())
         self._log.info("replicas_read", listed=len(rows), usable=len(replicas))
 
@@ -71,6 +89,7 @@
         if replica is None:
             self.removed(row.key)
             return
+        self._note_restart(replica)
         known = self._registry.get(replica.replica_id)
         if known != replica:
             self._log.info(
@@ -94,6 +113,12 @@
         """Keep replicas that lapsed during the outage for a grace period."""
         self._registry.outage_ended(self._clock.now_ms())
 
+    def _note_restart(self, replica):
+        """Report that another incarnation starts at a replica's address."""
+        earlier = self._registry.at(replica.address)
+        if earlier is not None and earlier.incarnation != replica.incarnation:
+            self._on_restart(replica.address)
+
     def _decode(self, row):
         replica_id = row.key.removeprefix(REPLICAS_PREFIX)
         try:
--- a/dahliashunt/platform/serve_agent.py
+++ b/dahliashunt/platform/serve_agent.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import random
 
 from dahliashunt.adapters.clock import SystemClock
 from dahliashunt.adapters.http1 import ConnectFailed
@@ -10,13 +11,10 @@
 from dahliashunt.adapters.http1 import exchange_whole
 from dahliashunt.adapters.slots import SlotServer
 from dahliashunt.decisions.slot_allocator import SlotAllocator
-from dahliashunt.errors import PlatformUnavailable
 from dahliashunt.metrics import Metrics
 from dahliashunt.platform.dialect import decode_report
 from dahliashunt.platform.dialect import REPORT_PATH
-from dahliashunt.platform.listeners import REPLICAS_PREFIX
-from dahliashunt.platform.operator import decode_replica
-from dahliashunt.platform.operator import DecodeError
+from dahliashunt.platform.own_replica import OwnReplica
 from dahliashunt.platform.reload import SettingsWatch
 from dahliashunt.platform.settings import LaunchOptions
 from dahliashunt.platform.store import PlatformStore
@@ -36,9 +34,6 @@
 """Maximum time for which the start of the slot server delays the metrics,
 which are needed when the store is unavailable."""
 
-LOOKUP_RETRY_MS = 300
-"""Interval between reads of the list until the replica is found."""
-
 
 async def serve_agent(options: LaunchOptions, signals, log) -> None:
     """Allocate the slots of this machine's replica until told to stop."""
@@ -49,7 +44,7 @@
     )
     watch.install()
     page = _DeferredMetricsServer(agent, settings.ip, options)
-    coroutines = (agent.run(), watch.run(), page.run())
+    coroutines = (agent.run(), agent.watch(), watch.run(), page.run())
     loops = [asyncio.create_task(each) for each in coroutines]
     leave = asyncio.create_task(signals.leave.wait())
     done, _ = await asyncio.wait(
@@ -109,6 +104,15 @@
         self._store = PlatformStore(
             settings.store.address, self._pool, self._clock, self.metrics
         )
+        self._replica = OwnReplica(
+            self._store,
+            settings.replica,
+            self._clock,
+            random.Random(),
+            log,
+        )
+        # Apart from the store's, so that a new connection is a sign.
+        self._report_pool = ConnectionPool(self._clock)
         self._server = None
         self._missed_reports = 0
         self.started = asyncio.Event()
@@ -119,8 +123,8 @@
         self._store.address = settings.store.address
 
     async def run(self):
-        replica = await self._find_replica()
-        allocator = SlotAllocator(replica.slots)
+        replica = await self._replica.find()
+        allocator = SlotAllocator(replica.slots, born_ms=replica.born_ms)
         self._server = SlotServer(
             allocator, self._clock, self.metrics, self._log
         )
@@ -136,6 +140,17 @@
             self._update_gauges(allocator.state())
             await self._clock.sleep_ms(REPORT_INTERVAL_MS)
 
+    async def watch(self):
+        """Follow restarts of the replica, until cancelled."""
+        await self.started.wait()
+        await self._replica.watch(self._on_restart)
+
+    def _on_restart(self, replica, since_ms):
+        self.metrics.count("replica_restarts")
+        self._server.replica_restarted(
+            replica.replica_id, replica.born_ms, replica.slots, since_ms
+        )
+
     def _update_gauges(self, state):
         self.metrics.gauge("slots", state.slots)
         self.metrics.gauge("slots_online", state.online)
@@ -143,30 +158,12 @@
         self.metrics.gauge("slots_waiting", state.waiting)
         self.metrics.gauge("replica_away", int(state.away))
 
-    async def _find_replica(self):
-        """Return the replica listed with this machine's address."""
-        while True:
-            try:
-                listed = await self._store.snapshot(REPLICAS_PREFIX)
-            except PlatformUnavailable as error:
-                self._log.warning("table_unavailable", reason=str(error))
-                listed = None
-            for row in listed.rows if listed else ():
-                replica = self._decode(row)
-                if replica and replica.address == self._settings.replica:
-                    return replica
-            await self._clock.sleep_ms(LOOKUP_RETRY_MS)
-
-    def _decode(self, row):
-        replica_id = row.key.removeprefix(REPLICAS_PREFIX)
-        try:
-            return decode_replica(replica_id, row.value)
-        except DecodeError as error:
-            self._log.warning("replica_unreadable", reason=str(error))
-            return None
-
     async def _poll_replica(self, allocator):
+        opened = self._report_pool.opened
         report = await self._fetch_report()
+        is_reopened = opened and self._report_pool.opened != opened
+        if report is not None and (is_reopened or self._missed_reports):
+            self._replica.note_sign()
         if report is None:
             self._missed_reports += 1
             if self._missed_reports == MAX_MISSED_REPORTS:
@@ -183,7 +180,7 @@
         """Return the replica's load report, or None if it is missed."""
         host, port = self._settings.replica
         try:
-            connection = await self._pool.take(self._settings.replica)
+            connection = await self._report_pool.take(self._settings.replica)
         except ConnectFailed:
             return None
         request = encode_request(
@@ -192,7 +189,7 @@
         answer = await exchange_whole(
             connection, request, self._clock, REPORT_TIMEOUT_MS
         )
-        self._pool.give_back(self._settings.replica, connection)
+        self._report_pool.give_back(self._settings.replica, connection)
         if answer is None or answer.head.status != 200:
             return None
         try:
@@ -204,4 +201,5 @@
     def stop(self):
         if self._server is not None:
             self._server.stop()
+        self._report_pool.close()
         self._pool.close()
--- a/dahliashunt/platform/serve_entry.py
+++ b/dahliashunt/platform/serve_entry.py
@@ -264,7 +264,9 @@
     def _make_followers(self):
         """Return the followers; first those that requests need."""
         configs = ConfigListener(self.node, self._log)
-        replicas = ReplicaListener(self._registry, self._clock, self._log)
+        replicas = ReplicaListener(
+            self._registry, self._clock, self._log, self._pool.forget
+        )
         view = self.jobs.view
         return [
             self._follower((CONFIG_KEY,), FeedUse.CONFIGURATION, configs),
--- a/dahliashunt/platform/standins/replica.py
+++ b/dahliashunt/platform/standins/replica.py
@@ -110,6 +110,8 @@
     arrivals : list of Arrival
     running : int
         Number of requests in progress.
+    connections : int
+        Number of connections accepted.
     address : (str, int) or None
         Set by `start`.
     """
@@ -122,6 +124,7 @@
     steps: collections.deque = field(default_factory=collections.deque)
     arrivals: list = field(default_factory=list)
     running: int = 0
+    connections: int = 0
     address: tuple[str, int] | None = None
     _crashed_s: float = 0.0
     _server: object = None
@@ -172,6 +175,7 @@
             writer.close()
 
     async def _serve(self, reader, writer):
+        self.connections += 1
         connection = h11.Connection(h11.SERVER)
         while True:
             arrival = await _read(connection, reader)
--- a/dahliashunt/platform/tests/conftest.py
+++ b/dahliashunt/platform/tests/conftest.py
@@ -15,16 +15,22 @@
 from dahliashunt.adapters.slots import SlotServer
 from dahliashunt.decisions.slot_allocator import SlotAllocator
 from dahliashunt.metrics import Metrics
+from dahliashunt.platform.serve_agent import serve_agent
 from dahliashunt.platform.serve_entry import Entry
+from dahliashunt.platform.settings import LaunchOptions
 from dahliashunt.platform.settings import load_settings
 from dahliashunt.platform.standins import ReplicaStandin
 from dahliashunt.platform.standins import settings_fields
 from dahliashunt.platform.standins import StoreStandin
 from dahliashunt.platform.standins.caller import caller_request
 from dahliashunt.platform.standins.caller import exchange
+from dahliashunt.platform.standins.settings import agent_fields
 from dahliashunt.platform.standins.settings import config_fields
 from dahliashunt.platform.standins.settings import replica_fields
 from dahliashunt.platform.standins.settings import route_fields
+from dahliashunt.process import Signals
+
+LAST_PORT = 65_535
 
 TIMEOUT_S = 20
 """Timeout of a condition, longer than any wait of a correct entry."""
@@ -147,6 +153,25 @@
         finally:
             server.stop()
 
+    @contextlib.asynccontextmanager
+    async def run_agent(self, replica):
+        """Run an agent beside `replica`."""
+        path = self._folder / "agent.json"
+        ports = (self._agent_port, LAST_PORT)
+        host, port = replica.address
+        fields = agent_fields(self._store_address, "agent", host, ports, port)
+        path.write_text(json.dumps(fields))
+        options = LaunchOptions(str(path), load_settings(str(path)))
+        signals = Signals()
+        agent = asyncio.create_task(
+            serve_agent(options, signals, structlog.get_logger())
+        )
+        try:
+            yield
+        finally:
+            signals.leave.set()
+            await agent
+
     def hears_agents(self, entry):
         """Tell whether an entry knows the load of each replica."""
         known = entry.known_replicas
--- a/dahliashunt/platform/tests/test_foreign_tables.py
+++ b/dahliashunt/platform/tests/test_foreign_tables.py
@@ -1,5 +1,7 @@
 """An entry beside rows of other writers in all its tables."""
 
+import json
+
 import pytest
 
 from dahliashunt.platform.standins.settings import replica_fields
@@ -28,6 +30,11 @@
     store.put("op", "other", DEEP)
 
 
+def relist(store, replica, born):
+    fields = replica_fields(replica.address, born=born)
+    store.list_replica(replica.replica_id, fields)
+
+
 def names(entry):
     return {each.replica_id for each in entry.node.registry.all()}
 
@@ -73,3 +80,50 @@
         assert names(entry) == {"i-0"}
 
     platform(scenario, ROUTE)
+
+
+def test_a_restart_under_one_id_shows_in_loads_and_connections(platform):
+    # Guards against loads and connections of an earlier incarnation.
+    async def scenario(p):
+        (entry,), (replica,) = p.entries, p.replicas
+        known, registry = entry.known_replicas, entry.node.registry
+        async with p.agent() as server:
+            server.replica_restarted("i-0", 1, 8, 0)
+            relist(p.store, replica, 1)
+            await p.until(lambda: registry.get("i-0").born_ms == 1)
+            await p.until(lambda: p.hears_agents(entry))
+            assert (await p.call()).status == 200
+            assert known.ordered(registry.all(), "")
+            opened = replica.connections
+            relist(p.store, replica, 2)
+            await p.until(lambda: registry.get("i-0").born_ms == 2)
+            assert known.load(registry.get("i-0")) is None
+            assert known.is_heard(registry.get("i-0"))
+            assert (await p.call()).status == 200
+            assert replica.connections == opened + 1
+            server.replica_restarted("i-0", 2, 8, 0)
+            await p.until(lambda: p.hears_agents(entry))
+
+    platform(scenario, ROUTE, engine=True)
+
+
+def test_an_agent_announces_its_replicas_restart(platform):
+    # Guards against an agent that stops at a foreign row, or that keeps to
+    # the incarnation that it has found at its start.
+    async def scenario(p):
+        (entry,), (replica,) = p.entries, p.replicas
+        known, registry = entry.known_replicas, entry.node.registry
+        report = {"runs": [], "num-running": 0, "num-waiting": 0}
+        replica.then(body=json.dumps(report).encode())
+        write_foreign_rows(p.store)
+        relist(p.store, replica, 1)
+        async with p.run_agent(replica):
+            await p.until(lambda: p.hears_agents(entry))
+            replica.cut_all()
+            relist(p.store, replica, 2)
+            await p.until(lambda: registry.get("i-0").born_ms == 2)
+            await p.until(lambda: p.hears_agents(entry))
+            assert known.load(registry.get("i-0")).state.born_ms == 2
+            assert (await p.call()).status == 200
+
+    platform(scenario, ROUTE, engine=True)
