A broken answer of the store counts as an outage

Cause: an answer that is no JSON object, has no rows or version, or has a row without a key raised KeyError, TypeError or RecursionError in whatever read it.

--- a/dahliashunt/platform/own_replica.py
+++ b/dahliashunt/platform/own_replica.py
@@ -15,7 +15,7 @@
 import asyncio
 import random
 
-from dahliashunt.errors import PlatformUnavailable
+from dahliashunt.errors import PlatformError
 from dahliashunt.forwarding.replicas import Replica
 from dahliashunt.platform.listeners import REPLICAS_PREFIX
 from dahliashunt.platform.operator import decode_replica
@@ -81,7 +81,7 @@
         while True:
             try:
                 self.current = await self._look_up()
-            except PlatformUnavailable as error:
+            except PlatformError as error:
                 self._log.warning("table_unavailable", reason=str(error))
             if self.current is not None:
                 return self.current
@@ -134,7 +134,7 @@
         try:
             found = None if reads_list else await self._read_row()
             found = found or await self._look_up()
-        except PlatformUnavailable as error:
+        except PlatformError as error:
             self._log.warning("table_unavailable", reason=str(error))
             return False
         if found is None or found.incarnation == earlier.incarnation:
--- a/dahliashunt/platform/store.py
+++ b/dahliashunt/platform/store.py
@@ -122,7 +122,7 @@
             query["from"] = first
         if last:
             query["to"] = last
-        return await self._read_json("/api/rows-get", query)
+        return _checked(await self._read_json("/api/rows-get", query))
 
     async def transact(self, writes: tuple[Write, ...]) -> tuple[int, ...]:
         """Apply all `writes` atomically; their rows must be of one part."""
@@ -159,7 +159,9 @@
         """Return the changes in `table` after version `after`."""
         query = {"table": table, "after": after, "wait-ms": wait_ms}
         self._count("feed", table)
-        found = await self._read_json("/api/rows-feed", query, wait_ms)
+        found = _checked(
+            await self._read_json("/api/rows-feed", query, wait_ms)
+        )
         row_by_key = {}
         for each in found["rows"]:
             key = _key(each)
@@ -302,8 +304,18 @@
     return table, part, key
 
 
+def _checked(found):
+    """Return an answer that has rows and a version."""
+    if type(found.get("rows")) is list and type(found.get("ver")) is int:
+        return found
+    raise PlatformUnavailable("the answer has no rows or no version")
+
+
 def _key(fields):
-    return f"{fields['table']}/{fields.get('part', '')}/{fields['key']}"
+    try:
+        return f"{fields['table']}/{fields.get('part', '')}/{fields['key']}"
+    except FIELD_ERRORS:
+        raise PlatformUnavailable("a row of the answer is broken") from None
 
 
 def _row(fields):
--- a/dahliashunt/platform/tests/test_foreign_tables.py
+++ b/dahliashunt/platform/tests/test_foreign_tables.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from dahliashunt.errors import PlatformUnavailable
 from dahliashunt.platform.standins.settings import replica_fields
 from dahliashunt.platform.standins.settings import route_fields
 
@@ -127,3 +128,33 @@
             assert (await p.call()).status == 200
 
     platform(scenario, ROUTE, engine=True)
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        "[1]",
+        DEEP,
+        '{"rows": 7, "ver": 1}',
+        '{"rows": [{}], "ver": 1}',
+        '{"rows": [7], "ver": 1}',
+        '{"rows": [{"table": "t", "key": "k"}], "ver": 1}',
+        '{"rows": [], "ver": 1, "now-ms": NaN}',
+    ],
+)
+def test_a_broken_answer_of_the_store_is_an_outage(
+    platform, monkeypatch, body
+):
+    # Guards against an error of another type, which ends what reads.
+    async def scenario(p):
+        store = p.entries[0].jobs.store
+        answer = (200, body.encode())
+        with monkeypatch.context() as patched:
+            patched.setattr(p.store, "_handle_get", lambda fields: answer)
+            if "NaN" in body:
+                assert (await store.snapshot("servers//")).rows == ()
+                return
+            with pytest.raises(PlatformUnavailable):
+                await store.snapshot("servers//")
+
+    platform(scenario, ROUTE)
