--- a/dahliashunt/decisions/slot_allocator.py
+++ b/dahliashunt/decisions/slot_allocator.py
@@ -93,12 +93,15 @@
         Moving average of the time an online request holds a slot.
     short_of_memory : int
         Number of requests that found a slot but not enough memory.
+    born_ms : int
+        Wall-clock start of the replica's incarnation; 0 if unknown.
     """
 
     slots: int
     away: bool = False
     hold_ms: float = INITIAL_HOLD_MS
     short_of_memory: int = 0
+    born_ms: int = 0
     _holds: SlotHolds = field(default_factory=SlotHolds)
     _memory: ReplicaMemory = field(default_factory=ReplicaMemory)
     _waiting_by_id: dict[AttemptId, _Waiting] = field(default_factory=dict)
@@ -259,6 +262,7 @@
                 each.ask.prompt_tokens for each in self._waiting_by_id.values()
             ),
             free_tokens=self._memory.free_tokens(self._holds.by_id.values()),
+            born_ms=self.born_ms,
         )
 
     def unread_tokens(self, run_by_id: dict) -> int:
@@ -278,6 +282,29 @@
                 unread += max(0, held.ask.prompt_tokens - run.tokens)
         return unread
 
+    def replica_restarted(
+        self, born_ms: int, slots: int, since_ms: int, now_ms: int
+    ) -> list:
+        """Drop what belongs to the replica's earlier incarnation.
+
+        Queued requests stay: they were not sent yet. So does `hold_ms`,
+        which ages with each request.
+
+        Parameters
+        ----------
+        born_ms, slots : int
+            Of the new incarnation.
+        since_ms : int
+            Time from which grants are for the new incarnation.
+        now_ms : int
+        """
+        self.born_ms = born_ms
+        self.slots = slots
+        self._recent_online.clear()
+        self._memory = ReplicaMemory()
+        self._holds.drop_before(since_ms)
+        return self._grant_waiting(now_ms)
+
     def _revoke(self, ask, now_ms):
         """Revoke the fewest batch holds that make room; [] if none do."""
         holds = self._holds
--- a/dahliashunt/forwarding/attempt.py
+++ b/dahliashunt/forwarding/attempt.py
@@ -1,5 +1,7 @@
 """Send a call to one replica and relay the response to the caller."""
 
+from dataclasses import replace
+
 from dahliashunt.adapters.http1 import Bound
 from dahliashunt.adapters.http1 import ConnectFailed
 from dahliashunt.adapters.http1 import End
@@ -15,6 +17,7 @@
 from dahliashunt.forwarding.ports import ResponseSink
 from dahliashunt.forwarding.relayed_status import start_relayed
 from dahliashunt.forwarding.replicas import Replica
+from dahliashunt.ids import SoftwareVersion
 
 __all__ = ["Attempt"]
 
@@ -368,9 +371,13 @@
 
     def _note_version(self):
         if not self._state.started:
-            self._state.version = self._replica.version
+            replica = self._replica
+            if not self._forwarder.places.is_announced(replica):
+                # The row may state the version before a restart.
+                replica = replace(replica, version=SoftwareVersion(""))
+            self._state.version = replica.version
             self._forwarder.origins.note(
-                self._state.call, self._route, self._replica
+                self._state.call, self._route, replica
             )
 
     def _in_order(self, events):
