Bound answers read through aiohttp

aiohttp bounds a head, but read interim responses, chunk sizes and extensions until the call's time was over, and whole bodies and one event without any bound. Its connections now count framing as the platform's do; whole bodies end at 16 MB and events at 1 MB.

--- a/dahliashunt/adapters/engine/http_engine.py
+++ b/dahliashunt/adapters/engine/http_engine.py
@@ -12,6 +12,7 @@
 from dahliashunt.adapters.engine.exchange import request_headers
 from dahliashunt.adapters.engine.exchange import response_headers
 from dahliashunt.adapters.table.sessions import HttpLimits
+from dahliashunt.adapters.table.sessions import read_body
 from dahliashunt.errors import EngineError
 from dahliashunt.errors import EngineLost
 from dahliashunt.errors import StaleFence
@@ -27,6 +28,9 @@
 
 __all__ = ["HttpEngine", "complete_events"]
 
+MAX_EVENT_BYTES = 1_048_576
+"""Longest event of a stream; honest ones have some 300 bytes."""
+
 _SSE = "text/event-stream"
 _BLANK_LINE = b"\n\n"
 _LAST_EVENT = b"data: [DONE]\n\n"
@@ -162,7 +166,7 @@
             The status or the body is not as expected.
         """
         async with self._exchange.send(method, path, **content) as response:
-            data = await response.read()
+            data = await read_body(response)
             if response.status == none_status:
                 return None
             if response.status != 200:
@@ -177,7 +181,7 @@
     """Yield a stream by its events, any other response in one piece."""
     headers = response_headers(response.headers)
     if response.content_type != _SSE:
-        data = await response.read()
+        data = await read_body(response)
         yield EngineEvents(data, 1, response.status, headers)
         return
     async for data in complete_events(response.content):
@@ -197,7 +201,8 @@
     Raises
     ------
     EngineLost
-        The body ended before ``[DONE]``, so the response is truncated.
+        The body ended before ``[DONE]``, so the response is truncated, or
+        an event exceeds `MAX_EVENT_BYTES`.
     """
     rest = b""
     last = b""
@@ -206,6 +211,8 @@
         if blank_line:
             last = whole + blank_line
             yield last
+        if len(rest) > MAX_EVENT_BYTES:
+            raise EngineLost(f"an event exceeds {MAX_EVENT_BYTES} bytes")
     if rest or not last.endswith(_LAST_EVENT):
         raise EngineLost("the stream ended before its [DONE] event")
 
--- a/dahliashunt/adapters/table/calls.py
+++ b/dahliashunt/adapters/table/calls.py
@@ -8,6 +8,7 @@
 from dahliashunt.adapters.table.sessions import HttpLimits
 from dahliashunt.adapters.table.sessions import HttpSessions
 from dahliashunt.adapters.table.sessions import NotSent
+from dahliashunt.adapters.table.sessions import read_body
 from dahliashunt.errors import PlatformUnavailable
 from dahliashunt.errors import WriteOutcomeUnknown
 
@@ -119,4 +120,4 @@
     async def _send(self, method, path, content) -> HttpReply:
         url = self._base_url + path
         async with self._sessions.request(method, url, **content) as response:
-            return HttpReply(response.status, await response.read())
+            return HttpReply(response.status, await read_body(response))
--- a/dahliashunt/adapters/table/sessions.py
+++ b/dahliashunt/adapters/table/sessions.py
@@ -7,14 +7,22 @@
 from types import SimpleNamespace
 
 from aiohttp import ClientError
+from aiohttp import ClientPayloadError
 from aiohttp import ClientResponse
 from aiohttp import ClientSession
 from aiohttp import ClientTimeout
 from aiohttp import DummyCookieJar
-from aiohttp import TCPConnector
 from aiohttp import TraceConfig
 
-__all__ = ["AnswerLost", "HttpLimits", "HttpSessions", "NotSent"]
+from dahliashunt.adapters.table.bounded_connector import BoundedConnector
+
+__all__ = [
+    "AnswerLost",
+    "HttpLimits",
+    "HttpSessions",
+    "NotSent",
+    "read_body",
+]
 
 
 _SKIPPED_AUTO_HEADERS = ("Accept-Encoding", "User-Agent")
@@ -22,6 +30,11 @@
 for a caller who does not accept that."""
 
 
+MAX_BODY_BYTES = 16_777_216
+"""Longest body that is read whole: the largest objects are chunks of a few MB,
+and reads of the table are paged."""
+
+
 @dataclass(frozen=True, slots=True)
 class HttpLimits:
     """Time and connection limits of calls to one service.
@@ -55,6 +68,34 @@
     """The request may have arrived, but no complete response came."""
 
 
+async def read_body(
+    response: ClientResponse, max_bytes: int = MAX_BODY_BYTES
+) -> bytes:
+    """Return the whole body; to be used within the request's context.
+
+    Raises
+    ------
+    ClientPayloadError
+        The body is, or is stated to be, longer than `max_bytes`. The
+        connection is closed.
+    """
+    if (response.content_length or 0) > max_bytes:
+        _fail_body(response, max_bytes)
+    parts = []
+    size = 0
+    async for part in response.content.iter_any():
+        parts.append(part)
+        size += len(part)
+        if size > max_bytes:
+            _fail_body(response, max_bytes)
+    return b"".join(parts)
+
+
+def _fail_body(response, max_bytes):
+    response.close()
+    raise ClientPayloadError(f"the body exceeds {max_bytes} bytes")
+
+
 class _Pool:
     """Connections that are retired together.
 
@@ -168,7 +209,7 @@
 
     def _open(self) -> _Pool:
         if self._pool is None:
-            connector = TCPConnector(
+            connector = BoundedConnector(
                 ssl=self._tls or True,
                 limit=self._limits.connections,
                 keepalive_timeout=self._limits.keep_ms / 1000,
--- a/dahliashunt/decisions/slow_readers.py
+++ b/dahliashunt/decisions/slow_readers.py
@@ -17,8 +17,10 @@
 and not written yet, are summed. Above the bound the connections that drained
 the fewest bytes a millisecond are ended, until the sum fits. A connection is
 not judged in the first `MIN_JUDGED_MS` of a wait; what those that have just
-begun to wait hold is the most by which the sum can exceed its bound. One of which nothing was read for `MAX_STALLED_MS` is ended in any
-case: it keeps a slot of its replica.
+begun to wait hold is the most by which the sum can exceed its bound.
+
+One of which nothing was read for `MAX_STALLED_MS` is ended in any case: it
+keeps a slot of its replica.
 
 Cost
 ----
--- a/dahliashunt/platform/standins/endless.py
+++ b/dahliashunt/platform/standins/endless.py
@@ -38,6 +38,10 @@
     TRAILER = (_CHUNKED + b"2\r\nok\r\n0\r\nX-T: ", b"x")
     TRAILERS = (_CHUNKED + b"2\r\nok\r\n0\r\n", b"X-T: b\r\n")
     EVENT = (_CHUNKED + b"c\r\n" + _NUMBERED + b"\r\n", _CHUNK)
+    ENGINE_EVENT = (
+        _HEAD + b"Content-Type: text/event-stream\r\n\r\ndata: ",
+        b"x",
+    )
     COMMENTS = (_CHUNKED, b"%x\r\n%s\r\n" % (len(_COMMENT), _COMMENT))
     BODY = (_CHUNKED, _CHUNK)
     BODY_TO_CLOSE = (_HEAD + b"\r\n", b"x")
