--- a/dahliashunt/adapters/http1/bounds.py
+++ b/dahliashunt/adapters/http1/bounds.py
@@ -37,6 +37,8 @@
 """Framing bytes that one body byte accounts for. A chunk of one byte has five
 bytes of framing."""
 
+_BYTES_PER_BODY_BYTE = 1 + FRAMING_BYTES_PER_BODY_BYTE
+
 MAX_INTERIM_RESPONSES = 16
 """Interim (1xx) responses before a response. Honest peers send one or two."""
 
@@ -105,6 +107,7 @@
         "_head_bytes",
         "_interim",
         "_max_fields",
+        "_max_framing_bytes",
         "_max_head_bytes",
         "_skipped_bytes",
         "exceeded",
@@ -114,6 +117,7 @@
         self, head_bytes: int = MAX_HEAD_BYTES, fields: int = MAX_FIELDS
     ):
         self._max_head_bytes = head_bytes
+        self._max_framing_bytes = head_bytes + MAX_FRAMING_BYTES
         self._max_fields = fields
         self.exceeded: Bound | None = None
         self._framing_bytes = 0
@@ -141,7 +145,7 @@
         ------
         BoundExceeded
         """
-        if self._framing_bytes > self._max_head_bytes + MAX_FRAMING_BYTES:
+        if self._framing_bytes > self._max_framing_bytes:
             self.fail(Bound.FRAMING)
 
     def field(self, size: int) -> None:
@@ -173,8 +177,8 @@
 
     def body(self, size: int) -> None:
         """Note that `size` bytes of those received were body."""
-        paid_bytes = size * (1 + FRAMING_BYTES_PER_BODY_BYTE)
-        self._framing_bytes = max(0, self._framing_bytes - paid_bytes)
+        left_bytes = self._framing_bytes - size * _BYTES_PER_BODY_BYTE
+        self._framing_bytes = left_bytes if left_bytes > 0 else 0
 
     def skipped(self, size: int) -> None:
         """Count body bytes that are dropped.
--- a/dahliashunt/adapters/http1/connection.py
+++ b/dahliashunt/adapters/http1/connection.py
@@ -295,7 +295,8 @@
 
     def taken(self, size: int) -> None:
         """Mark `size` bytes of the body as consumed; resume paused reads."""
-        size = min(size, self._unread)
+        if size > self._unread:
+            size = self._unread
         self._unread -= size
         self._backlog.size -= size
         if self._paused and self._unread <= READ_HIGH_WATER_BYTES // 2:
--- a/dahliashunt/platform/ingress.py
+++ b/dahliashunt/platform/ingress.py
@@ -166,6 +166,10 @@
     max_held_bytes : int
         Bound of the bodies of all requests in progress; above it a request
         is refused as not run.
+
+    Attributes
+    ----------
+    held : _HeldBodies
     """
 
     def __init__(
@@ -174,7 +178,7 @@
         jobs: JobCalls,
         max_held_bytes: int = MAX_HELD_BYTES,
     ):
-        self._held = _HeldBodies(max_held_bytes)
+        self.held = _HeldBodies(max_held_bytes)
         self._node = node
         self._jobs = jobs
 
@@ -190,7 +194,7 @@
             send,
             self._node.leaving.is_set(),
             headers,
-            self._held,
+            self.held,
         )
         with self._node.in_flight():
             try:
--- a/dahliashunt/platform/serve_entry.py
+++ b/dahliashunt/platform/serve_entry.py
@@ -141,6 +141,8 @@
     workspaces : WorkspaceExplainer
     bounds : HttpBounds
         Limits of callers' connections.
+    ingress : Ingress or None
+        Application for callers, once started.
     first_port : int
         UDP port of agents.
     ports : tuple of int
@@ -201,6 +203,7 @@
         self.node.config_read_ms = lambda: config.heard_ms
         self.node.losses_known = self._followers[2].known
         self._servers = []
+        self.ingress: Ingress | None = None
         self.bounds = self._make_bounds()
         self.first_port = settings.first_port
         self.ports: tuple[int, ...] = ()
@@ -321,9 +324,10 @@
         settings = self._settings
         await self._slots.start(settings.ip, settings.last_port)
         jobs = JobCalls(self.node, self.jobs, self._followers[NEEDED_TABLES:])
+        self.ingress = Ingress(self.node, jobs)
         self._servers = [
             HttpServer(
-                Ingress(self.node, jobs),
+                self.ingress,
                 *settings.callers,
                 lifespan=False,
                 bounds=self.bounds,
--- a/dahliashunt/platform/tests/test_endless.py
+++ b/dahliashunt/platform/tests/test_endless.py
@@ -1,6 +1,7 @@
 """Peers that send without end."""
 
 import asyncio
+import contextlib
 import tracemalloc
 
 import pytest
@@ -17,6 +18,7 @@
 from dahliashunt.metrics import Metrics
 from dahliashunt.platform.standins import Endless
 from dahliashunt.platform.standins import EndlessPeer
+from dahliashunt.platform.standins import StoreStandin
 from dahliashunt.platform.standins.settings import replica_fields
 from dahliashunt.platform.standins.settings import route_fields
 from dahliashunt.platform.store import MAX_REPLY_BYTES
@@ -188,3 +190,47 @@
     assert peer.sent < (MAX_REPLY_BYTES + MAX_SENT_BYTES) * peer.requests
     assert peer.requests <= 2
     assert "dahliashunt_store_replies_over_bound_total" in metrics.text()
+
+
+def test_a_large_response_of_stated_length_is_relayed(platform):
+    """Guards against a bound that ends honest large responses."""
+    data = bytes(range(256)) * 40_000
+
+    async def scenario(p):
+        p.replicas[0].then(body=data)
+        answer = await p.call()
+        assert answer.body == data
+
+    platform(scenario, {**WHOLE, "timeout-ms": 20_000})
+
+
+async def read_again(read):
+    """Read until the store answers in time, as followers do."""
+    async with asyncio.timeout(20):
+        while True:
+            with contextlib.suppress(PlatformUnavailable):
+                return await read()
+
+
+def test_a_page_of_long_rows_is_read_in_parts():
+    """Guards against a table that no node can read for its long rows."""
+    rows = MAX_REPLY_BYTES // 60_000 + 40
+
+    async def main():
+        standin = StoreStandin()
+        address = await standin.start()
+        for number in range(rows):
+            standin.put("t", f"{number:04}", "x" * 60_000)
+        pool = ConnectionPool(SystemClock())
+        metrics = Metrics("front-1")
+        store = PlatformStore(address, pool, SystemClock(), metrics)
+        try:
+            found = await read_again(lambda: store.snapshot("t//"))
+            return len(found.rows), metrics.text()
+        finally:
+            pool.close()
+            await standin.stop()
+
+    found, text = asyncio.run(main())
+    assert found == rows
+    assert 'store_replies_over_bound_total{node="front-1"' in text
--- a/dahliashunt/platform/tests/test_slow_readers.py
+++ b/dahliashunt/platform/tests/test_slow_readers.py
@@ -10,6 +10,8 @@
 from dahliashunt.adapters.http_server import MAX_DISCARDED_BYTES
 from dahliashunt.decisions.slow_readers import MAX_STALLED_MS
 from dahliashunt.decisions.slow_readers import SlowReaders
+from dahliashunt.forwarding.catalog import IngressLimits
+from dahliashunt.platform.ingress import MAX_HELD_BYTES
 from dahliashunt.platform.standins import Endless
 from dahliashunt.platform.standins import EndlessPeer
 from dahliashunt.platform.standins.caller import caller_request
@@ -202,3 +204,28 @@
         assert (await p.call()).status == 200
 
     platform(scenario, STREAM, replicas=1)
+
+
+def test_bodies_of_all_requests_share_a_bound(platform):
+    """Guards against many large bodies at once that fill the memory."""
+
+    async def scenario(p):
+        p.replicas[0].then(events=2)
+        size = IngressLimits().body_bytes
+        stated = POST + b"Content-Length: %d\r\n\r\n" % size
+        senders = [
+            (await open_caller(p, stated + b"x" * (size - 1)))[1]
+            for _ in range(MAX_HELD_BYTES // size)
+        ]
+        await asyncio.gather(*(writer.drain() for writer in senders))
+        held = p.entries[0].ingress.held
+        await p.until(lambda: held.size > MAX_HELD_BYTES - 100)
+        refused = await p.call(body=b"x" * 100)
+        assert refused.status == 503
+        assert refused.head.get("retry-after")
+        for writer in senders:
+            writer.transport.abort()
+        await p.until(lambda: held.size == 0)
+        assert (await p.call(body=b"x" * 100)).status == 200
+
+    platform(scenario, STREAM, replicas=1)
