--- a/dahliashunt/platform/tests/test_slow_readers.py
+++ b/dahliashunt/platform/tests/test_slow_readers.py
@@ -1,12 +1,15 @@
 """Callers that read slowly or send without end."""
 
 import asyncio
+import re
 import socket
 
 import pytest
 from structlog.testing import capture_logs
 
 from dahliashunt.adapters.clock import SystemClock
+from dahliashunt.adapters.http1 import connection
+from dahliashunt.adapters.http1.connection import READ_HIGH_WATER_BYTES
 from dahliashunt.adapters.http_server import MAX_DISCARDED_BYTES
 from dahliashunt.decisions.slow_readers import MAX_STALLED_MS
 from dahliashunt.decisions.slow_readers import SlowReaders
@@ -229,3 +232,39 @@
         assert (await p.call(body=b"x" * 100)).status == 200
 
     platform(scenario, STREAM, replicas=1)
+
+
+def test_a_stream_cut_off_unread_goes_on_elsewhere(platform, monkeypatch):
+    """Guards against a slow caller that loses or repeats events."""
+    monkeypatch.setattr(connection, "UNREAD_MS", 50)
+    count = 200
+
+    def long_event(number):
+        return b"id: %d\ndata: %s\n\n" % (number, b"x" * 60_000)
+
+    async def scenario(p):
+        backlog = p.entries[0].bounds.backlog
+        for replica in p.replicas:
+            replica.event = long_event
+            replica.then(events=count)
+        with capture_logs() as lines:
+            reader, writer = await open_caller(p, stream_request(0))
+            await p.until(lambda: backlog.size > READ_HIGH_WATER_BYTES)
+            paused_s = p.now_s()
+            await p.until(lambda: p.now_s() > paused_s + 0.1)
+            for replica in p.replicas:
+                replica.cut_all()
+            body = b""
+            async with asyncio.timeout(20):
+                while not body.endswith(b"\r\n0\r\n\r\n"):
+                    data = await reader.read(BUFFER_BYTES)
+                    assert data
+                    body += data
+        numbers = [int(each) for each in re.findall(rb"id: (\d+)\n", body)]
+        assert numbers == list(range(1, count + 1))
+        ended = [e["end"] for e in lines if e["event"] == "attempt_ended"]
+        assert ended == ["unread"]
+        assert sum(len(each.arrivals) for each in p.replicas) == 2
+        writer.transport.abort()
+
+    platform(scenario, {**STREAM, "max-attempts": 2}, replicas=2)
