--- a/dahliashunt/platform/tests/test_endless.py
+++ b/dahliashunt/platform/tests/test_endless.py
@@ -16,6 +16,7 @@
 from dahliashunt.errors import PlatformUnavailable
 from dahliashunt.errors import WriteOutcomeUnknown
 from dahliashunt.metrics import Metrics
+from dahliashunt.platform.dialect import decode_report
 from dahliashunt.platform.standins import Endless
 from dahliashunt.platform.standins import EndlessPeer
 from dahliashunt.platform.standins import StoreStandin
@@ -234,3 +235,14 @@
     found, text = asyncio.run(main())
     assert found == rows
     assert 'store_replies_over_bound_total{node="front-1"' in text
+
+
+@pytest.mark.parametrize(
+    "body",
+    [b"[" * 100_000, b'{"num-running": Infinity, "num-waiting": 0}'],
+    ids=["nested", "infinite"],
+)
+def test_a_report_that_json_readers_accept_may_be_invalid(body):
+    """Guards against an agent that ends on its replica's report."""
+    with pytest.raises(ValueError, match="invalid replica report"):
+        decode_report(body)
