Build the inputs of estimates without copying candidates

Copying 28 candidates per request to attach the inputs costs more than the estimates themselves. States count as current for the second within which agents confirm them; older ones lose weight.

The tests of dahliashunt/forwarding and of the estimates pass.

--- a/dahliashunt/decisions/expected_time.py
+++ b/dahliashunt/decisions/expected_time.py
@@ -17,9 +17,10 @@
 The time to the first token is the sum, in milliseconds, of the network path,
 the wait for a slot, the reading of the queued prompts and of this prompt
 except for its cached tokens, one step, and what a warm-up adds. The time to
-the end adds one step per output token. Speeds age towards the median of the
-service's replicas, so that an old observation loses its weight, and a
-replica never observed counts as an average one.
+the end adds one step per output token, at the occupancy at which the speed
+was observed: one more request changes a step by at most 2.5 %. Speeds age
+towards the median of the service's replicas, so that an old observation
+loses its weight, and a replica never observed counts as an average one.
 
 Complexity: constant per replica, without allocations but the result.
 """
@@ -31,7 +32,6 @@
     "ReplicaInputs",
     "RequestSize",
     "SpeedPrior",
-    "aged",
     "has_different_speeds",
     "is_reading_relevant",
     "service_prior",
@@ -47,13 +47,12 @@
 DEFAULT_OUTPUT_TOKENS = 300
 """Output tokens of a request that does not state its maximum."""
 
-SPEED_HALF_LIFE_MS = 2_000
-"""Age in ms at which an observed speed counts half. Agents that are reachable
-send a state at least every second, so that only lost ones age much."""
+FRESH_MS = 1_000
+"""Age in ms up to which a state counts as current: agents send changes within
+100 ms, and confirm an unchanged state every second."""
 
-STEP_GROWTH_PER_RUN = 0.02
-"""Relative growth of a step with each further running request: 0.025 where a
-step is 3.27 ms and 0.0823 ms a request, 0 at other engines."""
+SPEED_HALF_LIFE_MS = 2_000
+"""Time in ms beyond `FRESH_MS` after which an observed speed counts half."""
 
 FAR_NETWORK_MS = 3
 """Milliseconds that a round trip to another data centre of the region adds."""
@@ -162,21 +161,6 @@
     return sorted(values)[len(values) // 2] if values else default
 
 
-def aged(value: float, prior: float, age_ms: int) -> float:
-    """Return `value`, moved towards `prior` by its age; 0 is unknown.
-
-    Examples
-    --------
-    >>> aged(4_000, 2_000, SPEED_HALF_LIFE_MS)
-    3000.0
-    >>> aged(0, 2_000, 0)
-    2000
-    """
-    if value <= 0:
-        return prior
-    return prior + (value - prior) * 0.5 ** (age_ms / SPEED_HALF_LIFE_MS)
-
-
 def has_different_speeds(inputs: list[ReplicaInputs]) -> bool:
     """Return whether two replicas' speeds differ by more than their spread."""
     known = [one.token_us for one in inputs if one.token_us > 0]
@@ -197,10 +181,17 @@
     prior : SpeedPrior
     """
 
-    __slots__ = ("_caches", "_output_tokens", "_prior", "_prompt_tokens")
+    __slots__ = (
+        "_caches",
+        "_output_tokens",
+        "_prompt_tokens",
+        "_reading",
+        "_step_ms",
+    )
 
     def __init__(self, size: RequestSize, prior: SpeedPrior):
-        self._prior = prior
+        self._step_ms = prior.token_us / 1000
+        self._reading = prior.read_tokens_per_ms
         self._output_tokens = size.output_tokens or DEFAULT_OUTPUT_TOKENS
         self._prompt_tokens = max(size.prompt_tokens, size.shared_tokens)
         self._caches = is_reading_relevant(size.shared_tokens, prior)
@@ -217,14 +208,14 @@
             Slots of the replica, and those that this request can't get.
             Above `slots`, the rest are requests queued ahead.
         """
-        weight = 0.5 ** (inputs.age_ms / SPEED_HALF_LIFE_MS)
-        prior = self._prior
-        step_ms, reading = prior.token_us / 1000, prior.read_tokens_per_ms
+        weight = 1.0
+        if inputs.age_ms > FRESH_MS:
+            weight = 0.5 ** ((inputs.age_ms - FRESH_MS) / SPEED_HALF_LIFE_MS)
+        step_ms, reading = self._step_ms, self._reading
         if inputs.token_us > 0:
-            prior_ms = step_ms
-            step_ms += (inputs.token_us / 1000 - prior_ms) * weight
+            step_ms += (inputs.token_us / 1000 - step_ms) * weight
             # Until it is observed, reading is as slow as producing tokens.
-            reading *= prior_ms / step_ms
+            reading *= self._step_ms / step_ms
         if inputs.read_tokens_per_ms > 0:
             reading += (inputs.read_tokens_per_ms - reading) * weight
         unread = self._prompt_tokens
--- a/dahliashunt/forwarding/known_replicas.py
+++ b/dahliashunt/forwarding/known_replicas.py
@@ -67,7 +67,7 @@
         self._is_connected = is_connected
         self._metrics = metrics
         self._own_by_incarnation: dict[tuple, int] = {}
-        self._estimates = ReplicaEstimates(registry, rng)
+        self._estimates = ReplicaEstimates(registry, rng, data_centre)
 
     def services(self):
         """Return the services that have replicas."""
@@ -109,9 +109,6 @@
         """Return `replicas`, best first."""
         now_ms = self._clock.now_ms()
         candidates = [self._candidate(each, now_ms) for each in replicas]
-        return self._ordered_by_load(replicas, candidates, affinity)
-
-    def _ordered_by_load(self, replicas, candidates, affinity):
         by_id = {replica.replica_id: replica for replica in replicas}
         ordered = order_replicas(candidates, affinity, self._rng)
         return [by_id[candidate.replica_id] for candidate in ordered]
@@ -125,20 +122,22 @@
         that of `ordered`.
         """
         now_ms = self._clock.now_ms()
-        known = [
-            (each, self._candidate(each, now_ms), self.load(each))
-            for each in replicas
+        known = [(each, self.load(each)) for each in replicas]
+        inputs = self._estimates.inputs(known, requirements, now_ms)
+        candidates = [
+            self._candidate(each, now_ms, of_each)
+            for each, of_each in zip(replicas, inputs, strict=True)
         ]
-        ordered = self._estimates.order(known, requirements, now_ms)
+        ordered = self._estimates.order(candidates, requirements)
         order = "free_slots" if ordered is None else "expected_time"
         if self._metrics is not None:
             self._metrics.count("replica_orders", order=order)
         if ordered is None:
-            candidates = [candidate for _, candidate, _ in known]
-            return self._ordered_by_load(
-                replicas, candidates, requirements.affinity
+            ordered = order_replicas(
+                candidates, requirements.affinity, self._rng
             )
-        return ordered
+        by_id = {replica.replica_id: replica for replica in replicas}
+        return [by_id[candidate.replica_id] for candidate in ordered]
 
     def placed(self, replica: Replica, requirements: SlotRequirements) -> None:
         """Record that a request was placed at `replica`."""
@@ -149,7 +148,7 @@
         """Drop estimates of incarnations that are no longer listed."""
         self._estimates.keep_only(self.incarnations())
 
-    def _candidate(self, replica, now_ms):
+    def _candidate(self, replica, now_ms, inputs=None):
         own = self.own(replica)
         known = self.load(replica)
         avoided = self._suspicion.is_avoided(replica.incarnation, now_ms)
@@ -170,6 +169,7 @@
             batch=batch,
             agent_silent=self._slots.is_silent(self.agent(replica)),
             connected=self._is_connected(replica.address),
+            inputs=inputs,
         )
 
     def views(self, service: str) -> list[ReplicaView]:
--- a/dahliashunt/forwarding/replica_estimates.py
+++ b/dahliashunt/forwarding/replica_estimates.py
@@ -5,7 +5,6 @@
 message is sent for it.
 """
 
-from dataclasses import replace
 import random
 
 from dahliashunt.decisions.cached_parts import CachedParts
@@ -17,6 +16,7 @@
 from dahliashunt.decisions.expected_time import ReplicaInputs
 from dahliashunt.decisions.expected_time import RequestSize
 from dahliashunt.decisions.expected_time import service_prior
+from dahliashunt.decisions.replica_choice import Candidate
 from dahliashunt.decisions.replica_choice import order_by_time
 from dahliashunt.decisions.replica_choice import Placement
 from dahliashunt.decisions.replica_choice import uses_expected_time
@@ -34,37 +34,50 @@
     ----------
     registry : ReplicaRegistry
     rng : random.Random
+    data_centre : str
+        Of this entry.
     """
 
-    def __init__(self, registry: ReplicaRegistry, rng: random.Random):
+    def __init__(
+        self, registry: ReplicaRegistry, rng: random.Random, data_centre: str
+    ):
         self._registry = registry
         self._rng = rng
+        self._data_centre = data_centre
         self.cached_parts = CachedParts()
         self._reading_by_service: dict[str, float] = {}
 
-    def order(
+    def inputs(
         self, known, requirements: SlotRequirements, now_ms: int
-    ) -> list[Replica] | None:
-        """Return the replicas in `known`, least expected time first.
+    ) -> list[ReplicaInputs]:
+        """Return the inputs of the estimate at each replica.
 
         Parameters
         ----------
-        known : list of (Replica, Candidate, KnownState or None)
+        known : list of (Replica, KnownState or None)
         requirements : SlotRequirements
         now_ms : int
+        """
+        prefixes = self._prefixes(requirements)
+        cached_by_id = self._cached_tokens(known, prefixes, now_ms)
+        return [
+            self._inputs(
+                replica, load, cached_by_id.get(replica.replica_id, 0), now_ms
+            )
+            for replica, load in known
+        ]
+
+    def order(
+        self, candidates: list[Candidate], requirements: SlotRequirements
+    ) -> list[Candidate] | None:
+        """Return `candidates`, least expected time first.
 
         Returns
         -------
-        list of Replica or None
+        list of Candidate or None
             None where expected times can't differ enough to decide.
         """
         size = _request_size(requirements)
-        if not size.shared_tokens and not any(
-            load is not None and load.state.token_us for _, _, load in known
-        ):
-            return None
-        prefixes = self._prefixes(requirements)
-        candidates = self._candidates(known, prefixes, now_ms)
         prior = service_prior([one.inputs for one in candidates])
         self._reading_by_service[requirements.service] = (
             prior.read_tokens_per_ms
@@ -72,9 +85,7 @@
         if not uses_expected_time(candidates, size, prior):
             return None
         placement = Placement(size, requirements.use, requirements.slack_ms)
-        ordered = order_by_time(candidates, placement, prior, self._rng)
-        by_id = {replica.replica_id: replica for replica, _, _ in known}
-        return [by_id[one.replica_id] for one in ordered]
+        return order_by_time(candidates, placement, prior, self._rng)
 
     def placed(
         self, replica: Replica, requirements: SlotRequirements, now_ms: int
@@ -96,34 +107,25 @@
         min_tokens = RELEVANT_READING_MS * reading
         return relevant_prefixes(requirements.shared_parts, min_tokens)
 
-    def _candidates(self, known, prefixes, now_ms):
-        homes = home_beliefs(
-            prefixes, (replica.replica_id for replica, _, _ in known)
-        )
-        return [
-            replace(
-                candidate,
-                inputs=self._inputs(
-                    replica, candidate, load, prefixes, homes, now_ms
-                ),
-            )
-            for replica, candidate, load in known
-        ]
-
-    def _inputs(self, replica, candidate, load, prefixes, homes, now_ms):
-        network_ms = 0 if candidate.near else FAR_NETWORK_MS
-        warm_in_ms = 0
-        if candidate.cold:
-            warm_in_ms = self._registry.warm_in_ms(replica, now_ms)
-        cached = 0.0
-        if prefixes:
-            belief = homes.get(replica.replica_id, 0.0)
-            cached = max(
-                belief * prefixes[-1][1],
+    def _cached_tokens(self, known, prefixes, now_ms):
+        if not prefixes:
+            return {}
+        ids = (replica.replica_id for replica, _ in known)
+        beliefs = home_beliefs(prefixes, ids)
+        return {
+            replica.replica_id: max(
+                beliefs.get(replica.replica_id, 0.0) * prefixes[-1][1],
                 self.cached_parts.expected_tokens(
                     replica.incarnation, prefixes, now_ms
                 ),
             )
+            for replica, _ in known
+        }
+
+    def _inputs(self, replica, load, cached, now_ms):
+        is_near = replica.data_centre == self._data_centre
+        network_ms = 0 if is_near else FAR_NETWORK_MS
+        warm_in_ms = self._registry.warm_in_ms(replica, now_ms)
         if load is None:
             return ReplicaInputs(
                 network_ms=network_ms,
@@ -134,7 +136,7 @@
         return ReplicaInputs(
             state.token_us,
             state.read_tokens_per_ms,
-            max(0, candidate.age_ms),
+            max(0, now_ms - load.at_ms),
             state.wait_ms,
             state.waiting_tokens,
             state.free_tokens,
