Slots, refusals and items follow fair shares between workspaces

Cause: a workspace that sends several times its usual rate got as many slots as it asked for, while requests of small workspaces waited behind its own, and one workspace's burst of jobs went before all items due later.

Change: agents and owners keep accounts of granted tokens by workspace (workspace_shares, over FairOrder with a half-life). Waiting requests go by lateness, rank and share; the expected delay counts the request's own place; a request within its place displaces the last one of a workspace over its share. Refusals carry the wait at that place (SlotAnswer.wait_ms), by which entries choose where to wait and set Retry-After. Of items with similar slack, one of the workspace granted most lately is revoked. ItemQueue takes items of similar due time, and infeasible ones, by share.

--- a/dahliashunt/adapters/slots/client.py
+++ b/dahliashunt/adapters/slots/client.py
@@ -77,6 +77,9 @@
         Length of the prompt and stated maximum of the output; 0 if unknown.
     idle_only : bool
         Whether no batch item may be revoked for it.
+    on_refusal : callable
+        Called with the expected wait in milliseconds of a refused request,
+        if the agent stated it.
     """
 
     attempt_id: str
@@ -89,6 +92,7 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
     idle_only: bool = False
+    on_refusal: object = None
 
 
 @dataclass(slots=True)
@@ -96,6 +100,7 @@
     address: tuple[str, int]
     answer: asyncio.Future
     on_revoke: object
+    on_refusal: object = None
 
 
 @dataclass(slots=True)
@@ -166,7 +171,9 @@
             Longest wait in the agent's queue.
         """
         attempt_id = attempt.attempt_id
-        claim = _SlotClaim(address, None, attempt.on_revoke)
+        claim = _SlotClaim(
+            address, None, attempt.on_revoke, attempt.on_refusal
+        )
         self._claim_by_id[attempt_id] = claim
         ask = SlotAsk(
             attempt_id=attempt_id,
@@ -294,6 +301,8 @@
                 release = SlotRelease(answer.attempt_id)
                 self._datagrams.send(SlotFrame(release=release), address)
             return
+        if claim.on_refusal is not None and (answer.wait_ms or 0) > 0:
+            claim.on_refusal(answer.wait_ms)
         if not claim.answer.done():
             claim.answer.set_result(_VERDICT.get(answer.verdict))
 
--- a/dahliashunt/adapters/slots/server.py
+++ b/dahliashunt/adapters/slots/server.py
@@ -85,9 +85,10 @@
             return
         self._heard_ms_by_requester[requester] = now_ms
         if frame.ask is not None:
-            self._send_all(
-                self.allocator.ask(_slot_request(frame.ask, requester), now_ms)
-            )
+            ask = _slot_request(frame.ask, requester)
+            effects = self.allocator.ask(ask, now_ms)
+            self._note_displaced(effects, ask)
+            self._send_all(effects)
         elif frame.release is not None:
             attempt_id = frame.release.attempt_id
             self._send_all(self.allocator.release(attempt_id, now_ms))
@@ -121,6 +122,21 @@
         now_ms = self._clock.now_ms()
         self._send_all(self.allocator.report(running, waiting, now_ms))
 
+    def _note_displaced(self, effects, ask):
+        """Record requests refused for one of a smaller workspace."""
+        for effect in effects:
+            if (
+                isinstance(effect, SlotReply)
+                and effect.attempt_id != ask.attempt_id
+            ):
+                self._metrics.count("slot_asks_displaced")
+                self._log.info(
+                    "slot_ask_displaced",
+                    attempt_id=effect.attempt_id,
+                    by_attempt_id=ask.attempt_id,
+                    wait_ms=effect.wait_ms,
+                )
+
     def _send_all(self, effects):
         for effect in effects:
             if isinstance(effect, SlotReply):
@@ -129,6 +145,7 @@
                     effect.attempt_id,
                     _VERDICT[effect.verdict],
                     self._state(),
+                    effect.wait_ms or None,
                 )
                 frame = SlotFrame(answer=answer)
             else:
--- a/dahliashunt/adapters/slots/tests/test_slots.py
+++ b/dahliashunt/adapters/slots/tests/test_slots.py
@@ -178,3 +178,40 @@
         transport.close()
 
     run_scenario(scenario)
+
+
+def test_a_refused_workspace_is_told_the_wait_in_its_place(run_scenario):
+    """Guards against a lost workspace, length or wait on the wire."""
+    heard = []
+
+    async def scenario(fleet):
+        entry = await fleet.entry()
+        attempt = SlotAttempt(
+            "c",
+            "c",
+            Use.ONLINE,
+            1000,
+            None,
+            workspace=-7,
+            prompt_tokens=400,
+            output_tokens=200,
+            on_refusal=heard.append,
+        )
+        asked = []
+
+        class Recorder(SlotAllocator):
+            __slots__ = ()
+
+            def ask(self, ask, now_ms):
+                asked.append(ask)
+                return super().ask(ask, now_ms)
+
+        fleet.server.allocator = Recorder(slots=0)
+        verdict = await entry.ask(attempt, fleet.address, 0)
+        assert verdict is SlotDecision.FULL
+        request = asked[0]
+        tokens = (request.prompt_tokens, request.output_tokens)
+        assert (request.workspace, *tokens) == (-7, 400, 200)
+
+    run_scenario(scenario)
+    assert heard[0] > 0
--- a/dahliashunt/adapters/wire/gen/link/ttypes.py
+++ b/dahliashunt/adapters/wire/gen/link/ttypes.py
@@ -2791,6 +2791,7 @@
      - attempt_id
      - verdict
      - state
+     - wait_ms
 
     """
 
@@ -2798,13 +2799,15 @@
         'attempt_id',
         'verdict',
         'state',
+        'wait_ms',
     )
 
 
-    def __init__(self, attempt_id=None, verdict=None, state=None,):
+    def __init__(self, attempt_id=None, verdict=None, state=None, wait_ms=None,):
         self.attempt_id = attempt_id
         self.verdict = verdict
         self.state = state
+        self.wait_ms = wait_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2831,6 +2834,11 @@
                     self.state.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.wait_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2853,6 +2861,10 @@
             oprot.writeFieldBegin('state', TType.STRUCT, 3)
             self.state.write(oprot)
             oprot.writeFieldEnd()
+        if self.wait_ms is not None:
+            oprot.writeFieldBegin('wait_ms', TType.I32, 4)
+            oprot.writeI32(self.wait_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4157,6 +4169,7 @@
     (1, TType.STRING, 'attempt_id', 'UTF8', None, ),  # 1
     (2, TType.I32, 'verdict', None, None, ),  # 2
     (3, TType.STRUCT, 'state', [SlotState, None], None, ),  # 3
+    (4, TType.I32, 'wait_ms', None, None, ),  # 4
 )
 all_structs.append(SlotHeld)
 SlotHeld.thrift_spec = (
--- a/dahliashunt/adapters/wire/link.thrift
+++ b/dahliashunt/adapters/wire/link.thrift
@@ -191,6 +191,7 @@
   1: string attempt_id;
   2: SlotVerdict verdict;
   3: SlotState state;
+  4: optional i32 wait_ms;        // of a refused request, by its own place
 }
 
 struct SlotHeld { 1: list<string> attempt_ids; }  // still running
--- a/dahliashunt/decisions/fair.py
+++ b/dahliashunt/decisions/fair.py
@@ -15,6 +15,8 @@
   debt nor credit. Cost is prompt tokens plus twice the output tokens, since
   a decode step holds its slot longer than a prefill token; output is
   estimated by the model's mean and corrected at the end.
+  With a half-life the part of an account beyond V decays, so that it holds
+  what the caller was lately given and not what it was ever given.
 * `InFlight` detects callers with more than their share of the work in
   flight. They may not take an endpoint's last slots. This is trunk
   reservation [3]_: fair order acts only on waiting requests, so long
@@ -59,6 +61,10 @@
 _ACCOUNT_EXPIRY_MS = 3_000
 """Accounts unused for this long are evicted; longer than requests wait."""
 
+_EXPIRY_HALF_LIVES = 5
+"""Accounts that decay are evicted after this many half-lives, when 3 % is
+left of them."""
+
 _SWEEP_CHECKS = 2
 """Accounts checked for eviction per request; above 1 the table shrinks."""
 
@@ -97,6 +103,12 @@
 class FairOrder:
     """Start-time fair queueing over the cost in tokens.
 
+    Parameters
+    ----------
+    half_life_ms : int, optional
+        Time in milliseconds after which half of what an account is ahead of
+        virtual time is forgotten. By default nothing is forgotten.
+
     Examples
     --------
     >>> order = FairOrder()
@@ -107,7 +119,11 @@
     100.0
     """
 
-    def __init__(self):
+    def __init__(self, half_life_ms: int | None = None):
+        self._half_life_ms = half_life_ms
+        self._expiry_ms = max(
+            _ACCOUNT_EXPIRY_MS, _EXPIRY_HALF_LIVES * (half_life_ms or 0)
+        )
         self._virtual = 0.0
         self._account_by_caller: dict[CallerId, _Account] = {}
 
@@ -116,15 +132,36 @@
     ) -> float:
         """Return the virtual start of a new request."""
         self._sweep(now)
+        start = self.start(now, caller)
         account = self._account_by_caller.pop(caller, None)
         if account is None:
             account = _Account(self._virtual, now)
-        start = max(account.finish, self._virtual)
         account.finish = start + cost / weight
         account.at_ms = now
         self._account_by_caller[caller] = account
         return start
 
+    def start(self, now: int, caller: CallerId) -> float:
+        """Return the virtual start that a request would have now."""
+        account = self._account_by_caller.get(caller)
+        if account is None:
+            return self._virtual
+        start = max(account.finish, self._virtual)
+        if self._half_life_ms is None:
+            return start
+        kept = 0.5 ** ((now - account.at_ms) / self._half_life_ms)
+        return self._virtual + (start - self._virtual) * kept
+
+    def largest_lead(self, now: int) -> float:
+        """Return how far the farthest account is ahead of virtual time."""
+        starts = (self.start(now, each) for each in self._account_by_caller)
+        return max(starts, default=self._virtual) - self._virtual
+
+    @property
+    def virtual(self) -> float:
+        """Virtual time."""
+        return self._virtual
+
     def served(self, tag: float) -> None:
         """Advance virtual time to the start tag of a dispatch."""
         self._virtual = max(self._virtual, tag)
@@ -145,7 +182,7 @@
         for _ in range(min(_SWEEP_CHECKS, len(accounts))):
             caller = next(iter(accounts))
             account = accounts[caller]
-            old = now - account.at_ms > _ACCOUNT_EXPIRY_MS
+            old = now - account.at_ms > self._expiry_ms
             if not old and account.finish > self._virtual:
                 return
             del accounts[caller]
--- a/dahliashunt/decisions/slot_allocator.py
+++ b/dahliashunt/decisions/slot_allocator.py
@@ -29,6 +29,10 @@
 - Among these the lower `SlotRequest.rank` goes first, except that each
   `LOW_PRIORITY_INTERVAL`-th slot goes to a less urgent request, which
   prevents starvation.
+- Among equals the workspace that was granted least lately goes first
+  (`workspace_shares`). A request that would be served in time by its place
+  is never refused for the queue of another workspace: the last request of a
+  workspace over its share is refused instead.
 - Holds are reconciled with the replica's own list (`slot_holds`).
 
 Complexity: each step is linear in the slots and the queued requests.
@@ -44,6 +48,10 @@
 from dahliashunt.decisions.slot_messages import SlotReply
 from dahliashunt.decisions.slot_messages import SlotRequest
 from dahliashunt.decisions.slot_messages import Use
+from dahliashunt.decisions.workspace_shares import BATCH_HALF_LIFE_MS
+from dahliashunt.decisions.workspace_shares import ONLINE_HALF_LIFE_MS
+from dahliashunt.decisions.workspace_shares import workspaces_over
+from dahliashunt.decisions.workspace_shares import WorkspaceShares
 from dahliashunt.ids import AttemptId
 
 __all__ = ["BATCH_COOLDOWN_MS", "SlotAllocator"]
@@ -60,7 +68,8 @@
 it twice as many items are revoked; a longer time makes items late."""
 
 LOW_PRIORITY_INTERVAL = 4
-"""One in this many grants from the queue goes to a less urgent request."""
+"""One in this many grants from the queue goes to a less urgent request, or
+to a late one before those of workspaces over their share."""
 
 
 @dataclass(slots=True)
@@ -95,6 +104,22 @@
     # Pairs of the time until which it counts, and the online holds.
     _recent_online: list[tuple[int, int]] = field(default_factory=list)
     _grants: int = 0
+    _shares_by_use: dict[Use, WorkspaceShares] = field(
+        default_factory=lambda: {
+            Use.ONLINE: WorkspaceShares(ONLINE_HALF_LIFE_MS),
+            Use.BATCH: WorkspaceShares(BATCH_HALF_LIFE_MS),
+        }
+    )
+
+    @property
+    def accounts(self) -> int:
+        """Number of workspaces with an account of recent grants."""
+        return sum(map(len, self._shares_by_use.values()))
+
+    @property
+    def waiting(self) -> tuple[AttemptId, ...]:
+        """Attempts that wait for a slot."""
+        return tuple(self._waiting_by_id)
 
     @property
     def held(self) -> tuple[AttemptId, ...]:
@@ -140,20 +165,107 @@
                 return [revoked, self._grant(ask, now_ms)]
         # A slack of 0: the request can't meet its deadline any more.
         max_delay_ms = min(ask.slack_ms, ask.wait_ms) or ask.wait_ms
-        if self._expected_delay_ms(ask, now_ms) > max_delay_ms:
-            return [_reply(ask, SlotDecision.FULL)]
+        competing = self._competing(ask, now_ms)
+        delay_ms = self._expected_delay_ms(
+            ask, self._not_overtaken(ask, competing, now_ms)
+        )
+        if delay_ms > max_delay_ms:
+            return [self._refusal(ask, delay_ms, now_ms)]
         self._waiting_by_id[ask.attempt_id] = _Waiting(
             ask, now_ms + ask.wait_ms, now_ms + ask.slack_ms
         )
-        return [_reply(ask, SlotDecision.QUEUED)]
-
-    def _expected_delay_ms(self, ask, now_ms):
-        """Return the expected queueing delay of `ask`, in ms."""
-        ahead = [
-            each.ask.rank
+        displaced = []
+        if self._expected_delay_ms(ask, competing) > max_delay_ms:
+            displaced = self._displace(ask, now_ms)
+        return [*displaced, _reply(ask, SlotDecision.QUEUED)]
+
+    def _competing(self, ask, now_ms):
+        """Return what waits, without the late if `ask` can be in time."""
+        return [
+            each
             for each in self._waiting_by_id.values()
             if not (ask.slack_ms and each.is_late(now_ms))
         ]
+
+    def _not_overtaken(self, ask, competing, now_ms):
+        """Return `competing` without what `ask` goes before by its share."""
+        if all(each.ask.workspace == ask.workspace for each in competing):
+            return competing
+        equals = [
+            each.ask
+            for each in competing
+            if each.ask.rank == ask.rank
+            and each.is_late(now_ms) is not bool(ask.slack_ms)
+        ]
+        shares = self._shares_by_use[Use.ONLINE]
+        ordered = shares.order([*equals, ask], now_ms, lambda each: ())
+        place = ordered.index(ask)
+        overtaken = {each.attempt_id for each in ordered[place:]}
+        return [
+            each for each in competing if each.ask.attempt_id not in overtaken
+        ]
+
+    def _displace(self, ask, now_ms):
+        """Refuse the last request of a workspace over its share.
+
+        It must be behind `ask` by its share, and its time must not cover
+        its new place.
+        """
+        over = workspaces_over(self._online_requests())
+        ordered = self._ordered(now_ms, lambda each: each.rank)
+        for place in range(len(ordered) - 1, ordered.index(ask), -1):
+            last = ordered[place]
+            if last.workspace not in over or last.rank != ask.rank:
+                continue
+            waiting = self._waiting_by_id[last.attempt_id]
+            until_ms = waiting.expires_ms
+            if not waiting.is_late(now_ms):
+                until_ms = min(until_ms, waiting.deadline_ms)
+            delay_ms = self._queue_delay_ms(place)
+            if now_ms + delay_ms <= until_ms:
+                continue
+            del self._waiting_by_id[last.attempt_id]
+            return [self._refusal(last, delay_ms, now_ms)]
+        return []
+
+    def _refusal(self, ask, delay_ms, now_ms):
+        """Return a refusal with the wait at the place of `ask`."""
+        wait_ms = 0
+        if ask.workspace:
+            shares = self._shares_by_use[Use.ONLINE]
+            others = [each.ask for each in self._waiting_by_id.values()]
+            next_free_ms = self._holds.next_free_ms(self.hold_ms, now_ms)
+            lead_ms = shares.lead_ms(ask, others, self.slots, now_ms)
+            wait_ms = max(delay_ms, next_free_ms) + lead_ms
+        return _reply(ask, SlotDecision.FULL, wait_ms)
+
+    def _online_requests(self):
+        """Return the online requests that wait or hold a slot."""
+        held = [
+            hold.ask
+            for hold in self._holds.by_id.values()
+            if hold.ask.use is Use.ONLINE
+        ]
+        return held + [each.ask for each in self._waiting_by_id.values()]
+
+    def _ordered(self, now_ms, rank_of, held_back=()):
+        """Return the waiting requests in the order of their grants.
+
+        Those of the workspaces `held_back` count as late.
+        """
+
+        def precedence(ask):
+            waiting = self._waiting_by_id[ask.attempt_id]
+            is_late = waiting.is_late(now_ms) or ask.workspace in held_back
+            return is_late, rank_of(ask)
+
+        requests = [each.ask for each in self._waiting_by_id.values()]
+        shares = self._shares_by_use[Use.ONLINE]
+        return shares.order(requests, now_ms, precedence)
+
+    def _expected_delay_ms(self, ask, competing):
+        """Return the expected delay of `ask` behind `competing`, in ms."""
+        ahead = [each.ask.rank for each in competing]
         delay_ms = self._queue_delay_ms(
             sum(rank <= ask.rank for rank in ahead)
         )
@@ -174,6 +286,8 @@
         held = self._holds.by_id.pop(attempt_id, None)
         if held is None:
             return []
+        shares = self._shares_by_use[held.ask.use]
+        shares.ended(held.ask, now_ms - held.since_ms)
         if held.ask.use is Use.ONLINE:
             online_count = self._holds.count(Use.ONLINE) + 1
             self._recent_online.append(
@@ -213,11 +327,19 @@
 
     def _revoke(self, now_ms):
         """Revoke a batch hold; return None if there is none."""
-        ask = self._holds.revoke_batch(now_ms)
-        return ask and Revoked(ask.attempt_id, ask.requester)
+        shares = self._shares_by_use[Use.BATCH]
+        held_by_id = dict(self._holds.by_id)
+        ask = self._holds.revoke_batch(
+            now_ms, lambda workspace: shares.start(workspace, now_ms)
+        )
+        if ask is None:
+            return None
+        shares.ended(ask, now_ms - held_by_id[ask.attempt_id].since_ms)
+        return Revoked(ask.attempt_id, ask.requester)
 
     def _grant(self, ask, now_ms):
         self._holds.grant(ask, now_ms)
+        self._shares_by_use[ask.use].granted(ask, now_ms)
         return _reply(ask, SlotDecision.GRANTED)
 
     def _grant_waiting(self, now_ms):
@@ -234,18 +356,19 @@
     def _next_attempt_id(self, now_ms):
         """Return the attempt to grant next; first come among equals."""
         self._grants += 1
-        top_rank = min(each.ask.rank for each in self._waiting_by_id.values())
-        is_low_priority_turn = self._grants % LOW_PRIORITY_INTERVAL == 0
-
-        def sort_key(attempt_id):
-            waiting = self._waiting_by_id[attempt_id]
-            rank = waiting.ask.rank
-            if is_low_priority_turn:
-                rank = rank == top_rank
-            return waiting.is_late(now_ms), rank
-
-        return min(self._waiting_by_id, key=sort_key)
+        requests = [each.ask for each in self._waiting_by_id.values()]
+        top_rank = min(each.rank for each in requests)
+        self._shares_by_use[Use.ONLINE].compete(requests, now_ms)
+        if self._grants % LOW_PRIORITY_INTERVAL:
+            ordered = self._ordered(now_ms, lambda each: each.rank)
+        else:
+            ordered = self._ordered(
+                now_ms,
+                lambda each: each.rank == top_rank,
+                workspaces_over(self._online_requests()),
+            )
+        return ordered[0].attempt_id
 
 
-def _reply(ask, decision):
-    return SlotReply(ask.attempt_id, ask.requester, decision)
+def _reply(ask, decision, wait_ms=0):
+    return SlotReply(ask.attempt_id, ask.requester, decision, wait_ms)
--- a/dahliashunt/decisions/slot_holds.py
+++ b/dahliashunt/decisions/slot_holds.py
@@ -8,6 +8,7 @@
 Complexity: each step is linear in the slots.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
 
@@ -29,6 +30,10 @@
 """Milliseconds for which a revoked run that is still listed is not counted;
 covers the round trip that closes its connection."""
 
+SIMILAR_SLACK_MS = 2_500
+"""Difference of slack in milliseconds up to which the workspaces' shares
+decide which item is revoked: half of what an item runs."""
+
 
 @dataclass(slots=True)
 class Hold:
@@ -73,6 +78,16 @@
         """Return the number of holds for `use`."""
         return sum(hold.ask.use is use for hold in self.by_id.values())
 
+    def next_free_ms(self, hold_ms: float, now_ms: int) -> int:
+        """Return in how many ms the next hold ends, if each lasts `hold_ms`.
+
+        A hold that has lasted longer may end at any time.
+        """
+        oldest_ms = min(
+            (hold.since_ms for hold in self.by_id.values()), default=now_ms
+        )
+        return max(0, int(hold_ms - (now_ms - oldest_ms)))
+
     def grant(self, ask: SlotRequest, now_ms: int) -> None:
         """Record a hold for `ask`."""
         due_ms = now_ms + ask.slack_ms
@@ -89,14 +104,32 @@
             if hold is not None and hold.ask.requester == requester:
                 hold.renewed_ms = now_ms
 
-    def revoke_batch(self, now_ms: int) -> SlotRequest | None:
-        """Drop the batch hold with the most slack; None if there is none."""
+    def revoke_batch(
+        self, now_ms: int, granted_lately: Callable[[int], float]
+    ) -> SlotRequest | None:
+        """Drop the batch hold with the most slack; None if there is none.
+
+        Among those with similar slack it is one of the workspace for which
+        `granted_lately` is highest.
+        """
         batch = [
             hold for hold in self.by_id.values() if hold.ask.use is Use.BATCH
         ]
         if not batch:
             return None
-        ask = max(batch, key=lambda hold: hold.due_ms).ask
+        latest_ms = max(hold.due_ms for hold in batch)
+        similar = [
+            hold
+            for hold in batch
+            if hold.due_ms >= latest_ms - SIMILAR_SLACK_MS
+        ]
+        ask = max(
+            similar,
+            key=lambda hold: (
+                granted_lately(hold.ask.workspace),
+                hold.due_ms,
+            ),
+        ).ask
         del self.by_id[ask.attempt_id]
         self._revoked_ms_by_run[ask.run_id] = now_ms
         return ask
--- a/dahliashunt/decisions/slot_messages.py
+++ b/dahliashunt/decisions/slot_messages.py
@@ -74,11 +74,22 @@
 
 @dataclass(frozen=True, slots=True)
 class SlotReply:
-    """Verdict on an attempt, to be sent to `requester`."""
+    """Verdict on an attempt, to be sent to `requester`.
+
+    Attributes
+    ----------
+    attempt_id : AttemptId
+    requester : object
+    verdict : SlotDecision
+    wait_ms : int
+        For a refused request of a workspace, the expected wait by its place
+        among the waiting; 0 if unknown.
+    """
 
     attempt_id: AttemptId
     requester: object
     verdict: SlotDecision
+    wait_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/dahliashunt/forwarding/replica_selector.py
+++ b/dahliashunt/forwarding/replica_selector.py
@@ -1,6 +1,7 @@
 """Select a replica with a free slot for a request."""
 
 import asyncio
+import functools
 import random
 
 from dahliashunt.adapters.slots import SlotClient
@@ -178,26 +179,38 @@
                 limit = 0 if full else 1
             if self._known.own(replica) < limit:
                 return self._direct(replica)
-        full.sort(key=self._expected_wait_ms)
+        wait_ms = functools.partial(self._wait_in_place_ms, replies)
+        full.sort(key=wait_ms)
         if full and requirements.wait_ms > 0:
             replica = full[0]
-            attempt = self._slot_requester.attempt(requirements, request_id)
+            attempt = self._slot_requester.attempt(
+                requirements,
+                request_id,
+                on_refusal=functools.partial(replies.note_wait, replica),
+            )
             verdict = await self._slots.ask(
                 attempt, self._known.agent(replica), requirements.wait_ms
             )
             if verdict is SlotDecision.GRANTED:
                 return self._granted(replica, attempt)
-        wait_ms = min(map(self._expected_wait_ms, full), default=0)
+        shortest_ms = min(map(wait_ms, full), default=0)
         raise RequestError(
             ErrorKind.OVERLOADED,
             f"every slot of {requirements.service} is taken",
-            retry_after_ms=self._retry_delay_ms(requirements.service, wait_ms),
+            retry_after_ms=self._retry_delay_ms(
+                requirements.service, shortest_ms
+            ),
         )
 
     def _retry_delay_ms(self, service, wait_ms):
         hold_ms = self._holds.mean_ms(service)
         return retry_delay_ms(hold_ms, wait_ms, self._rng)
 
+    def _wait_in_place_ms(self, replies, replica):
+        """Return the wait by the request's own place, if it is known."""
+        own_ms = replies.wait_ms_by_id.get(replica.replica_id)
+        return self._expected_wait_ms(replica) if own_ms is None else own_ms
+
     def _expected_wait_ms(self, replica):
         known = self._known.load(replica)
         return known.state.wait_ms if known is not None else 0
--- a/dahliashunt/forwarding/slot_requests.py
+++ b/dahliashunt/forwarding/slot_requests.py
@@ -3,6 +3,7 @@
 import asyncio
 from dataclasses import dataclass
 from dataclasses import field
+import functools
 import itertools
 
 from dahliashunt.adapters.slots import SlotAttempt
@@ -29,6 +30,9 @@
     full, absent, unanswered : list of Replica
         Replicas without a free slot, replicas that their agent reports as
         absent, and replicas whose agent did not reply.
+    wait_ms_by_id : dict
+        Expected wait of a workspace's request, by its own place among those
+        that wait at a replica; missing where the agent did not state it.
     """
 
     granted: Replica | None = None
@@ -36,6 +40,11 @@
     full: list[Replica] = field(default_factory=list)
     absent: list[Replica] = field(default_factory=list)
     unanswered: list[Replica] = field(default_factory=list)
+    wait_ms_by_id: dict[str, int] = field(default_factory=dict)
+
+    def note_wait(self, replica: Replica, wait_ms: int) -> None:
+        """Note the wait at `replica` by the request's own place there."""
+        self.wait_ms_by_id[replica.replica_id] = wait_ms
 
 
 class SlotRequester:
@@ -54,7 +63,11 @@
         self._numbers = itertools.count(1)
 
     def attempt(
-        self, requirements, run_id: str, idle_only: bool = False
+        self,
+        requirements,
+        run_id: str,
+        idle_only: bool = False,
+        on_refusal=None,
     ) -> SlotAttempt:
         """Return a new slot attempt for the request `run_id`."""
         return SlotAttempt(
@@ -68,6 +81,7 @@
             prompt_tokens=requirements.prompt_tokens,
             output_tokens=requirements.output_tokens,
             idle_only=idle_only,
+            on_refusal=on_refusal,
         )
 
     async def request_slot(
@@ -85,7 +99,11 @@
                 if self._slots.is_silent(self._agent_of(replica)):
                     replies.unanswered.append(replica)
                     continue
-                attempt = self.attempt(requirements, run_id)
+                attempt = self.attempt(
+                    requirements,
+                    run_id,
+                    on_refusal=functools.partial(replies.note_wait, replica),
+                )
                 task = asyncio.create_task(self._ask(replica, attempt))
                 pending[task] = (replica, attempt)
                 await self._collect(pending, replies, HEDGE_DELAY_MS / 1000)
--- a/dahliashunt/forwarding/tests/test_replica_selector.py
+++ b/dahliashunt/forwarding/tests/test_replica_selector.py
@@ -37,6 +37,7 @@
 
     def __init__(self):
         self.verdict_by_host = {}
+        self.wait_ms_by_host = {}
         self.known_by_address = {}
         self.asked = []
         self.released = []
@@ -52,6 +53,8 @@
         self.asked.append((address[0], wait_ms))
         if address[0] in self.hanging:
             await asyncio.Event().wait()
+        if address[0] in self.wait_ms_by_host:
+            attempt.on_refusal(self.wait_ms_by_host[address[0]])
         return self.verdict_by_host.get(address[0])
 
     def release(self, attempt_id):
@@ -231,3 +234,13 @@
 
     asyncio.run(renew_once())
     assert len(renewed[0]) == MAX_PARTNERS
+
+
+def test_a_workspace_waits_where_its_own_place_is_best(places, slots):
+    """Guards against a place and a Retry-After by the requests of others."""
+    slots.verdict_by_host = dict.fromkeys("ab", SlotDecision.FULL)
+    slots.wait_ms_by_host = {"a": 9_000, "b": 8_000}
+    with pytest.raises(RequestError) as refused:
+        find(places, wait_ms=300)
+    assert slots.asked[-1] == ("b", 300)
+    assert refused.value.retry_after_ms == 8_000
--- a/dahliashunt/jobs/worker.py
+++ b/dahliashunt/jobs/worker.py
@@ -249,8 +249,15 @@
 
     def wait_for_slot(self, job_run, item: ItemRun) -> None:
         """Queue `item` for a slot."""
-        work = (job_run, item)
-        self._waiting.put(WaitingItem(item.due_ms, item.ran_ms, work))
+        waiting = WaitingItem(
+            item.due_ms,
+            item.ran_ms,
+            work=(job_run, item),
+            workspace=workspace_digest(item.call.workspace),
+            prompt_tokens=item.call.prompt_tokens,
+            output_tokens=item.call.output_tokens,
+        )
+        self._waiting.put(waiting)
         self._item_queued.set()
 
     async def _start_items(self):
@@ -272,6 +279,7 @@
                 reservation.release()
                 continue
             self._running += 1
+            self._waiting.started(entry, self.clock.now_ms())
             job_run.spawn(self._attempt(job_run, item, reservation))
 
     async def _pause(self):
--- a/dahliashunt/platform/serve_agent.py
+++ b/dahliashunt/platform/serve_agent.py
@@ -134,6 +134,7 @@
             await self._poll_replica(allocator)
             self._server.publish()
             self._update_gauges(allocator.state())
+            self.metrics.gauge("workspace_accounts", allocator.accounts)
             await self._clock.sleep_ms(REPORT_INTERVAL_MS)
 
     def _update_gauges(self, state):
