--- a/dahliashunt/decisions/replica_memory.py
+++ b/dahliashunt/decisions/replica_memory.py
@@ -27,6 +27,7 @@
 revocation.
 """
 
+from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -120,18 +121,19 @@
         ask: SlotRequest,
         holds: Collection[Hold],
         revocable: Iterable[Hold],
+        preferred: Callable[[list[Hold]], Hold],
     ) -> list[Hold]:
         """Return the fewest of `revocable` without which `ask` fits.
 
-        At least one, and among equally few the one with the most slack;
-        none if `ask` does not fit without all of them.
+        At least one, and the `preferred` of those that do as well; none if
+        `ask` does not fit without all of them.
         """
         lacking = self._lacking(ask, holds)
         left, chosen = list(revocable), []
         while left:
             able = [each for each in left if self._counted(each) >= lacking]
             if able:
-                return [*chosen, max(able, key=lambda hold: hold.due_ms)]
+                return [*chosen, preferred(able)]
             largest = max(left, key=self._counted)
             left.remove(largest)
             chosen.append(largest)
--- a/dahliashunt/decisions/slot_holds.py
+++ b/dahliashunt/decisions/slot_holds.py
@@ -8,6 +8,7 @@
 Complexity: each step is linear in the slots.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
 
@@ -16,7 +17,13 @@
 from dahliashunt.ids import AttemptId
 from dahliashunt.ids import RequestId
 
-__all__ = ["HOLD_TTL_MS", "START_GRACE_MS", "Hold", "SlotHolds"]
+__all__ = [
+    "HOLD_TTL_MS",
+    "START_GRACE_MS",
+    "Hold",
+    "SlotHolds",
+    "next_to_revoke",
+]
 
 HOLD_TTL_MS = 3_500
 """Milliseconds after which a hold that is not renewed expires; entries renew
@@ -29,6 +36,10 @@
 """Milliseconds for which a revoked run that is still listed is not counted;
 covers the round trip that closes its connection."""
 
+SIMILAR_SLACK_MS = 2_500
+"""Difference of slack in milliseconds up to which the workspaces' shares
+decide which item is revoked: half of what an item runs."""
+
 
 @dataclass(slots=True)
 class Hold:
@@ -48,6 +59,24 @@
     due_ms: int
 
 
+def next_to_revoke(
+    batch: list[Hold], granted_lately: Callable[[int], float]
+) -> Hold:
+    """Return the hold of `batch`, not empty, that is revoked first.
+
+    It has the most slack. Among those with similar slack it is one of the
+    workspace for which `granted_lately` is highest.
+    """
+    latest_ms = max(hold.due_ms for hold in batch)
+    similar = [
+        hold for hold in batch if hold.due_ms >= latest_ms - SIMILAR_SLACK_MS
+    ]
+    return max(
+        similar,
+        key=lambda hold: (granted_lately(hold.ask.workspace), hold.due_ms),
+    )
+
+
 @dataclass(slots=True)
 class SlotHolds:
     """Holds of one replica.
@@ -73,6 +102,16 @@
         """Return the number of holds for `use`."""
         return sum(hold.ask.use is use for hold in self.by_id.values())
 
+    def next_free_ms(self, hold_ms: float, now_ms: int) -> int:
+        """Return in how many ms the next hold ends, if each lasts `hold_ms`.
+
+        A hold that has lasted longer may end at any time.
+        """
+        oldest_ms = min(
+            (hold.since_ms for hold in self.by_id.values()), default=now_ms
+        )
+        return max(0, int(hold_ms - (now_ms - oldest_ms)))
+
     def grant(self, ask: SlotRequest, now_ms: int) -> None:
         """Record a hold for `ask`."""
         due_ms = now_ms + ask.slack_ms
--- a/dahliashunt/forwarding/tests/test_replica_selector.py
+++ b/dahliashunt/forwarding/tests/test_replica_selector.py
@@ -40,6 +40,7 @@
 
     def __init__(self):
         self.verdict_by_host = {}
+        self.wait_ms_by_host = {}
         self.known_by_address = {}
         self.asked = []
         self.idle_only = []
@@ -58,6 +59,8 @@
             self.idle_only.append(address[0])
         if address[0] in self.hanging:
             await asyncio.Event().wait()
+        if address[0] in self.wait_ms_by_host:
+            attempt.on_refusal(self.wait_ms_by_host[address[0]])
         return self.verdict_by_host.get(address[0])
 
     def release(self, attempt_id):
@@ -395,3 +398,13 @@
         announce(slots, name, 2)
     for use in Use:
         assert find(places, use).replica.version == ""
+
+
+def test_a_workspace_waits_where_its_own_place_is_best(places, slots):
+    """Guards against a place and a Retry-After by the requests of others."""
+    slots.verdict_by_host = dict.fromkeys("ab", SlotDecision.FULL)
+    slots.wait_ms_by_host = {"a": 9_000, "b": 8_000}
+    with pytest.raises(RequestError) as refused:
+        find(places, wait_ms=300)
+    assert slots.asked[-1] == ("b", 300)
+    assert refused.value.retry_after_ms == 8_000
--- a/dahliashunt/platform/serve_agent.py
+++ b/dahliashunt/platform/serve_agent.py
@@ -143,6 +143,7 @@
             self.metrics.gauge(
                 "asks_short_of_memory", allocator.short_of_memory
             )
+            self.metrics.gauge("workspace_accounts", allocator.accounts)
             await self._clock.sleep_ms(REPORT_INTERVAL_MS)
 
     async def watch(self):
