Items start by a forecast of online demand

Cause: items took every slot that a trough left idle and run longer than a trough, so each peak revoked them; a few items at every replica left each few slots, so that random surplus at one revoked an item as well.

Change: each entry learns a service's online demand (level, period, phase, regularity, own error) from the states that agents push. Items may hold what the forecast peak over their run leaves, at a few replicas in a hash order that all owners share; online requests prefer the others, and ask the two replicas with the most items before they wait. The time for which an item needs its slot free falls with its laxity, to none at 1.2 periods. Where the mean error of the last forecasts is above 0.1 of the slots, with unknown run and for items pinned to a software version, all is as before.

--- a/dahliashunt/decisions/item_order.py
+++ b/dahliashunt/decisions/item_order.py
@@ -111,11 +111,15 @@
 
     def laxity_ms(self, item: WaitingItem, now_ms: int) -> int:
         """Return how long `item` may still wait; negative if infeasible."""
+        return item.due_ms - now_ms - self.run_ms(item)
+
+    def run_ms(self, item: WaitingItem) -> int:
+        """Return the expected remaining run of `item`."""
         remaining_ms = max(
             self.mean_run_ms - item.ran_ms,
             MIN_REMAINING_SHARE * self.mean_run_ms,
         )
-        return item.due_ms - now_ms - int(remaining_ms)
+        return int(remaining_ms)
 
     def slack_ms(self, item: WaitingItem, now_ms: int) -> int:
         """Return the slack by which the agent chooses an item to revoke.
--- a/dahliashunt/decisions/replica_choice.py
+++ b/dahliashunt/decisions/replica_choice.py
@@ -70,6 +70,9 @@
         Whether its agent does not answer, so that its load is unknown.
     connected : bool
         Whether an idle connection to it is open.
+    reserved : bool
+        Whether it is kept for batch items, so that an online request goes to
+        another replica with an idle slot.
     """
 
     replica_id: str
@@ -82,6 +85,7 @@
     batch: int = 0
     agent_silent: bool = False
     connected: bool = False
+    reserved: bool = False
 
 
 def order_replicas(
@@ -117,6 +121,8 @@
         return ordered
     if not _has_idle_slot(preferred) and _has_idle_slot(ordered[0]):
         return ordered
+    if preferred.reserved and not ordered[0].reserved:
+        return ordered
     return [preferred, *(one for one in ordered if one is not preferred)]
 
 
@@ -128,6 +134,7 @@
         one.agent_silent,
         one.cold,
         not _has_idle_slot(one),
+        one.reserved,
         -(_free_slots(one) // SIMILAR_LOAD_SLOTS),
         not one.connected,
         -_free_slots(one),
--- a/dahliashunt/decisions/slot_ask_order.py
+++ b/dahliashunt/decisions/slot_ask_order.py
@@ -24,11 +24,16 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
+import heapq
 
 from dahliashunt.decisions.slot_messages import AllocatorState
 
 __all__ = ["idle_slots", "plan_asks"]
 
+MAX_REVOKING = 2
+"""Replicas added to those asked since they hold the most batch items: the
+items may all be at replicas that online requests do not prefer."""
+
 
 def idle_slots(state: AllocatorState) -> int:
     """Return the slots that neither requests nor batch items hold."""
@@ -37,33 +42,38 @@
 
 
 def plan_asks(
-    replicas: list, state_of: Callable[[object], AllocatorState | None]
+    preferred: list,
+    others: list,
+    state_of: Callable[[object], AllocatorState | None],
 ) -> Iterator[tuple[object, bool]]:
     """Yield the replicas to ask, each with whether it must not revoke.
 
     Parameters
     ----------
-    replicas : list
-        Replicas in order of preference.
+    preferred : list
+        Replicas to ask, in order of preference.
+    others : list
+        Replicas that are asked only if they hold the most items.
     state_of : callable
         Returns the state of a replica, or None if it is unknown. It is
         called again for the requests with revocation, since the answers so
         far carry newer states.
     """
     asked = []
-    for replica in replicas:
+    for replica in preferred:
         state = state_of(replica)
         if state is not None and idle_slots(state):
             asked.append(replica)
             yield replica, True
-    for replica in sorted(replicas, key=lambda one: -_items(state_of(one))):
-        if replica in asked and not _may_grant(state_of(replica)):
-            continue
-        yield replica, False
 
+    def items(replica):
+        state = state_of(replica)
+        return 0 if state is None else state.batch
 
-def _items(state):
-    return 0 if state is None else state.batch
+    added = heapq.nlargest(MAX_REVOKING, filter(items, others), key=items)
+    for replica in sorted([*preferred, *added], key=items, reverse=True):
+        if replica not in asked or _may_grant(state_of(replica)):
+            yield replica, False
 
 
 def _may_grant(state):
--- a/dahliashunt/decisions/tests/shared_fleet.py
+++ b/dahliashunt/decisions/tests/shared_fleet.py
@@ -12,6 +12,12 @@
 import math
 import random
 
+from dahliashunt.decisions.batch_room import allot
+from dahliashunt.decisions.batch_room import batch_room
+from dahliashunt.decisions.batch_room import clear_run_ms
+from dahliashunt.decisions.batch_room import reserved_slots
+from dahliashunt.decisions.demand_wave import CHECK_HORIZON_MS
+from dahliashunt.decisions.demand_wave import DemandWave
 from dahliashunt.decisions.item_order import ItemQueue
 from dahliashunt.decisions.item_order import WaitingItem
 from dahliashunt.decisions.replica_choice import Candidate
@@ -155,6 +161,9 @@
     order: type = ItemQueue
     allocator: type = SlotAllocator
     idle_first: bool = True
+    forecast: bool = True
+    """Whether items start by the forecast of online demand."""
+
     two_phase: bool = True
     """Whether replicas are first asked without revocation."""
 
@@ -239,6 +248,11 @@
             1 + load.wave.noise * self._wave_rng.uniform(-1, 1)
             for _ in range(load.length_ms // 1_000 + 2)
         ]
+        self._slots_by_id = {
+            str(number): load.slots for number in range(load.replicas)
+        }
+        self._reserved = ()
+        self._wave = DemandWave()
         self._revokes = self._needless = self._refused = 0
         self._in_time = self._returned_in_time = self._served_late = 0
         self._now_ms = 0
@@ -251,6 +265,7 @@
         self._schedule(0, self._online_arrives)
         self._schedule(0, self._job_arrives)
         if self.load.entries:
+            self._schedule(0, self._learn)
             for number in range(self.load.replicas):
                 offset_ms = number * PUSH_MS / self.load.replicas
                 self._schedule(offset_ms, self._push, number)
@@ -319,7 +334,8 @@
     def _place_online(self, online):
         name = f"online{next(self._sequence)}"
         entry = self._entry()
-        asked = self._ordered(entry)[:MAX_ASKED]
+        ordered = self._ordered(entry, self._reserved)
+        asked = ordered[:MAX_ASKED]
         wait_ms, slack_ms = WAIT_MS, WAIT_MS
         if self.switches.late_yields:
             slack_ms = max(0, WAIT_MS - int(online.waited_ms))
@@ -329,7 +345,9 @@
             rounds = (
                 (0, idle_only, number)
                 for number, idle_only in plan_asks(
-                    asked, lambda number: self._known(entry, number)
+                    asked,
+                    ordered[MAX_ASKED:],
+                    lambda number: self._known(entry, number),
                 )
             )
         if self.switches.queues:
@@ -361,6 +379,45 @@
             return self._keepers[number].state()
         return self._known_by_entry[entry].get(number, self._pushed[number])
 
+    def _learn(self):
+        """Sample the pushed states, as each entry does."""
+        states = self._pushed
+        slots = sum(state.slots for state in states)
+        online = sum(state.online + state.waiting for state in states)
+        self._wave.observe(int(self._now_ms), online / slots)
+        self._reserved = self._reserved_numbers()
+        self._schedule(self._now_ms + PUSH_MS, self._learn)
+
+    def _room(self, run_ms):
+        """Return the slots that items may hold; None if unknown."""
+        if not self.switches.forecast:
+            return None
+        slots = self.load.replicas * self.load.slots
+        return batch_room(slots, self._wave.peak(int(run_ms)))
+
+    def _reserved_numbers(self):
+        room = self._room(CHECK_HORIZON_MS)
+        if room is None:
+            return ()
+        slots = self.load.replicas * self.load.slots
+        batch = sum(state.batch for state in self._pushed)
+        return allot(self._slots_by_id, reserved_slots(slots, batch, room))
+
+    def _item_order(self, owner, slack_ms, run_ms):
+        """Return the replicas to ask for an item; none if it waits."""
+        entry = owner if self.load.entries else None
+        ordered = self._ordered(entry)
+        clear_ms = clear_run_ms(slack_ms, run_ms, self._wave.period_ms)
+        room = self._room(clear_ms)
+        if room is None or clear_ms == 0:
+            return ordered[:MAX_ASKED]
+        return [
+            int(replica_id)
+            for replica_id, slots in allot(self._slots_by_id, room).items()
+            if int(replica_id) in ordered
+            and self._known(entry, int(replica_id)).batch < slots
+        ][:MAX_ASKED]
+
     def _push(self, number):
         self._pushed[number] = self._keepers[number].state()
         for known in self._known_by_entry:
@@ -418,16 +475,16 @@
         allocator = self._keepers[number]
         self._apply_effects(allocator.release(attempt_id, self._now_ms))
 
-    def _ordered(self, entry):
+    def _ordered(self, entry, reserved=()):
         candidates = [
-            self._candidate(number, self._known(entry, number))
+            self._candidate(number, self._known(entry, number), reserved)
             for number in range(len(self._keepers))
             if number not in self._away
         ]
         ordered = order_replicas(candidates, "", self._rng)
         return [int(one.replica_id) for one in ordered]
 
-    def _candidate(self, number, state):
+    def _candidate(self, number, state, reserved):
         return Candidate(
             replica_id=str(number),
             slots=state.slots,
@@ -435,6 +492,7 @@
             age_ms=0,
             avoided=False,
             near=True,
+            reserved=str(number) in reserved,
             batch=state.batch if self.switches.idle_first else 0,
         )
 
@@ -480,7 +538,8 @@
         slack_ms = queue.slack_ms(waiting, now_ms)
         ask = SlotRequest(name, name, ("item",), Use.BATCH, 0, slack_ms)
         entry = owner if self.load.entries else None
-        for number in self._ordered(entry)[:MAX_ASKED]:
+        run_ms = queue.run_ms(waiting)
+        for number in self._item_order(owner, slack_ms, run_ms):
             verdict = self._request_slot(number, ask, entry)
             if verdict is SlotDecision.GRANTED:
                 self._start(waiting.work, number, name)
--- a/dahliashunt/decisions/tests/test_shared_fleet.py
+++ b/dahliashunt/decisions/tests/test_shared_fleet.py
@@ -31,6 +31,27 @@
 )
 """A fleet that has slots for all at a peak; states are up to 100 ms old."""
 
+REGULAR = Wave(3_400, 2_400, 0.383, 1.87)
+HALF = dataclasses.replace(
+    STALE,
+    replicas=13,
+    owners=18,
+    entries=18,
+    online_per_s=50,
+    jobs_per_s=0.56,
+    length_ms=56_000,
+)
+"""Half of that fleet, for long enough that the forecast takes effect."""
+
+FORECAST_LOADS = {
+    "regular": REGULAR,
+    "irregular": dataclasses.replace(REGULAR, spread=0.5),
+    "stops": dataclasses.replace(REGULAR, stops_ms=28_000),
+    "doubled": dataclasses.replace(REGULAR, slows_ms=28_000),
+    "noise": dataclasses.replace(REGULAR, noise=0.3),
+}
+"""Waves that a forecast meets; the first 20 s are needed to learn."""
+
 BURST = Load(burst=(4_000, 8_000, 6.0))
 """Six times the jobs for four seconds; most items can be in time."""
 
@@ -62,6 +83,11 @@
 HOLD_BASED_DELAY_MS = (700, 1_470)
 """Retry delay of `retry_delay` for holds of 0.7 s."""
 
+BY_CHANCE_RATIO = 1.1
+"""Revocations with a forecast that is mostly not in effect, beside without.
+Two seeds differ that much by chance; over twelve the irregular wave has 2.4
++- 2.7 fewer of 136, the one that stops 1.9 +- 3.1 fewer of 58."""
+
 REFUSED_TOLERANCE = 15
 """Further online requests that a gain for batch may refuse; about 0.5 %."""
 
@@ -100,6 +126,25 @@
     assert mean(current, "refused") <= mean(baseline, "refused")
 
 
+@pytest.mark.parametrize("wave", FORECAST_LOADS)
+def test_a_forecast_of_the_waves_saves_revocations_and_costs_nobody(wave):
+    # Guards against items in the way of the next peak, and against a wrong
+    # forecast that makes items late or online requests wait.
+    load = dataclasses.replace(HALF, wave=FORECAST_LOADS[wave])
+    baseline = simulate(load, forecast=False)
+    current = simulate(load)
+    ratio = 0.6 if wave == "regular" else BY_CHANCE_RATIO
+    assert mean(current, "revokes") <= ratio * mean(baseline, "revokes")
+    assert mean(current, "late") <= mean(baseline, "late")
+    assert mean(current, "refused") <= mean(baseline, "refused")
+    assert mean(current, "served_late") <= mean(baseline, "served_late")
+
+
+def test_a_fleet_without_items_is_served_as_without_a_forecast():
+    load = dataclasses.replace(STALE, length_ms=30_000, jobs_per_s=1e-9)
+    assert simulate(load, forecast=False) == simulate(load)
+
+
 @pytest.mark.parametrize("load", [BURST, LOSS], ids=["burst", "loss"])
 def test_a_short_cooldown_leaves_fewer_idle_slots_while_items_wait(load):
     # Guards against slots kept idle after a burst while items become late.
--- a/dahliashunt/forwarding/known_replicas.py
+++ b/dahliashunt/forwarding/known_replicas.py
@@ -113,15 +113,29 @@
         else:
             self._own_by_incarnation.pop(replica.incarnation, None)
 
-    def ordered(self, replicas, affinity: str) -> list[Replica]:
-        """Return `replicas`, best first."""
+    def ordered(
+        self, replicas, affinity: str, reserved=frozenset()
+    ) -> list[Replica]:
+        """Return `replicas`, best first; those with ids in `reserved` later.
+
+        Parameters
+        ----------
+        replicas : iterable of Replica
+        affinity : str
+            Id of the deepest shared part of the prompt; empty for none.
+        reserved : container of str
+            Ids of the replicas that are kept for batch items.
+        """
         by_id = {replica.replica_id: replica for replica in replicas}
         now_ms = self._clock.now_ms()
-        candidates = [self._candidate(each, now_ms) for each in replicas]
+        candidates = [
+            self._candidate(each, now_ms, each.replica_id in reserved)
+            for each in replicas
+        ]
         ordered = order_replicas(candidates, affinity, self._rng)
         return [by_id[candidate.replica_id] for candidate in ordered]
 
-    def _candidate(self, replica, now_ms):
+    def _candidate(self, replica, now_ms, reserved):
         own = self.own(replica)
         known = self.load(replica)
         avoided = self._suspicion.is_avoided(replica.incarnation, now_ms)
@@ -142,6 +156,7 @@
             batch=batch,
             agent_silent=self._slots.is_silent(self.agent(replica)),
             connected=self._is_connected(replica.address),
+            reserved=reserved,
         )
 
     def views(self, service: str) -> list[ReplicaView]:
--- a/dahliashunt/forwarding/replica_selector.py
+++ b/dahliashunt/forwarding/replica_selector.py
@@ -12,6 +12,7 @@
 from dahliashunt.decisions.suspicion import Suspicion
 from dahliashunt.errors import ErrorKind
 from dahliashunt.errors import RequestError
+from dahliashunt.forwarding.demand_waves import DemandWaves
 from dahliashunt.forwarding.known_replicas import KnownReplicas
 from dahliashunt.forwarding.reservation import Reservation
 from dahliashunt.forwarding.reservation import SlotRequirements
@@ -53,6 +54,11 @@
     suspicion : Suspicion
     clock : Clock
     rng : random.Random
+
+    Attributes
+    ----------
+    waves : DemandWaves
+        Forecasts of online demand.
     """
 
     def __init__(
@@ -69,6 +75,7 @@
         self._clock = clock
         self._rng = rng
         self._slot_requester = SlotRequester(slots, known.agent)
+        self.waves = DemandWaves(known, clock)
         self._holds = HoldTimes()
         self._started_ms = clock.now_ms()
         self._renewed: set[tuple[str, int]] = set()
@@ -95,14 +102,22 @@
             No replica is free; nothing was run by this call.
         """
         replicas = self._untried(requirements)
-        ordered = self._known.ordered(replicas, requirements.affinity)
+        ordered = self._known.ordered(
+            replicas,
+            requirements.affinity,
+            self.waves.reserved(requirements),
+        )
         if not with_agents:
             return self._direct(ordered[0])
         if self._has_no_agents(replicas, requirements):
             return self._direct_within_slots(ordered, requirements)
         chosen = self._with_outsiders(ordered, requirements)
         replies = await self._slot_requester.request_slot(
-            chosen, requirements, request_id, self._known.usable_state
+            chosen,
+            requirements,
+            request_id,
+            self._known.usable_state,
+            ordered[MAX_ASKED:],
         )
         now_ms = self._clock.now_ms()
         for replica in replies.absent:
@@ -129,7 +144,14 @@
         )
 
     def _with_outsiders(self, ordered, requirements):
-        """Return the best partners, followed by some other replicas."""
+        """Return the best partners, followed by some other replicas.
+
+        For an item that the forecast of online demand decides on, return
+        only the replicas with room; none if it has to wait.
+        """
+        for_item = self.waves.replicas_for(requirements, ordered)
+        if for_item is not None:
+            return for_item[:MAX_ASKED]
         listed = self._known.listed(requirements.service)
         partners = self._known.partners(requirements.service)
         if len(listed) <= len(partners):
@@ -237,6 +259,7 @@
                 self._renew()
                 renewed_ms = now_ms
             self._slots.probe()
+            self.waves.sample()
             await asyncio.sleep(min(every_ms, PROBE_MS) / 1000)
 
     def _has_new_partners(self):
--- a/dahliashunt/forwarding/reservation.py
+++ b/dahliashunt/forwarding/reservation.py
@@ -39,6 +39,8 @@
         Length of the prompt and stated maximum of the output; 0 if unknown.
     shared_parts : tuple of pairs
         Id and tokens of the prompt's shared parts, in order.
+    run_ms : int
+        Expected remaining run of a batch item; 0 if unknown.
     """
 
     service: str
@@ -54,6 +56,7 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
     shared_parts: tuple[tuple[str, int], ...] = ()
+    run_ms: int = 0
 
     def admits(self, replica: Replica) -> bool:
         """Return whether `replica` is untried and of a fitting version."""
--- a/dahliashunt/forwarding/slot_requests.py
+++ b/dahliashunt/forwarding/slot_requests.py
@@ -77,7 +77,12 @@
         )
 
     async def request_slot(
-        self, replicas, requirements, run_id: str, state_of=lambda _: None
+        self,
+        replicas,
+        requirements,
+        run_id: str,
+        state_of=lambda _: None,
+        others=(),
     ) -> SlotReplies:
         """Request a slot that is free now from the agents of `replicas`.
 
@@ -94,11 +99,14 @@
         run_id : str
         state_of : callable
             Returns the `AllocatorState` of a replica, or None if unknown.
+        others : sequence of Replica
+            Replicas that are asked with revocation if they hold most items.
         """
         replies = SlotReplies()
         pending = {}
         try:
-            for replica, idle_only in _asks(replicas, requirements, state_of):
+            asks = _asks(replicas, others, requirements, state_of)
+            for replica, idle_only in asks:
                 if _is_pending(replica, pending) or not replies.can_ask(
                     replica
                 ):
@@ -152,8 +160,8 @@
     return any(replica is asked for asked, _ in pending.values())
 
 
-def _asks(replicas, requirements, state_of):
+def _asks(replicas, others, requirements, state_of):
     """Yield the replicas to ask, each with whether it must not revoke."""
     if requirements.use is Use.ONLINE:
-        return plan_asks(replicas, state_of)
+        return plan_asks(replicas, others, state_of)
     return ((replica, False) for replica in replicas)
--- a/dahliashunt/jobs/worker.py
+++ b/dahliashunt/jobs/worker.py
@@ -348,6 +348,7 @@
             affinity=parts[-1] if parts else "",
             wait_ms=0,
             slack_ms=self._waiting.slack_ms(entry, now_ms),
+            run_ms=self._waiting.run_ms(entry),
             avoid=frozenset(),
             on_revoke=item.revoke,
             version=self._version_to_continue(job_run, item, service),
--- a/dahliashunt/platform/serve_entry.py
+++ b/dahliashunt/platform/serve_entry.py
@@ -172,6 +172,7 @@
             self._clock,
             self._rng,
         )
+        self._selector.waves.on_change = self._log_wave
         self.node.forwarder = self._make_forwarder()
         self.jobs = JobParts(
             self.node,
@@ -346,6 +347,25 @@
             self._pool.sweep()
             self._registry.expire(self._clock.now_ms())
             self._apply_connection_limits()
+            self._update_wave_gauges()
+
+    def _log_wave(self, service, wave, in_effect):
+        self._log.info(
+            "demand_forecast",
+            service=service,
+            in_effect=in_effect,
+            period_ms=wave.period_ms,
+            regularity=round(wave.regularity, 2),
+            error=round(wave.error, 3),
+        )
+
+    def _update_wave_gauges(self):
+        gauge = self.node.metrics.gauge
+        waves = self._selector.waves
+        gauge("items_held_back", waves.held_back)
+        for service, wave in waves.states().items():
+            gauge("demand_error", wave.error, service=service)
+            gauge("demand_period_ms", wave.period_ms, service=service)
 
     def _apply_connection_limits(self):
         """Apply the configuration's limits to callers' connections.
