--- a/dahliashunt/forwarding/tests/test_replica_selector.py
+++ b/dahliashunt/forwarding/tests/test_replica_selector.py
@@ -227,6 +227,16 @@
     assert slots.idle_only == []
 
 
+def test_an_item_without_room_asks_no_agent(places, slots, monkeypatch):
+    # Guards against items that start in the way of a forecast peak.
+    slots.verdict_by_host = dict.fromkeys("ab", SlotDecision.GRANTED)
+    monkeypatch.setattr(places.waves, "replicas_for", lambda *_: [])
+    with pytest.raises(RequestError) as caught:
+        find(places, use=Use.BATCH)
+    assert caught.value.kind is ErrorKind.OVERLOADED
+    assert slots.asked == []
+
+
 REPLICA_IDS = [f"r{n}" for n in range(5 * MAX_PARTNERS)]
 
 
@@ -251,6 +261,30 @@
     assert len(slots.asked) <= 60 * (MAX_ASKED + NON_PARTNER_SAMPLES)
 
 
+def test_items_at_a_replica_that_is_not_preferred_can_be_revoked(
+    large_places, slots
+):
+    # Guards against online requests that queue since the items are at
+    # replicas that they avoid.
+    slots.verdict_by_host = dict.fromkeys(REPLICA_IDS, SlotDecision.FULL)
+    for name in REPLICA_IDS:
+        show_state(slots, name, online=SLOTS - 1, batch=0)
+    with pytest.raises(RequestError):
+        find(large_places)
+    kept = next(name for name in partner_ids() if name not in slots.idle_only)
+    show_state(slots, kept, online=0, batch=SLOTS)
+    slots.verdict_by_host[kept] = SlotDecision.GRANTED
+    assert find(large_places).replica.replica_id == kept
+
+
+def partner_ids():
+    registry = ReplicaRegistry()
+    for name in REPLICA_IDS:
+        registry.put(Replica(name, 0, "s", name, 1, "d", SLOTS, False), 1, 0)
+    partners = Partners(registry, "entry-1").of_service("s")
+    return [replica.replica_id for replica in partners]
+
+
 def test_only_partners_are_asked_while_they_have_room(large_places, slots):
     slots.verdict_by_host = dict.fromkeys(REPLICA_IDS, SlotDecision.GRANTED)
     for _ in range(200):
