--- a/dahliashunt/decisions/replica_choice.py
+++ b/dahliashunt/decisions/replica_choice.py
@@ -108,6 +108,9 @@
         Whether an idle connection to it is open.
     inputs : ReplicaInputs or None
         What its time is estimated from; None without estimates.
+    reserved : bool
+        Whether it is kept for batch items, so that an online request goes to
+        another replica with an idle slot.
     """
 
     replica_id: str
@@ -121,6 +124,7 @@
     agent_silent: bool = False
     connected: bool = False
     inputs: ReplicaInputs | None = None
+    reserved: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -192,6 +196,7 @@
         free == 0,
         one.agent_silent,
         free <= one.batch,
+        one.reserved,
         first_ms // FIRST_TOKEN_STEP_MS,
         _duration_step(end_ms),
         -(free // SIMILAR_LOAD_SLOTS),
@@ -260,6 +265,8 @@
         return ordered
     if not _has_idle_slot(preferred) and _has_idle_slot(ordered[0]):
         return ordered
+    if preferred.reserved and not ordered[0].reserved:
+        return ordered
     return [preferred, *(one for one in ordered if one is not preferred)]
 
 
@@ -271,6 +278,7 @@
         one.agent_silent,
         one.cold,
         not _has_idle_slot(one),
+        one.reserved,
         -(_free_slots(one) // SIMILAR_LOAD_SLOTS),
         not one.connected,
         -_free_slots(one),
--- a/dahliashunt/forwarding/known_replicas.py
+++ b/dahliashunt/forwarding/known_replicas.py
@@ -169,18 +169,28 @@
         return [by_id[candidate.replica_id] for candidate in ordered]
 
     def ordered_for(
-        self, replicas, requirements: SlotRequirements
+        self,
+        replicas,
+        requirements: SlotRequirements,
+        reserved=frozenset(),
     ) -> list[Replica]:
         """Return `replicas`, best first for a request to an engine.
 
         Expected times decide where they can differ; otherwise the order is
         that of `ordered`.
+
+        Parameters
+        ----------
+        replicas : iterable of Replica
+        requirements : SlotRequirements
+        reserved : container of str
+            Ids of the replicas that are kept for batch items.
         """
         now_ms = self._clock.now_ms()
         known = [(each, self.load(each)) for each in replicas]
         inputs = self._estimates.inputs(known, requirements, now_ms)
         candidates = [
-            self._candidate(each, now_ms, of_each)
+            self._candidate(each, now_ms, of_each, each.replica_id in reserved)
             for each, of_each in zip(replicas, inputs, strict=True)
         ]
         ordered = self._estimates.order(candidates, requirements)
@@ -203,7 +213,7 @@
         """Drop estimates of incarnations that are no longer listed."""
         self._estimates.keep_only(self.incarnations())
 
-    def _candidate(self, replica, now_ms, inputs=None):
+    def _candidate(self, replica, now_ms, inputs=None, reserved=False):
         own = self.own(replica)
         known = self.load(replica)
         avoided = self._suspicion.is_avoided(replica.incarnation, now_ms)
@@ -225,6 +235,7 @@
             agent_silent=self._slots.is_silent(self.agent(replica)),
             connected=self._is_connected(replica.address),
             inputs=inputs,
+            reserved=reserved,
         )
 
     def views(self, service: str) -> list[ReplicaView]:
