--- a/dahliashunt/forwarding/tests/test_demand_waves.py
+++ b/dahliashunt/forwarding/tests/test_demand_waves.py
@@ -98,7 +98,7 @@
     assert reserved
     assert reserved <= set(kept)
     replicas = fleet.known.listed("s")
-    ordered = fleet.known.ordered_for(replicas, requirements, reserved)
+    ordered = fleet.known.ordered_for(replicas, ONLINE, reserved)
     assert {each.replica_id for each in ordered[-len(reserved) :]} == reserved
 
 
