--- a/dahliashunt/decisions/tests/former_order.py
+++ b/dahliashunt/decisions/tests/former_order.py
@@ -26,19 +26,19 @@
             refusal.attempt_id, refusal.requester, refusal.verdict
         )
 
-    def _next_attempt_id(self, now_ms):
+    def _next_attempt_id(self, waiting_by_id, now_ms):
         self._grants += 1
-        top_rank = min(each.ask.rank for each in self._waiting_by_id.values())
+        top_rank = min(each.ask.rank for each in waiting_by_id.values())
         is_low_priority_turn = self._grants % LOW_PRIORITY_INTERVAL == 0
 
         def sort_key(attempt_id):
-            waiting = self._waiting_by_id[attempt_id]
+            waiting = waiting_by_id[attempt_id]
             rank = waiting.ask.rank
             if is_low_priority_turn:
                 rank = rank == top_rank
             return waiting.is_late(now_ms), rank
 
-        return min(self._waiting_by_id, key=sort_key)
+        return min(waiting_by_id, key=sort_key)
 
 
 class FormerItemQueue(ItemQueue):
