A request above each replica's memory is refused as by a full service

Cause: 413 for a proper request is a client error of the entry's own, and an item may be given up only after its attempts or its time limit. The stated maximum output need not be written. Change: 503, not run, and the item keeps its time.

--- a/dahliashunt/forwarding/replica_selector.py
+++ b/dahliashunt/forwarding/replica_selector.py
@@ -174,7 +174,9 @@
     def _refuse_too_large(self, replicas, requirements):
         """Refuse a request that exceeds the memory of each replica.
 
-        A replica with more free memory than configured takes it.
+        A replica with more free memory than configured takes it. The refusal
+        is that of a full service: the request itself is proper, and replicas
+        with more memory may be listed later.
         """
         total = self._kv_tokens_of(requirements.service)
         tokens = requirements.tokens
@@ -183,7 +185,7 @@
         if any(self._known.free_tokens(each) >= tokens for each in replicas):
             return
         raise RequestError(
-            ErrorKind.TOO_LARGE,
+            ErrorKind.NO_ENDPOINT,
             f"the request was not run: prompt and maximum output are {tokens}"
             f" tokens, and a replica of {requirements.service} holds {total}",
         )
--- a/dahliashunt/jobs/worker.py
+++ b/dahliashunt/jobs/worker.py
@@ -13,7 +13,6 @@
 from dahliashunt.decisions.item_order import WaitingItem
 from dahliashunt.decisions.slot_messages import Use
 from dahliashunt.decisions.stream_origins import origin_key
-from dahliashunt.errors import ErrorKind
 from dahliashunt.errors import PlatformUnavailable
 from dahliashunt.errors import RequestError
 from dahliashunt.forwarding.catalog import BrokenRoute
@@ -374,10 +373,7 @@
             return await self.replica_selector.find(
                 requirements, item.call.request_id, with_agents
             )
-        except RequestError as error:
-            if error.kind is ErrorKind.TOO_LARGE:
-                job_run.abandon(item, error.message)
-                return _NOT_NEEDED
+        except RequestError:
             # Not logged, since it is usual in a full fleet; the gauge shows
             # the waiting items.
             self.node.metrics.gauge("items_waiting", len(self._waiting) + 1)
--- a/docs/build_errors.py
+++ b/docs/build_errors.py
@@ -24,8 +24,7 @@
     ErrorKind.CONFLICT: "the state of the file, job or record forbids it",
     ErrorKind.KEY_REUSED: "the idempotency key stands for another request",
     ErrorKind.STILL_RUNNING: "the first request under this key has not ended",
-    ErrorKind.TOO_LARGE: "the body or file is over the limit, or prompt and"
-    " maximum output exceed the memory of each replica; it has not run",
+    ErrorKind.TOO_LARGE: "the body or file is over the limit",
     ErrorKind.OVER_LIMIT: "the caller's own limit is used up",
     ErrorKind.OVERLOADED: "no place in time; come back when the header says",
     ErrorKind.NO_ENDPOINT: "no endpoint serves the model now, or this entry"
