--- a/dahliashunt/decisions/batch_room.py
+++ b/dahliashunt/decisions/batch_room.py
@@ -33,8 +33,7 @@
 
 URGENT_PERIODS = 1.2
 """Laxity, in periods of the wave, below which an item does not wait for room:
-when it is revoked, it waits through one peak and can still be in time. With
-0.9 one item of 1,400 was late in a fleet short of slots."""
+when it is revoked, it waits through one peak and can still be in time."""
 
 AMPLE_PERIODS = 2.3
 """Laxity, in periods, above which an item starts only where the forecast
@@ -43,9 +42,8 @@
 forecast, the least lax first."""
 
 IDLE_SHARE = 0.08
-"""Share of the slots that stays idle at the forecast peak. Entries that know
-states 100 ms old find the last idle slots too rarely; with 0.04 a tenth more
-items were revoked."""
+"""Share of the slots that stays idle at the forecast peak: entries that know
+states 100 ms old rarely find the last idle slots."""
 
 HASHES_KEPT = 256
 """Hashes of replica ids that are kept: the partners in ten services."""
--- a/dahliashunt/decisions/demand_wave.py
+++ b/dahliashunt/decisions/demand_wave.py
@@ -58,8 +58,8 @@
 """Compared forecasts without which nothing is forecast."""
 
 ERROR_DEVIATIONS = 2.0
-"""Standard deviations of the recent errors that are added to a forecast: of
-the values 0, 1 and 2 this gave the fewest revocations."""
+"""Standard deviations of the recent errors that are added to a forecast, so
+that most peaks stay below it."""
 
 MAX_ERROR = 0.1
 """Mean error of the forecast peak, as a share of the slots, above which
