--- a/dahliashunt/decisions/slot_ask_order.py
+++ b/dahliashunt/decisions/slot_ask_order.py
@@ -16,8 +16,8 @@
 If none grants, the replicas are asked with revocation, those with the most
 batch items first. Where no state shows an idle slot, the first request may
 revoke, so that it costs no further round trip. All replicas that show an idle
-slot are asked: with states 100 ms old and a fleet nearly full, a limit of
-three left three times as many revocations as a limit of six.
+slot are asked, since in a fleet nearly full most states that are 100 ms old
+show slots that were taken since.
 
 Complexity: O(n log n) for n replicas.
 """
