Keep connections open after refused bodies of up to 16 MiB

Cause: a server that had refused a body dropped 4 MiB of it and then reset the connection without telling the caller. A caller that had sent the whole body used the connection again, and its next request failed (test_openai_client, upload after a 5 MB prompt). Change: 16 MiB are dropped, four times the largest accepted body, and the response to a request that states more says that the connection is closed after its body.

--- a/dahliashunt/adapters/http_server.py
+++ b/dahliashunt/adapters/http_server.py
@@ -23,9 +23,11 @@
 """Requests that wait on one connection for the end of the one before. Honest
 callers send the next request after the response."""
 
-MAX_DISCARDED_BYTES = 4_194_304
+MAX_DISCARDED_BYTES = 16_777_216
 """Body bytes read after the response was sent, which are dropped: a caller
-may send the rest of a refused body before it reads."""
+may send the rest of a refused body before it reads. Four times the largest
+accepted body, since a connection that is closed while the caller sends fails
+the caller's next request on it."""
 
 
 @dataclass(slots=True)
@@ -53,6 +55,30 @@
     backlog: WriteBacklog | None = None
 
 
+class _ClosingTransport:
+    """Transport of a request after which the connection is closed.
+
+    A socket that is closed before the request's body is read resets the
+    connection, and the caller may lose the response. So closing waits for
+    the end of the body.
+    """
+
+    __slots__ = ("_close", "_transport")
+
+    def __init__(self, transport, close):
+        self._transport = transport
+        self._close = close
+
+    def write(self, data):
+        self._transport.write(data)
+
+    def is_closing(self):
+        return self._transport.is_closing()
+
+    def close(self):
+        self._close()
+
+
 class _BoundedProtocol(HttpToolsProtocol):
     """Aborts a connection whose requests are too large or too slow.
 
@@ -66,6 +92,8 @@
         super().connection_made(transport)
         self._meter = MessageMeter(self.config.bounds.header_bytes)
         self._discarded_bytes = 0
+        self._stated_bytes = 0
+        self._closes_after_body = False
         self._header_bytes = 0
         self._header_count = 0
         self._start_header_timer()
@@ -112,6 +140,7 @@
         self.transport.abort()
 
     def on_message_begin(self):
+        self._stated_bytes = 0
         self._header_bytes = 0
         self._header_count = 0
         super().on_message_begin()
@@ -123,6 +152,8 @@
     def on_header(self, name, value):
         self._header_count += 1
         self._count_header_bytes(len(name) + len(value))
+        if name.lower() == b"content-length" and value.strip().isdigit():
+            self._stated_bytes = int(value)
         super().on_header(name, value)
 
     def _count_header_bytes(self, size):
@@ -142,6 +173,12 @@
         self._header_timer.cancel()
         self._header_bytes = 0
         super().on_headers_complete()
+        if self._stated_bytes > MAX_DISCARDED_BYTES:
+            # The response tells the caller that the connection is closed.
+            self.cycle.keep_alive = False
+            self.cycle.transport = _ClosingTransport(
+                self.transport, self._close_after_body
+            )
         if len(self.pipeline) > MAX_PIPELINED:
             self._end(Bound.PIPELINE)
             raise BoundExceeded(Bound.PIPELINE)
@@ -159,6 +196,14 @@
         self._meter.end()
         self._discarded_bytes = 0
         super().on_message_complete()
+        if self._closes_after_body:
+            self.transport.close()
+
+    def _close_after_body(self):
+        if self.cycle.more_body:
+            self._closes_after_body = True
+        else:
+            self.transport.close()
 
 
 class _Server(Server):
