Agents announce the start that their replica reports

Cause: after a restart of everything an agent often found the row of its replica's earlier incarnation and announced it until its next check, up to 45 s later. Entries took the replica's version for unknown meanwhile: they ignored the agent's state and continued no stream or item there. Change: the start in the replica's own report decides, at the first report. An agent's start without it counts as a sign of a restart. While no row states the reported start, the list is read every 5 s. An agent that announces an earlier start than the list no longer makes the listed version unknown.

--- a/dahliashunt/forwarding/known_replicas.py
+++ b/dahliashunt/forwarding/known_replicas.py
@@ -101,17 +101,24 @@
         A load of another incarnation than the listed one is not its load.
         """
         known = self._slots.known_by_address.get(self.agent(replica))
-        return known if self.is_announced(replica) else None
+        born_ms = known.state.born_ms if known is not None else 0
+        if born_ms and replica.born_ms and born_ms != replica.born_ms:
+            return None
+        return known
 
     def is_heard(self, replica: Replica) -> bool:
         """Return whether a load of the replica's agent is known."""
         return self.agent(replica) in self._slots.known_by_address
 
     def is_announced(self, replica: Replica) -> bool:
-        """Return whether its agent does not announce another incarnation."""
+        """Return whether its agent does not announce a later incarnation.
+
+        An agent that announces an earlier one has not noticed the restart
+        that the list shows.
+        """
         known = self._slots.known_by_address.get(self.agent(replica))
         born_ms = known.state.born_ms if known is not None else 0
-        return not (born_ms and replica.born_ms) or born_ms == replica.born_ms
+        return not replica.born_ms or born_ms <= replica.born_ms
 
     def usable_state(self, replica: Replica) -> AllocatorState | None:
         """Return its agent's recent state; None if unknown or not usable."""
--- a/dahliashunt/forwarding/tests/test_replica_selector.py
+++ b/dahliashunt/forwarding/tests/test_replica_selector.py
@@ -364,16 +364,16 @@
     slots.known_by_address[host, 7000] = KnownState(state, 0)
 
 
-def make_born_places(slots, clock):
-    """Return places with the replicas a and b at version v, born at 1."""
+def make_born_places(slots, clock, born_ms=1):
+    """Return places with the replicas a and b at version v."""
     registry = ReplicaRegistry()
     for name in "ab":
         replica = Replica(
-            name, 1, "s", name, 1, "d", SLOTS, False, version="v"
+            name, born_ms, "s", name, 1, "d", SLOTS, False, version="v"
         )
         registry.put(replica, 1, 0)
         slots.verdict_by_host[name] = SlotDecision.GRANTED
-        announce(slots, name, 1)
+        announce(slots, name, born_ms)
     return make_places(registry, slots, clock)
 
 
@@ -398,6 +398,16 @@
     assert {find(places).replica.replica_id for _ in range(8)}
 
 
+def test_a_stream_goes_on_where_only_the_agent_is_out_of_date(slots, clock):
+    # Guards against texts that are dropped since the agent still announces
+    # the incarnation before the listed one.
+    places = make_born_places(slots, clock, born_ms=3)
+    for name in "ab":
+        announce(slots, name, 2)
+    assert find_version(places).replica.version == "v"
+    assert find(places, Use.BATCH).replica.version == "v"
+
+
 def test_a_grant_that_shows_a_restart_is_given_back(slots, clock):
     # Guards against the same where the grant is the first that says so.
     places = make_born_places(slots, clock)
--- a/dahliashunt/platform/dialect.py
+++ b/dahliashunt/platform/dialect.py
@@ -20,6 +20,7 @@
 from dahliashunt.row_fields import FIELD_ERRORS
 from dahliashunt.row_fields import parse_json
 from dahliashunt.row_fields import text_field
+from dahliashunt.row_fields import whole_field
 
 __all__ = ["PlatformDialect", "ReplicaReport", "decode_report"]
 
@@ -121,6 +122,8 @@
         unknown.
     tokens_by_run : dict
         Tokens in memory of each running request, where known.
+    born_ms : int
+        Start of the replica on the wall clock; 0 if unknown.
     """
 
     running: frozenset
@@ -130,6 +133,7 @@
     kv_used: int = 0
     kv_total: int = 0
     tokens_by_run: dict[str, int] = field(default_factory=dict)
+    born_ms: int = 0
 
 
 def decode_report(body: bytes) -> ReplicaReport:
@@ -154,6 +158,7 @@
                 for run in runs
                 if len(run) > 1
             },
+            born_ms=_born_ms(fields.get("born")),
         )
     except FIELD_ERRORS as error:
         raise ValueError(f"invalid replica report: {error!r}") from None
@@ -180,6 +185,14 @@
     return value if is_count and value >= 0 else -1
 
 
+def _born_ms(value):
+    """Return a time in milliseconds; 0 for any other value."""
+    try:
+        return whole_field(value)
+    except FIELD_ERRORS:
+        return 0
+
+
 def _tokens(value):
     """Return a count of tokens; 0 for any other value."""
     if isinstance(value, float) and value.is_integer():
--- a/dahliashunt/platform/own_replica.py
+++ b/dahliashunt/platform/own_replica.py
@@ -4,15 +4,20 @@
 id at its address. Its agent runs on, and must not announce or count what the
 earlier incarnation held.
 
+The replica's own report states its start, and decides. An agent that starts
+together with its replica often reads the list before the replica has written
+its row, and finds the row of the incarnation before.
+
 An agent does not follow the list: at 7,000 replicas that would be 7,000 more
 readers of every heartbeat. It reads its replica's row some times after a sign
-of a restart, which is a report that comes after a missing one or needed a new
-connection, and rarely without a sign. It reads the whole list if the row is
-gone or names another address, and once after each sign: the row of an earlier
-id stays for some seconds.
+of a restart, which is a report that states another start, comes after a
+missing one or needed a new connection, and rarely without a sign. It reads the
+whole list if the row is gone or names another address, and once after each
+sign: the row of an earlier id stays for some seconds.
 """
 
 import asyncio
+from dataclasses import replace
 import random
 
 from dahliashunt.errors import PlatformError
@@ -37,6 +42,10 @@
 """Mean time between reads of the row without a sign: some 230 reads a second
 by 7,000 agents."""
 
+LATE_ROW_INTERVAL_MS = 5_000
+"""Mean time between reads while no row states the start that the replica
+reports."""
+
 MAX_LOGGED_ROWS = 10
 """Rows of the list logged as unreadable by one read."""
 
@@ -56,7 +65,8 @@
     Attributes
     ----------
     current : Replica or None
-        The incarnation known last.
+        The incarnation known last; the start that the replica reports,
+        with the id and slots of the row known last.
     """
 
     def __init__(
@@ -74,6 +84,10 @@
         self._log = log
         self._sign_ms: int | None = None
         self._signed = asyncio.Event()
+        self._row_is_late = False
+        self._stated_ms: int | None = None
+        self._stated_at_ms = 0
+        self._stated_since_ms = 0
         self.current: Replica | None = None
 
     async def find(self) -> Replica:
@@ -92,6 +106,40 @@
         self._sign_ms = self._clock.now_ms()
         self._signed.set()
 
+    def note_born(self, born_ms: int) -> int | None:
+        """Note the start that the replica states in a report.
+
+        Parameters
+        ----------
+        born_ms : int
+            0 if the report states none.
+
+        Returns
+        -------
+        int or None
+            The time from which a grant is for this incarnation, if it is
+            another than the one known before.
+        """
+        earlier_ms, self._stated_ms = self._stated_ms, born_ms
+        since_ms, self._stated_at_ms = self._stated_at_ms, self._clock.now_ms()
+        if born_ms == earlier_ms:
+            return None
+        if born_ms in (0, self.current.born_ms):
+            if earlier_ms is None and not born_ms:
+                self.note_sign()
+            return None
+        self._log.info(
+            "replica_start_reported",
+            replica=self.current.replica_id,
+            born_ms=born_ms,
+            listed_born_ms=self.current.born_ms,
+        )
+        self.current = replace(self.current, born_ms=born_ms)
+        self._row_is_late = True
+        self._stated_since_ms = since_ms
+        self.note_sign()
+        return since_ms
+
     async def watch(self, on_restart) -> None:
         """Call `on_restart` at each restart, until cancelled.
 
@@ -100,7 +148,7 @@
         """
         while True:
             if not await self._wait_for_sign():
-                await self._check(on_restart)
+                await self._check(on_restart, reads_list=self._row_is_late)
                 continue
             for pause_ms in CHECKS_AFTER_SIGN_MS:
                 if await self._check(on_restart):
@@ -112,8 +160,11 @@
                 await self._check(on_restart, reads_list=True)
 
     async def _wait_for_sign(self):
-        """Return True at a sign, False after about `CHECK_INTERVAL_MS`."""
-        least_ms = CHECK_INTERVAL_MS // 2
+        """Return True at a sign, False at the time of the next check."""
+        interval_ms = CHECK_INTERVAL_MS
+        if self._row_is_late:
+            interval_ms = LATE_ROW_INTERVAL_MS
+        least_ms = interval_ms // 2
         limit_ms = self._rng.randint(least_ms, 3 * least_ms)
         signed = asyncio.ensure_future(self._signed.wait())
         limit = asyncio.ensure_future(self._clock.sleep_ms(limit_ms))
@@ -137,7 +188,14 @@
         except PlatformError as error:
             self._log.warning("table_unavailable", reason=str(error))
             return False
-        if found is None or found.incarnation == earlier.incarnation:
+        if found is None:
+            return False
+        stated_ms = self._stated_ms
+        if stated_ms and found.born_ms not in (0, stated_ms):
+            return False
+        found = replace(found, born_ms=stated_ms or found.born_ms)
+        is_late, self._row_is_late = self._row_is_late, False
+        if found.incarnation == earlier.incarnation and not is_late:
             return False
         self._log.info(
             "replica_restarted",
@@ -148,7 +206,9 @@
         )
         self.current = found
         since_ms, self._sign_ms = self._sign_ms, None
-        if since_ms is None:
+        if stated_ms:
+            since_ms = self._stated_since_ms
+        elif since_ms is None:
             since_ms = self._clock.now_ms()
         on_restart(found, since_ms)
         return True
--- a/dahliashunt/platform/serve_agent.py
+++ b/dahliashunt/platform/serve_agent.py
@@ -180,6 +180,9 @@
         if allocator.away:
             self._log.info("replica_back", missing=self._missed_reports)
         self._missed_reports = 0
+        since_ms = self._replica.note_born(report.born_ms)
+        if since_ms is not None:
+            self._on_restart(self._replica.current, since_ms)
         allocator.away = False
         self._server.report_progress(report.run_by_id)
         self._note_memory(report)
--- a/dahliashunt/platform/tests/test_own_replica.py
+++ b/dahliashunt/platform/tests/test_own_replica.py
@@ -12,6 +12,7 @@
 from dahliashunt.platform.listeners import REPLICAS_PREFIX
 from dahliashunt.platform.own_replica import CHECK_INTERVAL_MS
 from dahliashunt.platform.own_replica import CHECKS_AFTER_SIGN_MS
+from dahliashunt.platform.own_replica import LATE_ROW_INTERVAL_MS
 from dahliashunt.platform.own_replica import OwnReplica
 from dahliashunt.platform.standins.settings import replica_fields
 from dahliashunt.ports.table import Changes
@@ -108,6 +109,69 @@
     run_watched(scenario)
 
 
+def test_a_reported_start_precedes_its_row(run_watched):
+    # Guards against an agent that announces the earlier incarnation since it
+    # started before its replica had written its row: no entry then
+    # continued a stream or an item there for up to 45 s.
+    async def scenario(own, store, clock, restarts):
+        assert own.note_born(2) == 0
+        assert own.current.born_ms == 2
+        await clock.advance(ROUND_MS + 3 * LATE_ROW_INTERVAL_MS)
+        assert own.note_born(2) is None
+        assert restarts == []
+        store.put("i-2", replica_fields(ADDRESS, born=2, slots=4))
+        await clock.advance(2 * LATE_ROW_INTERVAL_MS)
+        assert found(restarts) == [("i-2", 2, 0)]
+        assert own.current.slots == 4
+
+    run_watched(scenario)
+
+
+def test_grants_since_the_last_report_before_a_restart_are_kept(run_watched):
+    # Guards against holds of the new incarnation that are dropped.
+    async def scenario(own, store, clock, restarts):
+        assert own.note_born(1) is None
+        reported_ms = clock.now_ms()
+        await clock.advance(100)
+        own.note_sign()
+        assert own.note_born(2) == reported_ms
+        store.put("i-1", replica_fields(ADDRESS, born=2))
+        await clock.advance(ROUND_MS)
+        assert found(restarts) == [("i-1", 2, reported_ms)]
+
+    run_watched(scenario)
+
+
+def test_a_row_without_a_start_leaves_the_reported_one(run_watched):
+    # Guards against reads of the list without end beside such a row.
+    async def scenario(own, store, clock, restarts):
+        store.put("i-1", replica_fields(ADDRESS))
+        own.note_born(2)
+        await clock.advance(ROUND_MS)
+        assert own.current.born_ms == 2
+        before = store.reads
+        await clock.advance(10 * CHECK_INTERVAL_MS)
+        assert store.reads - before <= 20
+
+    run_watched(scenario)
+
+
+def test_a_report_without_a_start_has_the_row_read_again(run_watched):
+    # Guards against the row before a restart, found at the agent's start.
+    async def scenario(own, store, clock, restarts):
+        assert own.note_born(0) is None
+        store.put("i-1", replica_fields(ADDRESS, born=2))
+        await clock.advance(ROUND_MS)
+        assert own.current.born_ms == 2
+        before = store.reads
+        for _ in range(50):
+            own.note_born(0)
+            await clock.advance(100)
+        assert store.reads - before <= 1
+
+    run_watched(scenario)
+
+
 def test_a_new_id_at_the_address_is_noticed(run_watched):
     # Guards against an agent that keeps to the row of an id that has ended.
     async def scenario(own, store, clock, restarts):
--- a/dahliashunt/platform/tests/test_report.py
+++ b/dahliashunt/platform/tests/test_report.py
@@ -40,6 +40,15 @@
     assert (found.kv_used, found.kv_total) == (0, 0)
 
 
+@pytest.mark.parametrize(
+    ("born", "born_ms"),
+    [(5, 5), (5.0, 5), (None, 0), ("5", 0), (-1, 0), (True, 0), (2**70, 0)],
+)
+def test_a_start_is_a_whole_number_or_unknown(born, born_ms):
+    # Guards against an agent that ends on a report of another writer.
+    assert report(born=born).born_ms == born_ms
+
+
 def test_an_agent_publishes_speed_and_unread_tokens():
     clock, metrics = VirtualClock(), Metrics("a")
     allocator = SlotAllocator(8)
