Pool no connection that is paused or in the midst of a response

Cause: a connection that was given back with unconsumed bytes kept its reading paused, so that the next request on it got no response; one of an item whose error response fell silent was given back before that response had ended, so that its rest met the next request. Change: releasing a connection resumes its reading, and the pool closes one whose response has not ended. Result: both cases of the new test fail before and pass after the change.

--- a/dahliashunt/adapters/http1/connection.py
+++ b/dahliashunt/adapters/http1/connection.py
@@ -301,18 +301,28 @@
         self._unread -= size
         self._backlog.size -= size
         if self._paused and self._unread <= READ_HIGH_WATER_BYTES // 2:
-            self._paused = False
-            now_s = asyncio.get_running_loop().time()
-            self._longest_pause_s = max(
-                self._longest_pause_s, now_s - self._paused_s
-            )
-            if not self.transport.is_closing():
-                self.transport.resume_reading()
+            self._resume()
+
+    def _resume(self):
+        self._paused = False
+        now_s = asyncio.get_running_loop().time()
+        self._longest_pause_s = max(
+            self._longest_pause_s, now_s - self._paused_s
+        )
+        if not self.transport.is_closing():
+            self.transport.resume_reading()
 
     def release(self) -> None:
         """Stop counting body bytes that nobody will consume."""
         self._backlog.size -= self._unread
         self._unread = 0
+        if self._paused:
+            self._resume()
+
+    @property
+    def in_exchange(self) -> bool:
+        """Whether a response has not ended yet."""
+        return self._mailbox is not None
 
     @property
     def was_unread(self) -> bool:
--- a/dahliashunt/adapters/http1/pool.py
+++ b/dahliashunt/adapters/http1/pool.py
@@ -94,14 +94,21 @@
     def give_back(
         self, address: tuple[str, int], connection: HttpConnection
     ) -> None:
-        """Keep `connection` for reuse if it is usable, else close it."""
-        connection.release()
-        if not connection.usable or connection.transport.is_closing():
-            connection.abort()
-            return
-        if self._is_forgotten(address, connection):
+        """Keep `connection` for reuse if it is usable, else close it.
+
+        The rest of a response in progress would meet the next request, so
+        that its connection is closed.
+        """
+        if (
+            not connection.usable
+            or connection.in_exchange
+            or connection.transport.is_closing()
+            or self._is_forgotten(address, connection)
+        ):
             connection.abort()
+            connection.release()
             return
+        connection.release()
         connection.idle_since_ms = self._clock.now_ms()
         idle = self._idle_by_address.setdefault(address, [])
         idle.append(connection)
--- a/dahliashunt/adapters/http1/tests/test_connection.py
+++ b/dahliashunt/adapters/http1/tests/test_connection.py
@@ -16,12 +16,15 @@
 from dahliashunt.adapters.http1 import exchange_whole
 from dahliashunt.adapters.http1 import open_connection
 from dahliashunt.adapters.http1 import ResponseHead
+from dahliashunt.adapters.http1.connection import READ_HIGH_WATER_BYTES
 
 RESET = struct.pack("ii", 1, 0)
 """SO_LINGER value with which a close sends a reset."""
 
 REQUEST = encode_request("GET", "/", [("Host", "h")])
 
+PAUSING = READ_HIGH_WATER_BYTES + 1
+
 
 @contextlib.asynccontextmanager
 async def server(*parts, close=False, reset=False):
@@ -218,3 +221,46 @@
             pool.close()
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    ("first_answer", "reusable"),
+    [
+        (head(content_length=9) + b"ok", False),
+        # The last byte pauses reading.
+        (head(content_length=PAUSING) + b"x" * PAUSING, True),
+    ],
+    ids=["unfinished", "whole, unread"],
+)
+def test_a_pooled_connection_answers_the_next_request(first_answer, reusable):
+    """Guards against a request that meets an earlier one's response.
+
+    A pooled connection was in the midst of a response, or its reading stayed
+    paused.
+    """
+
+    async def connected(reader, writer):
+        for answer in (first_answer, head(content_length=2) + b"ok"):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(answer)
+
+    async def main():
+        clock = SystemClock()
+        pool = ConnectionPool(clock)
+        listening = await asyncio.start_server(connected, "127.0.0.1", 0)
+        address = listening.sockets[0].getsockname()
+        first = await pool.take(address)
+        mailbox = first.start(REQUEST)
+        while End.WHOLE not in await mailbox.take(1_000):
+            if not reusable:
+                break
+        pool.give_back(address, first)
+        second = await pool.take(address)
+        assert (second is first) == reusable
+        if reusable:
+            answer = await exchange_whole(second, REQUEST, clock, 1_000)
+            assert answer and answer.body == b"ok"
+        pool.close()
+        listening.close()
+
+    asyncio.run(main())
