Expect no body after HEAD, 204 and 304, and obey each form of a close

Cause: the length that such a response states was held against the bounds of a body and sent on as its length, so that 304 of a long object ended as lost. The answer to HEAD was waited for until the time of the request was over. Of the ways to announce a close, only a header with nothing else was known: a connection that is being closed was reused. Change: a head tells whether a body may follow, and the parser decides whether the connection stays open.

--- a/dahliashunt/adapters/http1/connection.py
+++ b/dahliashunt/adapters/http1/connection.py
@@ -77,10 +77,14 @@
     status : int
     headers : tuple of pairs
         Names in lower case, in order.
+    has_body : bool
+        Whether a body may follow. The answer to HEAD, and some statuses,
+        have none, whatever length is stated.
     """
 
     status: int
     headers: tuple[tuple[str, str], ...]
+    has_body: bool = True
 
     def get(self, name: str) -> str | None:
         """Return the first header called `name`, in lower case."""
@@ -90,7 +94,7 @@
         return None
 
     def stated_bytes(self) -> int | None:
-        """Return the body's length by its header, or None without one."""
+        """Return the length in the header, or None without one."""
         value = self.get("content-length") or ""
         return int(value) if value.isdecimal() else None
 
@@ -128,6 +132,7 @@
         self._parser = None
         self._mailbox = None
         self._accept = None
+        self._is_head = False
         self._headers = []
         self._framed = False
         self._skipping = False
@@ -197,7 +202,8 @@
         if self._mailbox is None:
             return
         status = self._parser.get_status_code()
-        head = ResponseHead(status, tuple(self._headers))
+        has_body = not self._is_head and status not in _NO_BODY
+        head = ResponseHead(status, tuple(self._headers), has_body)
         self._headers = None
         if status < 200:
             self._meter.interim()
@@ -210,6 +216,11 @@
             return
         self._apply_connection_headers(head)
         self._mailbox.put(head)
+        if self._is_head:
+            # The parser waits for the stated body, so that it can't tell a
+            # following response from one.
+            self.usable = False
+            self._finish(End.WHOLE)
 
     def on_body(self, data):
         """Deliver a part of the body."""
@@ -236,11 +247,9 @@
             self._finish(End.WHOLE if self._framed else End.CLOSED)
 
     def _apply_connection_headers(self, head):
-        if (head.get("connection") or "").lower() == "close":
-            self.usable = False
-        if head.status in _NO_BODY:
+        if not head.has_body:
             self._framed = True
-        if not self._framed:
+        if not (self._framed and self._parser.should_keep_alive()):
             self.usable = False
         for part in (head.get("keep-alive") or "").split(","):
             name, _, value = part.strip().partition("=")
@@ -272,6 +281,7 @@
         self.exceeded = None
         self._mailbox = Mailbox()
         self._accept = accept or (lambda head: True)
+        self._is_head = request.startswith(b"HEAD ")
         self._headers = []
         self._skipping = False
         self.release()
--- a/dahliashunt/adapters/http1/tests/test_connection.py
+++ b/dahliashunt/adapters/http1/tests/test_connection.py
@@ -157,9 +157,19 @@
     assert usable is False
 
 
-def test_connection_close_is_obeyed():
-    _, usable = run_exchange(head(content_length=0, connection="close"))
-    assert usable is False
+@pytest.mark.parametrize(
+    "first",
+    [
+        head(content_length=0, connection="close"),
+        head(content_length=0, connection="x-hop, Close"),
+        b"HTTP/1.0 200 OK\r\nContent-Length: 0\r\n\r\n",
+    ],
+    ids=["close", "one of several options", "older version"],
+)
+def test_a_connection_that_the_peer_will_close_is_not_reused(first):
+    """Guards against a request sent to a connection that is being closed."""
+    events, usable = run_exchange(first)
+    assert (events[-1], usable) == (End.WHOLE, False)
 
 
 def test_silence_ends_the_exchange_and_the_connection():
--- a/dahliashunt/forwarding/attempt.py
+++ b/dahliashunt/forwarding/attempt.py
@@ -237,7 +237,7 @@
         A body that is, or is stated to be, longer than `max_bytes` ends the
         connection.
         """
-        if (head.stated_bytes() or 0) > max_bytes:
+        if head.has_body and (head.stated_bytes() or 0) > max_bytes:
             connection.exceed(Bound.BODY)
             return None
         parts = []
@@ -279,7 +279,10 @@
     async def _relay_whole(self, connection, mailbox, head):
         length = head.stated_bytes()
         max_bytes = MAX_UNSTATED_BODY_BYTES
-        if length is not None:
+        if not head.has_body:
+            is_head = self._state.call.method == "HEAD"
+            await self._start_response(head, length if is_head else None)
+        elif length is not None:
             max_bytes = MAX_STATED_BODY_BYTES
             if MAX_BUFFERED_BYTES < length <= max_bytes:
                 await self._start_response(head, length)
--- a/dahliashunt/platform/tests/test_endless.py
+++ b/dahliashunt/platform/tests/test_endless.py
@@ -205,6 +205,26 @@
     platform(scenario, {**WHOLE, "timeout-ms": 20_000})
 
 
+@pytest.mark.parametrize(("method", "status"), [("HEAD", 200), ("GET", 304)])
+@pytest.mark.parametrize("size", [2_000_000, 70_000_000])
+def test_a_length_without_a_body_is_not_waited_for(
+    platform, method, status, size
+):
+    """Guards against a bound on bytes that a response does not have.
+
+    Such a response states the length of the body that GET would return.
+    """
+
+    async def scenario(p):
+        p.replicas[0].then(status=status, body=b"x" * size, cut_body_at=0)
+        answer = await p.call(method)
+        assert (answer.status, answer.whole) == (status, True)
+        if method == "HEAD":
+            assert answer.head.get("content-length") == str(size)
+
+    platform(scenario, WHOLE)
+
+
 async def read_again(read):
     """Read until the store answers in time, as followers do."""
     async with asyncio.timeout(20):
