End an attempt at an event id of thousands of digits, split events faster

Cause: `int` raises ValueError at such an id, which ended the request with an error of the program. Each event was copied twice and split into lines. Change: an id of more than 18 digits is out of order. Events that are whole in one read are cut from it without a buffer. Result: the new test fails before and passes after the change.

--- a/dahliashunt/adapters/http1/tests/test_bounds.py
+++ b/dahliashunt/adapters/http1/tests/test_bounds.py
@@ -3,6 +3,8 @@
 import asyncio
 import tracemalloc
 
+import pytest
+
 from dahliashunt.adapters.clock import SystemClock
 from dahliashunt.adapters.http1 import ConnectionPool
 from dahliashunt.adapters.http1 import End
@@ -16,6 +18,7 @@
 from dahliashunt.adapters.http1.tests.test_connection import run_exchange
 from dahliashunt.adapters.http1.tests.test_connection import server
 from dahliashunt.adapters.write_backlog import ReadBacklog
+from dahliashunt.forwarding.events import EventOutOfOrder
 from dahliashunt.forwarding.events import EventSplitter
 from dahliashunt.forwarding.events import MAX_EVENT_BYTES
 
@@ -86,6 +89,12 @@
         assert splitter.rest == b""
 
 
+def test_an_event_id_without_end_is_out_of_order():
+    """Guards against an error of `int`, which no caller of `feed` expects."""
+    with pytest.raises(EventOutOfOrder):
+        EventSplitter().feed(b"id: " + b"9" * 5_000 + b"\n\n")
+
+
 def test_an_event_at_its_bound_is_returned():
     """Guards against a bound that ends the longest allowed event."""
     splitter = EventSplitter()
--- a/dahliashunt/forwarding/events.py
+++ b/dahliashunt/forwarding/events.py
@@ -5,7 +5,7 @@
 .. [1] WHATWG, HTML Living Standard, "Server-sent events".
 """
 
-from dataclasses import dataclass
+from typing import NamedTuple
 
 from dahliashunt.errors import EngineError
 
@@ -14,6 +14,8 @@
 MAX_EVENT_BYTES = 1_048_576
 """Longest event; a longer one ends the attempt."""
 
+MAX_ID_DIGITS = 18
+"""Longest event id; `int` raises an error at some thousands of digits."""
 
 _CRLF_BLANK_LINE = b"\r\n\r\n"
 
@@ -26,8 +28,7 @@
     """An event exceeds `MAX_EVENT_BYTES`."""
 
 
-@dataclass(frozen=True, slots=True)
-class Event:
+class Event(NamedTuple):
     """One server-sent event.
 
     Attributes
@@ -85,37 +86,60 @@
         ------
         EventTooLong
             An event exceeds `MAX_EVENT_BYTES`.
+        EventOutOfOrder
+            An event's id exceeds `MAX_ID_DIGITS`.
         """
-        searched = max(0, len(self._buffer) - len(_CRLF_BLANK_LINE) + 1)
-        self._buffer += data
+        unread, searched = data, 0
+        if self._buffer:
+            searched = max(0, len(self._buffer) - len(_CRLF_BLANK_LINE) + 1)
+            self._buffer += data
+            unread = self._buffer
         self._has_cr = self._has_cr or b"\r" in data
         events = []
         offset = 0
         while True:
-            end, size = self._find_blank_line(max(offset, searched))
-            if end < 0:
+            end = _after_blank_line(
+                unread, max(offset, searched), self._has_cr
+            )
+            if not end:
                 break
-            raw = bytes(self._buffer[offset : end + size])
+            raw = bytes(unread[offset:end])
             events.append(Event(_event_id(raw), raw))
-            offset = end + size
-        del self._buffer[:offset]
+            offset = end
+        if unread is data:
+            if offset < len(data):
+                self._buffer += data[offset:]
+        else:
+            del self._buffer[:offset]
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise EventTooLong(f"event exceeds {MAX_EVENT_BYTES} bytes")
         return events
 
-    def _find_blank_line(self, offset):
-        lf_end = self._buffer.find(b"\n\n", offset)
-        if not self._has_cr:
-            return lf_end, 2
-        crlf_end = self._buffer.find(_CRLF_BLANK_LINE, offset)
-        if crlf_end >= 0 and (lf_end < 0 or crlf_end < lf_end):
-            return crlf_end, 4
-        return lf_end, 2
+
+def _after_blank_line(data, offset, has_cr):
+    """Return the index after the next blank line, 0 without one."""
+    lf = data.find(b"\n\n", offset)
+    if has_cr:
+        crlf = data.find(_CRLF_BLANK_LINE, offset)
+        if crlf >= 0 and (lf < 0 or crlf < lf):
+            return crlf + len(_CRLF_BLANK_LINE)
+    return lf + 2 if lf >= 0 else 0
 
 
 def _event_id(raw):
+    if raw.startswith(b"id:"):
+        # The usual form, whose other lines need not be split.
+        text = raw[3 : raw.find(b"\n")].strip()
+        if text.isdigit():
+            return _number(text)
     for line in raw.splitlines():
         if line.startswith(b"id:"):
             text = line[3:].strip()
-            return int(text) if text.isdigit() else None
+            return _number(text) if text.isdigit() else None
     return None
+
+
+def _number(digits):
+    if len(digits) > MAX_ID_DIGITS:
+        raise EventOutOfOrder(f"an event id exceeds {MAX_ID_DIGITS} digits")
+    return int(digits)
