Bound what the command line reads

Cause: the clients of entries, nodes and reports read interim responses, chunk extensions, trailers and bodies for as long as they come. Change: one response class counts framing as the nodes do, and bodies have a bound: 16 MB whole, 1 MB of an error, 8 MB of a node's page as before. Files are read in parts of any sum. JSON that nests without end is an invalid answer.

--- a/dahliashunt/cli/client.py
+++ b/dahliashunt/cli/client.py
@@ -12,11 +12,14 @@
 from typing import Any
 import urllib.parse
 
+from dahliashunt.cli.bounded_response import BoundedResponse
+from dahliashunt.cli.bounded_response import read_body
 from dahliashunt.cli.exits import CommandError
 from dahliashunt.cli.exits import Exit
 from dahliashunt.cli.exits import EXIT_BY_KIND
 from dahliashunt.errors import ErrorKind
 from dahliashunt.errors import Ran
+from dahliashunt.row_fields import parse_json
 
 __all__ = ["Ask", "Client"]
 
@@ -25,7 +28,9 @@
 """Times that all entries are tried before a command gives up."""
 
 MAX_WAIT_S = 5.0
-PIECE_BYTES = 65_536
+
+MAX_ERROR_BYTES = 1_048_576
+"""Longest body of an error; honest ones name a few hundred conflicts."""
 
 _PASSING = {
     ErrorKind.STORE_UNAVAILABLE,
@@ -133,7 +138,7 @@
         with self._open(ask, whole=True) as (_, text):
             pass
         try:
-            answer = json.loads(text)
+            answer = parse_json(text)
         except ValueError:
             answer = None
         if not isinstance(answer, dict):
@@ -145,7 +150,7 @@
         with self._open(Ask("GET", path), whole=False) as (response, _):
             bounded = response.chunked or response.length is not None
             try:
-                while piece := response.read(PIECE_BYTES):
+                while piece := response.read_piece():
                     yield piece
             except (OSError, http.client.HTTPException):
                 bounded = False
@@ -188,7 +193,7 @@
             self._write(connection, url, ask)
             response = connection.getresponse()
             if response.status < 400:
-                return response, response.read() if whole else b""
+                return response, read_body(response) if whole else b""
             self._refused(response, ask, refusal)
         except (OSError, http.client.HTTPException) as error:
             # Failure: the entry was lost after it took the request. A
@@ -201,7 +206,7 @@
     def _refused(self, response, ask, refusal):
         error, kind = _error(response)
         after = response.headers.get("Retry-After", "1")
-        refusal.retry_after_s = float(after) if after.isdigit() else 1.0
+        refusal.retry_after_s = float(after) if after.isdecimal() else 1.0
         if ask.method == "GET":
             error.ran = Ran.NO
             if error.exit_code is Exit.OUTCOME_UNKNOWN:
@@ -232,15 +237,18 @@
 
     def _connection(self, url):
         if url.scheme == "https":
-            return http.client.HTTPSConnection(
+            connection = http.client.HTTPSConnection(
                 url.hostname,
                 url.port,
                 timeout=self._timeout_s,
                 context=ssl.create_default_context(),
             )
-        return http.client.HTTPConnection(
-            url.hostname, url.port, timeout=self._timeout_s
-        )
+        else:
+            connection = http.client.HTTPConnection(
+                url.hostname, url.port, timeout=self._timeout_s
+            )
+        connection.response_class = BoundedResponse
+        return connection
 
 
 def _parsed(entry):
@@ -258,7 +266,7 @@
 def _error(response):
     """Return the error of an answer and its kind."""
     try:
-        details = json.loads(response.read())["error"]
+        details = parse_json(read_body(response, MAX_ERROR_BYTES))["error"]
         kind = ErrorKind(details["code"])
         ran = Ran(details.get("ran", "unknown"))
         message = str(details["message"])
--- a/dahliashunt/cli/nodes.py
+++ b/dahliashunt/cli/nodes.py
@@ -3,12 +3,14 @@
 from collections.abc import Iterable
 import concurrent.futures
 import http.client
-import json
 from typing import Any
 import urllib.parse
 
+from dahliashunt.cli.bounded_response import BoundedResponse
+from dahliashunt.cli.bounded_response import read_body
 from dahliashunt.cli.exits import Exit
 from dahliashunt.cli.exits import ReadError
+from dahliashunt.row_fields import parse_json
 
 __all__ = ["ask_each", "ask_node", "node_addresses"]
 
@@ -46,10 +48,11 @@
     connection = http.client.HTTPConnection(
         host.strip("[]"), int(port), timeout=TIMEOUT_S
     )
+    connection.response_class = BoundedResponse
     try:
         connection.request("GET", target)
         answer = connection.getresponse()
-        body = answer.read(MOST_BYTES)
+        body = read_body(answer, MOST_BYTES)
     except (OSError, http.client.HTTPException) as error:
         raise ReadError(
             Exit.UNAVAILABLE, f"node {address} does not answer: {error}"
@@ -66,7 +69,7 @@
             f"node {address} has no such page; an agent has no routes",
         )
     try:
-        found = json.loads(body)
+        found = parse_json(body)
     except ValueError:
         found = None
     if status != 200 or not isinstance(found, dict):
