--- a/dahliashunt/adapters/http1/connection.py
+++ b/dahliashunt/adapters/http1/connection.py
@@ -77,10 +77,14 @@
     status : int
     headers : tuple of pairs
         Names in lower case, in order.
+    has_body : bool
+        Whether a body may follow. The answer to HEAD, and some statuses,
+        have none, whatever length is stated.
     """
 
     status: int
     headers: tuple[tuple[str, str], ...]
+    has_body: bool = True
 
     def get(self, name: str) -> str | None:
         """Return the first header called `name`, in lower case."""
@@ -90,7 +94,7 @@
         return None
 
     def stated_bytes(self) -> int | None:
-        """Return the body's length by its header, or None without one."""
+        """Return the length in the header, or None without one."""
         value = self.get("content-length") or ""
         return int(value) if value.isdecimal() else None
 
@@ -128,7 +132,9 @@
         self._parser = None
         self._mailbox = None
         self._accept = None
+        self._is_head = False
         self._headers = []
+        self._parts = []
         self._framed = False
         self._skipping = False
         self._backlog = backlog or ReadBacklog()
@@ -148,10 +154,11 @@
         if self._mailbox is None:
             self.abort()
             return
-        self._meter.received(len(data))
         try:
             self._parser.feed_data(data)
-            self._meter.check()
+            if self._mailbox is not None:
+                body_bytes = self._deliver() if self._parts else 0
+                self._meter.progress(len(data), body_bytes)
         except (
             httptools.HttpParserError,
             httptools.HttpParserUpgrade,
@@ -197,7 +204,8 @@
         if self._mailbox is None:
             return
         status = self._parser.get_status_code()
-        head = ResponseHead(status, tuple(self._headers))
+        has_body = not self._is_head and status not in _NO_BODY
+        head = ResponseHead(status, tuple(self._headers), has_body)
         self._headers = None
         if status < 200:
             self._meter.interim()
@@ -210,22 +218,39 @@
             return
         self._apply_connection_headers(head)
         self._mailbox.put(head)
+        if self._is_head:
+            # The parser waits for the stated body, so that it can't tell a
+            # following response from one.
+            self.usable = False
+            self._finish(End.WHOLE)
 
     def on_body(self, data):
-        """Deliver a part of the body."""
+        """Keep a part of the body until the end of the read."""
         if self._mailbox is None:
             return
         if self._skipping:
             self._meter.skipped(len(data))
             return
-        self._meter.body(len(data))
+        self._parts.append(data)
+
+    def _deliver(self):
+        """Deliver the parts of the body in one read; return their size.
+
+        Tiny chunks would otherwise take many times the memory of their
+        bytes while they wait, and each would cost a delivery.
+        """
+        parts = self._parts
+        data = parts[0] if len(parts) == 1 else b"".join(parts)
+        parts.clear()
+        size = len(data)
         self._mailbox.put(data)
-        self._unread += len(data)
-        self._backlog.size += len(data)
+        self._unread += size
+        self._backlog.size += size
         if self._unread > READ_HIGH_WATER_BYTES and not self._paused:
             self._paused = True
             self._paused_s = asyncio.get_running_loop().time()
             self.transport.pause_reading()
+        return size
 
     def on_message_complete(self):
         """End the exchange."""
@@ -236,11 +261,9 @@
             self._finish(End.WHOLE if self._framed else End.CLOSED)
 
     def _apply_connection_headers(self, head):
-        if (head.get("connection") or "").lower() == "close":
-            self.usable = False
-        if head.status in _NO_BODY:
+        if not head.has_body:
             self._framed = True
-        if not self._framed:
+        if not (self._framed and self._parser.should_keep_alive()):
             self.usable = False
         for part in (head.get("keep-alive") or "").split(","):
             name, _, value = part.strip().partition("=")
@@ -250,6 +273,8 @@
     def _finish(self, end):
         if end is not End.WHOLE:
             self.usable = False
+        if self._parts:
+            self._deliver()
         mailbox, self._mailbox = self._mailbox, None
         if mailbox is not None:
             mailbox.put(end)
@@ -272,6 +297,7 @@
         self.exceeded = None
         self._mailbox = Mailbox()
         self._accept = accept or (lambda head: True)
+        self._is_head = request.startswith(b"HEAD ")
         self._headers = []
         self._skipping = False
         self.release()
@@ -301,18 +327,28 @@
         self._unread -= size
         self._backlog.size -= size
         if self._paused and self._unread <= READ_HIGH_WATER_BYTES // 2:
-            self._paused = False
-            now_s = asyncio.get_running_loop().time()
-            self._longest_pause_s = max(
-                self._longest_pause_s, now_s - self._paused_s
-            )
-            if not self.transport.is_closing():
-                self.transport.resume_reading()
+            self._resume()
+
+    def _resume(self):
+        self._paused = False
+        now_s = asyncio.get_running_loop().time()
+        self._longest_pause_s = max(
+            self._longest_pause_s, now_s - self._paused_s
+        )
+        if not self.transport.is_closing():
+            self.transport.resume_reading()
 
     def release(self) -> None:
         """Stop counting body bytes that nobody will consume."""
         self._backlog.size -= self._unread
         self._unread = 0
+        if self._paused:
+            self._resume()
+
+    @property
+    def in_exchange(self) -> bool:
+        """Whether a response has not ended yet."""
+        return self._mailbox is not None
 
     @property
     def was_unread(self) -> bool:
--- a/dahliashunt/forwarding/attempt.py
+++ b/dahliashunt/forwarding/attempt.py
@@ -237,10 +237,10 @@
         A body that is, or is stated to be, longer than `max_bytes` ends the
         connection.
         """
-        if (head.stated_bytes() or 0) > max_bytes:
+        if head.has_body and (head.stated_bytes() or 0) > max_bytes:
             connection.exceed(Bound.BODY)
             return None
-        parts = []
+        parts = bytearray()
         size = 0
         while True:
             events = await self._take_events(mailbox, self._head_silence_ms())
@@ -248,8 +248,8 @@
                 return None
             for event in events:
                 if isinstance(event, End):
-                    return None if event is End.BROKEN else b"".join(parts)
-                parts.append(event)
+                    return None if event is End.BROKEN else bytes(parts)
+                parts += event
                 size += len(event)
                 if size > max_bytes:
                     connection.exceed(Bound.BODY)
@@ -263,7 +263,7 @@
         the replica.
         """
         if self._state.started:
-            await self._sink.send(b"".join(parts))
+            await self._sink.send(bytes(parts))
             parts.clear()
         connection.taken(sum(map(len, events)))
 
@@ -279,7 +279,10 @@
     async def _relay_whole(self, connection, mailbox, head):
         length = head.stated_bytes()
         max_bytes = MAX_UNSTATED_BODY_BYTES
-        if length is not None:
+        if not head.has_body:
+            is_head = self._state.call.method == "HEAD"
+            await self._start_response(head, length if is_head else None)
+        elif length is not None:
             max_bytes = MAX_STATED_BODY_BYTES
             if MAX_BUFFERED_BYTES < length <= max_bytes:
                 await self._start_response(head, length)
