Agent: ignore load reports from before the engine's first steps

Online streams were refused beside batch on a busy machine. A trace shows a report of 0 running and 2 waiting streams, taken 59 ms after 24 batch streams were sent and handled half a second later, while 8 of them decoded. It lowered the agent's limit of running streams to 1, so that one online stream filled the engine and five were refused at once. The step model was not involved: it predicted 16 to 21 ms.

A report lowers the limit only if it shows at least the streams that decode now, and if any does. Without this the four cases of the new test start no online stream; the tests of the agent and of its simulation pass.

--- a/dahliashunt/decisions/agent.py
+++ b/dahliashunt/decisions/agent.py
@@ -121,9 +121,9 @@
         """Update from the engine's delayed load report."""
         if self.model.samples == 0 and load.step_ms > 0 and load.running:
             self.model.observe(load.step_ms, load.running, load.kv_used_tokens)
-        self._gate.update_limits(
-            now, load, self._running.queues_in_engine(now, load.age_ms)
-        )
+        queueing = self._running.queues_in_engine(now, load.age_ms)
+        decoding = self._running.occupancy.decoding
+        self._gate.update_limits(now, load, queueing, decoding)
         return self._decide(now)
 
     def ended(self, now: int, attempt_id: AttemptId) -> list[Decision]:
--- a/dahliashunt/decisions/gate.py
+++ b/dahliashunt/decisions/gate.py
@@ -99,7 +99,7 @@
             self.quiet = now >= self._last_online_ms + self.policy.quiet_ms
 
     def update_limits(
-        self, now: int, load: EngineLoad, queueing: bool
+        self, now: int, load: EngineLoad, queueing: bool, decoding: int
     ) -> None:
         """Update memory and slots from the engine's delayed report.
 
@@ -109,15 +109,19 @@
         that (`queueing`). The limit recovers by a slot a second.
 
         The limit never falls below the highest reported number of running
-        streams: a report from the middle of a long step shows too few.
+        streams: a report from the middle of a long step shows too few. A
+        report that shows fewer than the `decoding` streams is older than
+        their first tokens, and while none decodes the engine may not have
+        admitted what was sent to it: neither says how many slots it has.
         """
         if load.kv_total_tokens > 0:
             self.kv_total = load.kv_total_tokens
         self._max_running_seen = max(self._max_running_seen, load.running)
         self.max_running = max(self.max_running, load.running)
         if load.waiting > 0 and queueing:
-            if load.running >= self._max_running_seen:
-                self.max_running = max(1, load.running)
+            seen = max(self._max_running_seen, decoding)
+            if decoding and load.running >= seen:
+                self.max_running = load.running
         elif now >= self._next_slot_raise_ms:
             self.max_running += 1
         else:
--- a/dahliashunt/decisions/tests/test_agent.py
+++ b/dahliashunt/decisions/tests/test_agent.py
@@ -209,6 +209,21 @@
     assert ids_of(Start, decisions) == ["q"]
 
 
+@pytest.mark.parametrize("decoding", [0, 8])
+@pytest.mark.parametrize("reported", [0, 1])
+def test_report_from_a_first_step_does_not_refuse_online(decoding, reported):
+    # Guards against refusals beside batch because of a report that was taken
+    # before the engine admitted the streams that were sent to it.
+    agent = make_filled(decoding, max_running=32)
+    for n in range(16):
+        agent.offer(60, batch(f"w{n}", prompt=2))
+    load = EngineLoad(reported, 2, 6 * reported, 200_000, 20.0, 500)
+    agent.engine_load(700, load)
+    for n in range(6):
+        decisions = agent.offer(750, online(f"o{n}", start_by=1_500))
+        assert ids_of(Start, decisions) == [f"o{n}"]
+
+
 @pytest.mark.parametrize("priority", [online, batch])
 def test_alone_runs_with_nothing_beside_it(priority):
     agent = make_filled(2)
