End a stream that goes on after its request's time

Cause: the time of a request ended only a wait, and a replica that always has more to send is never waited for. Its stream was relayed for as long as the caller read it, in flat memory. Change: what the connection may hold unread is relayed after that time, and then the attempt ends as timed out.

--- a/dahliashunt/forwarding/attempt.py
+++ b/dahliashunt/forwarding/attempt.py
@@ -6,6 +6,7 @@
 from dahliashunt.adapters.http1 import ConnectFailed
 from dahliashunt.adapters.http1 import End
 from dahliashunt.adapters.http1 import ResponseHead
+from dahliashunt.adapters.http1.connection import READ_HIGH_WATER_BYTES
 from dahliashunt.forwarding.call_state import AttemptEnd
 from dahliashunt.forwarding.call_state import CallState
 from dahliashunt.forwarding.call_state import HeldResponse
@@ -45,6 +46,11 @@
 """Longest body of a response that says that the request has not run; it is
 dropped. Honest ones are a line of text."""
 
+MAX_OVERDUE_BYTES = 2 * READ_HIGH_WATER_BYTES
+"""Bytes of a stream that are relayed after the request's time is over: what
+a connection may hold unread by then. Without it a replica that always has
+more to send is read for ever, since no wait for it ends in silence."""
+
 MAX_IDLE_NOT_REPEATABLE_MS = 500
 """Longest idle time of a connection used for a non-repeatable request: a
 reset of a stale connection would leave the outcome unknown."""
@@ -315,10 +321,15 @@
 
     async def _relay_stream(self, connection, mailbox, head):
         splitter = EventSplitter()
+        overdue_bytes = 0
         while True:
             events = await self._take_events(mailbox, self._pause_ms())
             if not events:
                 return self._timed_out_or_silent()
+            if self._clock.now_ms() >= self._state.deadline_ms:
+                overdue_bytes += _body_bytes(events)
+                if overdue_bytes > MAX_OVERDUE_BYTES:
+                    return AttemptEnd.TIMED_OUT
             try:
                 end = await self._relay_events(
                     connection, splitter, events, head
@@ -398,6 +409,10 @@
         return raw
 
 
+def _body_bytes(events):
+    return sum(len(event) for event in events if isinstance(event, bytes))
+
+
 def _broken_end(connection):
     """Return the end of an attempt whose response broke off."""
     if connection.was_unread and connection.exceeded is None:
--- a/dahliashunt/platform/tests/test_endless.py
+++ b/dahliashunt/platform/tests/test_endless.py
@@ -20,6 +20,7 @@
 from dahliashunt.platform.standins import Endless
 from dahliashunt.platform.standins import EndlessPeer
 from dahliashunt.platform.standins import StoreStandin
+from dahliashunt.platform.standins.caller import caller_request
 from dahliashunt.platform.standins.settings import replica_fields
 from dahliashunt.platform.standins.settings import route_fields
 from dahliashunt.platform.store import MAX_REPLY_BYTES
@@ -205,6 +206,35 @@
     platform(scenario, {**WHOLE, "timeout-ms": 20_000})
 
 
+def test_a_stream_without_end_is_relayed_in_flat_memory(platform):
+    """Guards against events that are kept, and against a stream without end.
+
+    A replica that always had more to send was read beyond the request's time.
+    """
+
+    async def scenario(p):
+        peer = EndlessPeer(Endless.COMMENTS)
+        await list_peer(p, peer)
+        port = p.entries[0].ports[0]
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        tracemalloc.start()
+        try:
+            writer.write(caller_request())
+            size = 0
+            async with asyncio.timeout(10):
+                while data := await reader.read(65_536):
+                    size += len(data)
+            peak_bytes = tracemalloc.get_traced_memory()[1]
+        finally:
+            tracemalloc.stop()
+            writer.close()
+            await peer.stop()
+        assert size > MAX_PEAK_BYTES
+        assert peak_bytes < MAX_PEAK_BYTES / 2
+
+    platform(scenario, {**STREAM, "timeout-ms": 3_000}, replicas=0)
+
+
 @pytest.mark.parametrize(("method", "status"), [("HEAD", 200), ("GET", 304)])
 @pytest.mark.parametrize("size", [2_000_000, 70_000_000])
 def test_a_length_without_a_body_is_not_waited_for(
