End an attempt with more events than its request can produce

Cause: a replica that sends valid events without end kept its slot and its caller until the request's time was over. Change: where the request states its maximum output, an attempt may have two events a token and 1,000 more; past that it ends as any response over a bound. Result: the new test fails without the bound, for numbered events and for comments, and passes with it; a stream at the margin is relayed whole.

--- a/dahliashunt/adapters/http1/bounds.py
+++ b/dahliashunt/adapters/http1/bounds.py
@@ -58,6 +58,7 @@
     SKIPPED = "skipped_bytes"
     BODY = "body_bytes"
     EVENT = "event_bytes"
+    EVENTS = "events"
     TEXT = "text_bytes"
     PIPELINE = "pipelined_requests"
 
--- a/dahliashunt/forwarding/attempt.py
+++ b/dahliashunt/forwarding/attempt.py
@@ -1,6 +1,7 @@
 """Send a call to one replica and relay the response to the caller."""
 
 from dataclasses import replace
+import math
 
 from dahliashunt.adapters.http1 import Bound
 from dahliashunt.adapters.http1 import ConnectFailed
@@ -14,6 +15,7 @@
 from dahliashunt.forwarding.events import EventOutOfOrder
 from dahliashunt.forwarding.events import EventSplitter
 from dahliashunt.forwarding.events import EventTooLong
+from dahliashunt.forwarding.events import TooManyEvents
 from dahliashunt.forwarding.excess import report_excess
 from dahliashunt.forwarding.ports import ResponseSink
 from dahliashunt.forwarding.relayed_status import start_relayed
@@ -51,6 +53,14 @@
 a connection may hold unread by then. Without it a replica that always has
 more to send is read for ever, since no wait for it ends in silence."""
 
+EVENTS_PER_TOKEN = 2
+"""Events that one token of the stated maximum output allows. Engines send one
+or fewer."""
+
+EVENTS_MARGIN = 1_000
+"""Events allowed beside those of tokens, as comments that keep a connection
+open: four minutes of one in 250 ms."""
+
 MAX_IDLE_NOT_REPEATABLE_MS = 500
 """Longest idle time of a connection used for a non-repeatable request: a
 reset of a stale connection would leave the outcome unknown."""
@@ -95,6 +105,8 @@
         self._sink = sink
         self._replica = replica
         self._reserve_elsewhere = reserve_elsewhere
+        self._event_count = 0
+        self._max_events = _max_events(state.call.output_tokens)
 
     async def run(self) -> AttemptEnd:
         """Send the call, relay the response and return how it ended."""
@@ -337,6 +349,9 @@
             except EventTooLong:
                 connection.exceed(Bound.EVENT)
                 return AttemptEnd.LOST
+            except TooManyEvents:
+                connection.exceed(Bound.EVENTS)
+                return AttemptEnd.LOST
             except EventOutOfOrder as error:
                 forwarder = self._forwarder
                 forwarder.metrics.count("stream_out_of_order")
@@ -396,6 +411,9 @@
 
     def _in_order(self, events):
         """Return the events' bytes; their ids must be consecutive."""
+        self._event_count += len(events)
+        if self._event_count > self._max_events:
+            raise TooManyEvents(f"more than {self._max_events} events")
         raw = []
         for event in events:
             if event.number is not None:
@@ -409,6 +427,13 @@
         return raw
 
 
+def _max_events(output_tokens):
+    """Return the most events of an attempt; infinite without a maximum."""
+    if not output_tokens:
+        return math.inf
+    return output_tokens * EVENTS_PER_TOKEN + EVENTS_MARGIN
+
+
 def _body_bytes(events):
     return sum(len(event) for event in events if isinstance(event, bytes))
 
--- a/dahliashunt/forwarding/events.py
+++ b/dahliashunt/forwarding/events.py
@@ -9,7 +9,13 @@
 
 from dahliashunt.errors import EngineError
 
-__all__ = ["Event", "EventOutOfOrder", "EventSplitter", "EventTooLong"]
+__all__ = [
+    "Event",
+    "EventOutOfOrder",
+    "EventSplitter",
+    "EventTooLong",
+    "TooManyEvents",
+]
 
 MAX_EVENT_BYTES = 1_048_576
 """Longest event; a longer one ends the attempt."""
@@ -28,6 +34,10 @@
     """An event exceeds `MAX_EVENT_BYTES`."""
 
 
+class TooManyEvents(EventOutOfOrder):
+    """A stream has more events than its request can produce."""
+
+
 class Event(NamedTuple):
     """One server-sent event.
 
--- a/dahliashunt/platform/tests/test_endless.py
+++ b/dahliashunt/platform/tests/test_endless.py
@@ -15,6 +15,8 @@
 from dahliashunt.errors import PlatformError
 from dahliashunt.errors import PlatformUnavailable
 from dahliashunt.errors import WriteOutcomeUnknown
+from dahliashunt.forwarding.attempt import EVENTS_MARGIN
+from dahliashunt.forwarding.attempt import EVENTS_PER_TOKEN
 from dahliashunt.metrics import Metrics
 from dahliashunt.platform.dialect import decode_report
 from dahliashunt.platform.standins import Endless
@@ -206,6 +208,44 @@
     platform(scenario, {**WHOLE, "timeout-ms": 20_000})
 
 
+@pytest.mark.parametrize("numbered", [True, False])
+def test_more_events_than_the_stated_output_end_the_attempt(
+    platform, numbered
+):
+    """Guards against a replica that sends valid events without end."""
+
+    async def scenario(p):
+        peer = EndlessPeer(Endless.COMMENTS)
+        if numbered:
+            p.replicas[0].then(events=100 * EVENTS_MARGIN)
+        else:
+            await list_peer(p, peer)
+        with capture_logs() as lines:
+            answer = await p.call(tokens="400,300", budget_ms=3_000)
+        if not numbered:
+            await peer.stop()
+        assert not answer.whole
+        named = [e for e in lines if e["event"] == "response_over_bound"]
+        assert [e["exceeded"] for e in named] == ["events"]
+        assert answer.body.count(b"\n\n") <= 300 * EVENTS_PER_TOKEN + (
+            EVENTS_MARGIN
+        )
+
+    route = {**STREAM, "timeout-ms": 20_000}
+    platform(scenario, route, replicas=int(numbered))
+
+
+def test_as_many_events_as_the_stated_output_are_relayed(platform):
+    """Guards against a bound that ends an honest stream."""
+
+    async def scenario(p):
+        p.replicas[0].then(events=300 + EVENTS_MARGIN)
+        answer = await p.call(tokens="400,300", budget_ms=20_000)
+        assert answer.whole
+
+    platform(scenario, {**STREAM, "timeout-ms": 20_000})
+
+
 def test_a_stream_without_end_is_relayed_in_flat_memory(platform):
     """Guards against events that are kept, and against a stream without end.
 
