--- a/dahliashunt/platform/tests/test_endless.py
+++ b/dahliashunt/platform/tests/test_endless.py
@@ -15,11 +15,14 @@
 from dahliashunt.errors import PlatformError
 from dahliashunt.errors import PlatformUnavailable
 from dahliashunt.errors import WriteOutcomeUnknown
+from dahliashunt.forwarding.attempt import EVENTS_MARGIN
+from dahliashunt.forwarding.attempt import EVENTS_PER_TOKEN
 from dahliashunt.metrics import Metrics
 from dahliashunt.platform.dialect import decode_report
 from dahliashunt.platform.standins import Endless
 from dahliashunt.platform.standins import EndlessPeer
 from dahliashunt.platform.standins import StoreStandin
+from dahliashunt.platform.standins.caller import caller_request
 from dahliashunt.platform.standins.settings import replica_fields
 from dahliashunt.platform.standins.settings import route_fields
 from dahliashunt.platform.store import MAX_REPLY_BYTES
@@ -205,6 +208,73 @@
     platform(scenario, {**WHOLE, "timeout-ms": 20_000})
 
 
+@pytest.mark.parametrize("numbered", [True, False])
+def test_more_events_than_the_stated_output_end_the_attempt(
+    platform, numbered
+):
+    """Guards against a replica that sends valid events without end."""
+
+    async def scenario(p):
+        peer = EndlessPeer(Endless.COMMENTS)
+        if numbered:
+            p.replicas[0].then(events=100 * EVENTS_MARGIN)
+        else:
+            await list_peer(p, peer)
+        with capture_logs() as lines:
+            answer = await p.call(tokens="400,300", budget_ms=3_000)
+        if not numbered:
+            await peer.stop()
+        assert not answer.whole
+        named = [e for e in lines if e["event"] == "response_over_bound"]
+        assert [e["exceeded"] for e in named] == ["events"]
+        assert answer.body.count(b"\n\n") <= 300 * EVENTS_PER_TOKEN + (
+            EVENTS_MARGIN
+        )
+
+    route = {**STREAM, "timeout-ms": 20_000}
+    platform(scenario, route, replicas=int(numbered))
+
+
+def test_as_many_events_as_the_stated_output_are_relayed(platform):
+    """Guards against a bound that ends an honest stream."""
+
+    async def scenario(p):
+        p.replicas[0].then(events=300 + EVENTS_MARGIN)
+        answer = await p.call(tokens="400,300", budget_ms=20_000)
+        assert answer.whole
+
+    platform(scenario, {**STREAM, "timeout-ms": 20_000})
+
+
+def test_a_stream_without_end_is_relayed_in_flat_memory(platform):
+    """Guards against events that are kept, and against a stream without end.
+
+    A replica that always had more to send was read beyond the request's time.
+    """
+
+    async def scenario(p):
+        peer = EndlessPeer(Endless.COMMENTS)
+        await list_peer(p, peer)
+        port = p.entries[0].ports[0]
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        tracemalloc.start()
+        try:
+            writer.write(caller_request())
+            size = 0
+            async with asyncio.timeout(10):
+                while data := await reader.read(65_536):
+                    size += len(data)
+            peak_bytes = tracemalloc.get_traced_memory()[1]
+        finally:
+            tracemalloc.stop()
+            writer.close()
+            await peer.stop()
+        assert size > MAX_PEAK_BYTES
+        assert peak_bytes < MAX_PEAK_BYTES / 2
+
+    platform(scenario, {**STREAM, "timeout-ms": 3_000}, replicas=0)
+
+
 @pytest.mark.parametrize(("method", "status"), [("HEAD", 200), ("GET", 304)])
 @pytest.mark.parametrize("size", [2_000_000, 70_000_000])
 def test_a_length_without_a_body_is_not_waited_for(
