--- a/dahliashunt/row_fields.py
+++ b/dahliashunt/row_fields.py
@@ -17,6 +17,7 @@
     "list_field",
     "parse_json",
     "text_field",
+    "text_or_empty",
     "whole_field",
 ]
 
@@ -63,6 +64,14 @@
     return value
 
 
+def text_or_empty(value) -> str:
+    """Return a string that UTF-8 can encode; "" for any other value."""
+    try:
+        return text_field(value)
+    except (TypeError, ValueError):
+        return ""
+
+
 def list_field(value) -> list:
     """Return a list; raise `TypeError` for any other value."""
     if not isinstance(value, list):
