Let other modules read a caller's key and look it up by its digest

Cause: a check of a configuration has to tell which keys a request can carry and whose they are, by the code that nodes use. Change: the parser of the Authorization field moves out of the ingress, and Workspaces.find_by_digest is split off find_by_key. Measured: the tests of keys and limits pass unchanged.

--- a/dahliashunt/forwarding/workspaces.py
+++ b/dahliashunt/forwarding/workspaces.py
@@ -116,7 +116,13 @@
 
     def find_by_key(self, key: str) -> Workspace | BrokenWorkspace | None:
         """Return the workspace of `key`, or None."""
-        return self._by_digest.get(key_digest(key))
+        return self.find_by_digest(key_digest(key))
+
+    def find_by_digest(
+        self, digest: bytes
+    ) -> Workspace | BrokenWorkspace | None:
+        """Return the workspace of the key with `digest`, or None."""
+        return self._by_digest.get(digest)
 
     @property
     def knows_all_keys(self) -> bool:
--- a/dahliashunt/platform/ingress.py
+++ b/dahliashunt/platform/ingress.py
@@ -21,6 +21,7 @@
 from dahliashunt.forwarding.relayed_status import UNKNOWN_OUTCOME_STATUS
 from dahliashunt.ids import RequestId
 from dahliashunt.ids import WorkspaceId
+from dahliashunt.platform.caller_key import caller_key
 from dahliashunt.platform.job_calls import JobCalls
 from dahliashunt.platform.names import AUTHORIZATION
 from dahliashunt.platform.names import BUDGET
@@ -229,7 +230,7 @@
         query = exchange.scope["query_string"].decode("latin-1")
         headers = exchange.header_by_name
         job_call = self._jobs.parse(method, path, query, headers)
-        key = _bearer_key(headers)
+        key = caller_key(headers)
         if job_call is not None:
             caller = self._node.caller(key)
             await self._jobs.answer(job_call, caller, exchange)
@@ -284,14 +285,6 @@
         await exchange.whole(status, headers, error.message.encode())
 
 
-def _bearer_key(headers):
-    """Return the key in the Authorization header, or None."""
-    scheme, _, key = headers.get(AUTHORIZATION, "").partition(" ")
-    if scheme.lower() != KEY_SCHEME.lower():
-        return None
-    return key.strip()
-
-
 def _authenticated_call(workspace, call):
     """Return `call` with its workspace and without the caller's key."""
     return replace(
