Check a configuration before it is sent: dahliashunt-platform config check

Cause: a node reports the first invalid field of what it refuses, after the configuration was sent, and says nothing of entries without effect.

--- a/dahliashunt/platform/catalog_records.py
+++ b/dahliashunt/platform/catalog_records.py
@@ -355,7 +355,7 @@
 
 def _digests(fields):
     keys = list_field(fields["api-keys"])
-    return tuple(key_digest(text_field(key)) for key in keys)
+    return tuple([key_digest(text_field(key)) for key in keys])
 
 
 def _key_problems(fields, path):
--- a/dahliashunt/platform/program.py
+++ b/dahliashunt/platform/program.py
@@ -5,6 +5,7 @@
 import sys
 
 from docopt import docopt
+from docopt import DocoptExit
 
 from dahliashunt.errors import SettingsError
 from dahliashunt.logs import set_up_logs
@@ -20,14 +21,23 @@
 """Keys of `RATE_LIMIT_POLICIES`; repeated here because an agent does not
 import its modules."""
 
+CHECK_USAGE = 3
+"""Exit code of a wrong call of the check: nothing was read."""
+
 LAST_PORT = 65_535
 SETTINGS_VARIABLE = "DAHLIASHUNT_CONFIG"
 
 
 def run(usage: str, argv=None) -> int:
     """Run the program that `usage` describes; return its exit code."""
-    arguments = docopt(usage, argv)
     path = os.environ.get(SETTINGS_VARIABLE, "")
+    arguments = _arguments(usage, argv)
+    if arguments is None:
+        return CHECK_USAGE
+    if arguments["config"]:
+        from dahliashunt.platform.config_command import run_config_check
+
+        return run_config_check(arguments, path)
     try:
         settings = load_settings(path)
     except SettingsError as error:
@@ -63,6 +73,21 @@
         return ExitCode.FAILED
 
 
+def _arguments(usage, argv):
+    """Return the arguments; None after a wrong call of the check.
+
+    Other wrong calls exit with 1, which a check uses for warnings.
+    """
+    words = sys.argv[1:] if argv is None else argv
+    try:
+        return docopt(usage, argv)
+    except DocoptExit as error:
+        if words[:1] != ["config"]:
+            raise
+        print(error, file=sys.stderr)
+        return None
+
+
 def _serve(role):
     # Imports only the modules of this role, which shortens start-up.
     if role == "entry":
