Warn of fields that stand twice in an object of a configuration

Cause: JSON readers keep the last value of a repeated field and drop the others, so that half a list of routes can be lost without an error. Change: the check's parse notes such objects; parse_json takes a hook for it. Measured: the six new cases fail without the note.

--- a/dahliashunt/config_check/check.py
+++ b/dahliashunt/config_check/check.py
@@ -14,6 +14,7 @@
 from dahliashunt.config_check.json_lines import LineIndex
 from dahliashunt.config_check.limits import contradicting_limits
 from dahliashunt.config_check.matches import unmatched_entries
+from dahliashunt.config_check.repeated_fields import repeated_fields
 from dahliashunt.config_check.substitutions import substituted_values
 
 __all__ = ["Report", "check_config"]
@@ -61,7 +62,7 @@
         Whether `other` is in force: nodes then ignore an older version.
     """
     decoded = config.decoded
-    found = list(config.errors)
+    found = [*config.errors, *repeated_fields(config)]
     changes = None
     if decoded is not None:
         found += unmatched_entries(decoded)
--- a/dahliashunt/config_check/config_file.py
+++ b/dahliashunt/config_check/config_file.py
@@ -59,12 +59,15 @@
         The parsed text.
     decoded : Decoded or None
         None if nodes refuse the whole file.
+    repeating : tuple of dict
+        Parsed objects that have a field twice; some are not in `fields`.
     """
 
     text: str | None
     errors: tuple[Finding, ...]
     fields: object = None
     decoded: Decoded | None = None
+    repeating: tuple[dict, ...] = ()
 
     def keys(self) -> set[str]:
         """Return the keys of its workspaces, which no report may contain."""
@@ -89,8 +92,16 @@
     except UnicodeDecodeError as error:
         line = data.count(b"\n", 0, error.start) + 1
         return _unreadable("not-utf-8", "other bytes", "UTF-8 text", line)
+    repeating = []
+
+    def make_object(pairs):
+        made = dict(pairs)
+        if len(made) < len(pairs):
+            repeating.append(made)
+        return made
+
     try:
-        fields = parse_json(text)
+        fields = parse_json(text, make_object)
     except json.JSONDecodeError as error:
         # Some messages quote a character after a colon.
         found = error.msg.partition(":")[0].lower()
@@ -101,7 +112,7 @@
             "nesting that is too deep, or a number that is too long",
             "JSON text",
         )
-    return _decode(text, fields)
+    return _decode(text, fields, tuple(repeating))
 
 
 def _unreadable(code, found, expected, line=None):
@@ -109,7 +120,7 @@
     return ConfigFile(None, (error,))
 
 
-def _decode(text, fields):
+def _decode(text, fields, repeating):
     try:
         records = decode_records(fields)
     except FIELD_ERRORS:
@@ -118,7 +129,7 @@
     errors = [_error("refused", each) for each in problems]
     errors += [_error("left-out", each) for each in _left_out(fields, records)]
     decoded = records and Decoded(fields, records, make_catalog(records))
-    return ConfigFile(text, tuple(errors), fields, decoded)
+    return ConfigFile(text, tuple(errors), fields, decoded, repeating)
 
 
 def _error(code, problem: FieldProblem):
--- a/dahliashunt/config_check/tests/test_check.py
+++ b/dahliashunt/config_check/tests/test_check.py
@@ -358,6 +358,31 @@
     assert {each.severity for each in found} == {Severity.WARNING}
 
 
+@pytest.mark.parametrize(
+    ("field", "path"),
+    [
+        ("version", ()),
+        ("idle-timeout-ms", ("limits",)),
+        ("timeout-ms", ("routes", 0)),
+        ("weight", ("routes", 0, "traffic-split", 0)),
+        ("slots", ("services", 0, "engine")),
+        ("burst", ("tenants", 0)),
+    ],
+)
+def test_a_field_that_stands_twice_is_a_warning(field, path):
+    # Guards against values that every reader drops without an error.
+    text = json.dumps(config())
+    doubled = text.replace(f'"{field}"', f'"{field}": 0, "{field}"')
+    found = [
+        check_config(read_config(each.encode())).findings
+        for each in (doubled, text)
+    ]
+    assert [
+        [each.path for each in report if each.code == "repeated-field"]
+        for report in found
+    ] == [[path], []]
+
+
 def test_a_service_of_a_route_that_is_left_out_counts_as_used():
     # Guards against a second report of what the route's error explains.
     fields = config_fields([route_fields(host=None)])
--- a/dahliashunt/row_fields.py
+++ b/dahliashunt/row_fields.py
@@ -35,9 +35,11 @@
 floats are exact up to it, and it fits into the 64 bits of a datagram."""
 
 
-def parse_json(text: str | bytes):
+def parse_json(text: str | bytes, object_pairs_hook=None):
     """Return the value in `text`; raise `ValueError` if it can't be parsed.
 
+    `object_pairs_hook` is that of `json.loads`.
+
     Examples
     --------
     >>> parse_json("[" * 100_000)
@@ -45,7 +47,7 @@
     ValueError: the JSON text is nested too deeply
     """
     try:
-        return json.loads(text)
+        return json.loads(text, object_pairs_hook=object_pairs_hook)
     except RecursionError:
         raise ValueError("the JSON text is nested too deeply") from None
 
