--- a/dahliashunt/row_fields.py
+++ b/dahliashunt/row_fields.py
@@ -17,6 +17,7 @@
     "list_field",
     "parse_json",
     "text_field",
+    "text_or_empty",
     "whole_field",
 ]
 
@@ -34,9 +35,11 @@
 floats are exact up to it, and it fits into the 64 bits of a datagram."""
 
 
-def parse_json(text: str | bytes):
+def parse_json(text: str | bytes, object_pairs_hook=None):
     """Return the value in `text`; raise `ValueError` if it can't be parsed.
 
+    `object_pairs_hook` is that of `json.loads`.
+
     Examples
     --------
     >>> parse_json("[" * 100_000)
@@ -44,7 +47,7 @@
     ValueError: the JSON text is nested too deeply
     """
     try:
-        return json.loads(text)
+        return json.loads(text, object_pairs_hook=object_pairs_hook)
     except RecursionError:
         raise ValueError("the JSON text is nested too deeply") from None
 
@@ -63,6 +66,14 @@
     return value
 
 
+def text_or_empty(value) -> str:
+    """Return a string that UTF-8 can encode; "" for any other value."""
+    try:
+        return text_field(value)
+    except (TypeError, ValueError):
+        return ""
+
+
 def list_field(value) -> list:
     """Return a list; raise `TypeError` for any other value."""
     if not isinstance(value, list):
