Tell connections to an earlier incarnation by number, not by time

Cause: a connection that was opened in the millisecond in which its server's restart became known counted as one to the new incarnation, and was pooled. Change: the pool numbers the restarts that it is told of. Result: the test with a clock that stands still fails before and passes after the change. A second test shows that no connection past a bound is pooled; it passes on the code as it was.

--- a/dahliashunt/adapters/http1/connection.py
+++ b/dahliashunt/adapters/http1/connection.py
@@ -114,8 +114,10 @@
     ----------
     usable : bool
         Whether the connection may carry another request.
-    idle_since_ms, opened_ms : int
-        Time since when it is idle, and when it was opened; set by the pool.
+    idle_since_ms : int
+        Time since when it is idle; set by the pool.
+    opened_after : int
+        Number of restarts that the pool knew of when it was opened.
     exceeded : Bound or None
         The bound at which reading ended.
     """
@@ -123,7 +125,7 @@
     def __init__(self, backlog: ReadBacklog | None = None):
         self.usable = True
         self.idle_since_ms = 0
-        self.opened_ms = 0
+        self.opened_after = 0
         self.used = 0
         self.keep_alive_ms = None
         self.transport = None
--- a/dahliashunt/adapters/http1/pool.py
+++ b/dahliashunt/adapters/http1/pool.py
@@ -47,7 +47,9 @@
         self._connect_ms = connect_ms
         self._backlog = backlog
         self._idle_by_address: dict[tuple[str, int], list] = {}
-        self._forgotten_ms_by_address: dict[tuple[str, int], int] = {}
+        # Number and time of the last call of `forget` for each address.
+        self._forgotten_by_address: dict[tuple[str, int], tuple] = {}
+        self._forgets = 0
         self.opened = 0
 
     async def take(
@@ -69,10 +71,11 @@
             connection.abort()
         self._idle_by_address.pop(address, None)
         self.opened += 1
+        forgets = self._forgets
         connection = await open_connection(
             *address, self._connect_ms, self._backlog
         )
-        connection.opened_ms = now_ms
+        connection.opened_after = forgets
         return connection
 
     def has_idle(self, address: tuple[str, int]) -> bool:
@@ -122,18 +125,21 @@
         """
         for connection in self._idle_by_address.pop(address, ()):
             connection.abort()
-        self._forgotten_ms_by_address[address] = self._clock.now_ms()
+        self._forgets += 1
+        forgotten = (self._forgets, self._clock.now_ms())
+        self._forgotten_by_address[address] = forgotten
 
     def _is_forgotten(self, address, connection):
-        forgotten_ms = self._forgotten_ms_by_address.get(address)
-        return forgotten_ms is not None and connection.opened_ms < forgotten_ms
+        # Not by time: both may happen within a millisecond.
+        number, _ = self._forgotten_by_address.get(address, (0, 0))
+        return connection.opened_after < number
 
     def sweep(self) -> None:
         """Close connections that were idle for too long."""
         now_ms = self._clock.now_ms()
-        for address, at_ms in list(self._forgotten_ms_by_address.items()):
+        for address, (_, at_ms) in list(self._forgotten_by_address.items()):
             if now_ms - at_ms > FORGOTTEN_MS:
-                del self._forgotten_ms_by_address[address]
+                del self._forgotten_by_address[address]
         for address, idle in list(self._idle_by_address.items()):
             kept = []
             for connection in idle:
--- a/dahliashunt/adapters/http1/tests/test_connection.py
+++ b/dahliashunt/adapters/http1/tests/test_connection.py
@@ -274,3 +274,56 @@
         listening.close()
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        head(x_long="v" * 40_000, content_length=0),
+        head(100) * 20 + head(content_length=0),
+        head(transfer_encoding="chunked") + b"1;" + b"x" * 200_000,
+    ],
+    ids=["field", "interim responses", "framing"],
+)
+def test_a_connection_past_a_bound_is_never_pooled(answer):
+    """Guards against a request that meets the rest of an endless response."""
+
+    async def main():
+        pool = ConnectionPool(SystemClock())
+        async with server(answer) as address:
+            connection = await pool.take(address)
+            mailbox = connection.start(REQUEST)
+            events = []
+            while not (events and isinstance(events[-1], End)):
+                events += await mailbox.take(5_000)
+            assert connection.exceeded is not None
+            pool.give_back(address, connection)
+            assert not pool.has_idle(address)
+            assert connection.transport.is_closing()
+            pool.close()
+
+    asyncio.run(main())
+
+
+def test_a_connection_that_was_being_opened_is_forgotten_too():
+    """Guards against a connection to an earlier incarnation in the pool.
+
+    The clock does not move between its start and the restart.
+    """
+
+    async def main():
+        pool = ConnectionPool(VirtualClock(1))
+        async with server() as address:
+            in_use = await pool.take(address)
+            opening = asyncio.create_task(pool.take(address))
+            await asyncio.sleep(0)
+            pool.forget(address)
+            for connection in (in_use, await opening):
+                pool.give_back(address, connection)
+            assert not pool.has_idle(address)
+            later = await pool.take(address)
+            pool.give_back(address, later)
+            assert pool.has_idle(address)
+            pool.close()
+
+    asyncio.run(main())
