Check keys, versions and pages of the store's answers

Cause: a key or version of another type raised TypeError, which restarted a follower or ended an agent's watch. A store that gives the same page again was read without end. A success of a write that could not be read was reported as a write that took no effect, or raised KeyError. Change: both are checked at the row, a repeated page is an outage, and such a write has an unknown outcome.

--- a/dahliashunt/platform/store.py
+++ b/dahliashunt/platform/store.py
@@ -134,7 +134,7 @@
             rows += [_row(each) for each in page["rows"]]
             if not page.get("truncated") or not page["rows"]:
                 break
-            first = page["rows"][-1]["key"] + "\x00"
+            first = _next_start(page, first)
         return tuple(rows)
 
     async def _page(self, table, part, first, last, limit):
@@ -163,9 +163,11 @@
         body = json.dumps(_encode_transaction(writes)).encode()
         reply = await self._write("POST", "/api/rows-tx", body)
         if reply.status == 412:
-            rows = tuple(_row(each) for each in reply.json()["rows"])
+            rows = _conflicting_rows(reply)
             raise TransactionConflict(tuple(r.key for r in rows), rows)
-        version = self._decode(reply)["ver"]
+        version = self._decode_write(reply).get("ver")
+        if type(version) is not int:
+            raise WriteOutcomeUnknown("the answer has no version")
         return tuple(0 if each.value is None else version for each in writes)
 
     # Feed.
@@ -186,7 +188,7 @@
             version = page["ver"] if version is None else version
             if not page.get("truncated") or not page["rows"]:
                 return Changes(tuple(rows), (), version)
-            first = page["rows"][-1]["key"] + "\x00"
+            first = _next_start(page, first)
 
     async def changes(self, table: str, after: int, wait_ms: int) -> Changes:
         """Return the changes in `table` after version `after`."""
@@ -221,7 +223,7 @@
         """Store `data` under `name`; idempotent."""
         self._count("put", OBJECTS_LABEL)
         path = f"/api/blob-put/{quote(name, safe='')}"
-        self._decode(await self._write("PUT", path, data))
+        self._decode_write(await self._write("PUT", path, data))
 
     async def get(self, name: str) -> bytes | None:
         """Return the object named `name`, or None."""
@@ -242,7 +244,7 @@
         path = f"/api/blob-drop/{quote(name, safe='')}"
         reply = await self._write("DELETE", path, b"")
         if reply.status != 404:
-            self._decode(reply)
+            self._decode_write(reply)
 
     # Calls.
 
@@ -273,6 +275,18 @@
         self._note_clock(fields.get("now-ms"))
         return fields
 
+    def _decode_write(self, reply):
+        """Return the fields of the answer to a write.
+
+        A success that can't be read is no proof that nothing was written.
+        """
+        try:
+            return self._decode(reply)
+        except PlatformUnavailable as error:
+            if reply.status == 200:
+                raise WriteOutcomeUnknown(str(error)) from None
+            raise
+
     def _note_clock(self, now_ms):
         if type(now_ms) is int:
             self._clock_offset_ms = now_ms - self._clock.now_ms()
@@ -368,20 +382,41 @@
     raise PlatformUnavailable("the answer has no rows or no version")
 
 
-def _key(fields):
+def _next_start(page, first):
+    """Return the first key of the next page.
+
+    A store that gives the same page again would be read without end.
+    """
+    start = page["rows"][-1]["key"] + "\x00"
+    if start == first:
+        raise PlatformUnavailable("the answer repeats a page")
+    return start
+
+
+def _conflicting_rows(reply):
+    """Return the rows for which a transaction was refused."""
     try:
-        return f"{fields['table']}/{fields.get('part', '')}/{fields['key']}"
+        return tuple(_row(each) for each in reply.json()["rows"])
     except FIELD_ERRORS:
-        raise PlatformUnavailable("a row of the answer is broken") from None
+        raise PlatformUnavailable("the refusal is broken") from None
 
 
-def _row(fields):
+def _key(fields):
     try:
-        return Row(_key(fields), _value(fields), fields["ver"])
+        names = (fields["table"], fields.get("part", ""), fields["key"])
+        return "/".join(names)
     except FIELD_ERRORS:
         raise PlatformUnavailable("a row of the answer is broken") from None
 
 
+def _row(fields):
+    key = _key(fields)
+    version = fields.get("ver")
+    if type(version) is not int:
+        raise PlatformUnavailable("a row of the answer has no version")
+    return Row(key, _value(fields), version)
+
+
 def _value(fields):
     try:
         value = base64.b64decode(fields.get("value") or "", validate=True)
--- a/dahliashunt/platform/tests/test_foreign_tables.py
+++ b/dahliashunt/platform/tests/test_foreign_tables.py
@@ -1,12 +1,15 @@
 """An entry beside rows of other writers in all its tables."""
 
+import asyncio
 import json
 
 import pytest
 
 from dahliashunt.errors import PlatformUnavailable
+from dahliashunt.errors import WriteOutcomeUnknown
 from dahliashunt.platform.standins.settings import replica_fields
 from dahliashunt.platform.standins.settings import route_fields
+from dahliashunt.ports.table import Write
 
 ROUTE = route_fields(kind="idempotent", resumable=False)
 DEEP = "[" * 100_000
@@ -139,6 +142,10 @@
         '{"rows": [{}], "ver": 1}',
         '{"rows": [7], "ver": 1}',
         '{"rows": [{"table": "t", "key": "k"}], "ver": 1}',
+        '{"rows": [{"table": "t", "key": "k", "ver": "1"}], "ver": 1}',
+        '{"rows": [{"table": "t", "key": 5, "ver": 1}], "ver": 1}',
+        '{"rows": [{"table": "t", "key": "k", "ver": 1}], "ver": 1,'
+        ' "truncated": true}',
         '{"rows": [], "ver": 1, "now-ms": NaN}',
     ],
 )
@@ -155,6 +162,26 @@
                 assert (await store.snapshot("servers//")).rows == ()
                 return
             with pytest.raises(PlatformUnavailable):
-                await store.snapshot("servers//")
+                async with asyncio.timeout(5):
+                    await store.snapshot("servers//")
+
+    platform(scenario, ROUTE)
+
+
+@pytest.mark.parametrize("status", [200, 412])
+@pytest.mark.parametrize("body", ["x", "[]", "{}", DEEP, '{"ver": "1"}'])
+def test_a_broken_answer_to_a_write_is_no_proof(
+    platform, monkeypatch, body, status
+):
+    # Guards against a write that is said to have failed, and an error of
+    # another type, which ends what writes.
+    async def scenario(p):
+        store = p.entries[0].jobs.store
+        answer = (status, body.encode())
+        error = WriteOutcomeUnknown if status == 200 else PlatformUnavailable
+        with monkeypatch.context() as patched:
+            patched.setattr(p.store, "_transact", lambda call: answer)
+            with pytest.raises(error):
+                await store.transact((Write("t/p/k", "v"),))
 
     platform(scenario, ROUTE)
