Wait for an agent's answer on its own future

Cause: `asyncio.wait` creates a second future and resumes the request one iteration of the loop later, for each send. Change: a timer ends the awaited future. Repeats and time limits stay.

--- a/dahliashunt/adapters/slots/client.py
+++ b/dahliashunt/adapters/slots/client.py
@@ -349,5 +349,19 @@
 
 
 async def _wait_for(future, limit_ms):
-    await asyncio.wait({future}, timeout=limit_ms / 1000)
-    return future.result() if future.done() else None
+    """Return the result of `future`, which is None after `limit_ms`.
+
+    `asyncio.wait` would create another future and resume the task one
+    iteration of the loop later.
+    """
+    loop = future.get_loop()
+    timer = loop.call_later(limit_ms / 1000, _end_unanswered, future)
+    try:
+        return await future
+    finally:
+        timer.cancel()
+
+
+def _end_unanswered(future):
+    if not future.done():
+        future.set_result(None)
