Import only the own side of the slot protocol at start

Cause: the package of the slot protocol imported the entry's and the agent's side, and an agent imported the whole request path for the key of a table. Change: importers name the module they need; the keys of the operator's tables are beside their decoders. In the tests only import lines change.

--- a/dahliashunt/adapters/slots/__init__.py
+++ b/dahliashunt/adapters/slots/__init__.py
@@ -1,8 +1,5 @@
-"""Slot protocol between entries and agents, over datagrams."""
+"""Slot protocol between entries and agents, over datagrams.
 
-from dahliashunt.adapters.slots.client import SlotAttempt
-from dahliashunt.adapters.slots.client import SlotClient
-from dahliashunt.adapters.slots.datagrams import open_datagrams
-from dahliashunt.adapters.slots.server import SlotServer
-
-__all__ = ["SlotAttempt", "SlotClient", "SlotServer", "open_datagrams"]
+Nothing is imported here: an entry needs `client` and an agent `server`, and
+each of them starts faster without the other.
+"""
--- a/dahliashunt/adapters/slots/tests/test_slots.py
+++ b/dahliashunt/adapters/slots/tests/test_slots.py
@@ -9,9 +9,9 @@
 
 from dahliashunt.adapters.clock import SystemClock
 from dahliashunt.adapters.slots import datagrams
-from dahliashunt.adapters.slots import SlotAttempt
-from dahliashunt.adapters.slots import SlotClient
-from dahliashunt.adapters.slots import SlotServer
+from dahliashunt.adapters.slots.client import SlotAttempt
+from dahliashunt.adapters.slots.client import SlotClient
+from dahliashunt.adapters.slots.server import SlotServer
 from dahliashunt.adapters.wire.gen.link.ttypes import SlotFrame
 from dahliashunt.adapters.wire.gen.link.ttypes import SlotHeld
 from dahliashunt.decisions.slot_allocator import SlotAllocator
--- a/dahliashunt/forwarding/known_replicas.py
+++ b/dahliashunt/forwarding/known_replicas.py
@@ -2,7 +2,7 @@
 
 import random
 
-from dahliashunt.adapters.slots import SlotClient
+from dahliashunt.adapters.slots.client import SlotClient
 from dahliashunt.decisions.replica_choice import Candidate
 from dahliashunt.decisions.replica_choice import MAX_LOAD_AGE_MS
 from dahliashunt.decisions.replica_choice import order_replicas
--- a/dahliashunt/forwarding/rate_limiter.py
+++ b/dahliashunt/forwarding/rate_limiter.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from dahliashunt.adapters.slots import SlotClient
+from dahliashunt.adapters.slots.client import SlotClient
 from dahliashunt.decisions.link_choice import choose_links
 from dahliashunt.decisions.link_choice import rendezvous_rank
 from dahliashunt.decisions.metered import METERS_PER_WORKSPACE
--- a/dahliashunt/forwarding/replica_selector.py
+++ b/dahliashunt/forwarding/replica_selector.py
@@ -5,7 +5,7 @@
 import functools
 import random
 
-from dahliashunt.adapters.slots import SlotClient
+from dahliashunt.adapters.slots.client import SlotClient
 from dahliashunt.decisions.partners import sample_non_partners
 from dahliashunt.decisions.retry_delay import HoldTimes
 from dahliashunt.decisions.retry_delay import retry_delay_ms
--- a/dahliashunt/forwarding/slot_requests.py
+++ b/dahliashunt/forwarding/slot_requests.py
@@ -6,8 +6,8 @@
 import functools
 import itertools
 
-from dahliashunt.adapters.slots import SlotAttempt
-from dahliashunt.adapters.slots import SlotClient
+from dahliashunt.adapters.slots.client import SlotAttempt
+from dahliashunt.adapters.slots.client import SlotClient
 from dahliashunt.decisions.slot_ask_order import plan_asks
 from dahliashunt.decisions.slot_messages import SlotDecision
 from dahliashunt.decisions.slot_messages import Use
--- a/dahliashunt/forwarding/stream_origins.py
+++ b/dahliashunt/forwarding/stream_origins.py
@@ -15,7 +15,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from dahliashunt.adapters.slots import SlotClient
+from dahliashunt.adapters.slots.client import SlotClient
 from dahliashunt.decisions.stream_origins import origin_key
 from dahliashunt.decisions.stream_origins import OriginTable
 from dahliashunt.decisions.stream_origins import stream_key
--- a/dahliashunt/platform/listeners.py
+++ b/dahliashunt/platform/listeners.py
@@ -2,21 +2,15 @@
 
 from dahliashunt.forwarding.node import Node
 from dahliashunt.forwarding.replicas import ReplicaRegistry
+from dahliashunt.platform.operator import CONFIG_KEY
 from dahliashunt.platform.operator import decode_catalog
 from dahliashunt.platform.operator import decode_replica
 from dahliashunt.platform.operator import DecodeError
+from dahliashunt.platform.operator import REPLICAS_PREFIX
 from dahliashunt.ports import Clock
 from dahliashunt.ports.table import Row
 
-__all__ = [
-    "CONFIG_KEY",
-    "REPLICAS_PREFIX",
-    "ConfigListener",
-    "ReplicaListener",
-]
-
-CONFIG_KEY = "op//config"
-REPLICAS_PREFIX = "servers//"
+__all__ = ["ConfigListener", "ReplicaListener"]
 
 
 class ConfigListener:
--- a/dahliashunt/platform/operator.py
+++ b/dahliashunt/platform/operator.py
@@ -29,7 +29,16 @@
 from dahliashunt.row_fields import text_field
 from dahliashunt.row_fields import whole_field
 
-__all__ = ["DecodeError", "decode_catalog", "decode_replica"]
+__all__ = [
+    "CONFIG_KEY",
+    "REPLICAS_PREFIX",
+    "DecodeError",
+    "decode_catalog",
+    "decode_replica",
+]
+
+CONFIG_KEY = "op//config"
+REPLICAS_PREFIX = "servers//"
 
 _ROUTE_KIND_BY_NAME = {
     "stream": RouteKind.STREAM,
--- a/dahliashunt/platform/own_replica.py
+++ b/dahliashunt/platform/own_replica.py
@@ -22,9 +22,9 @@
 
 from dahliashunt.errors import PlatformError
 from dahliashunt.forwarding.replicas import Replica
-from dahliashunt.platform.listeners import REPLICAS_PREFIX
 from dahliashunt.platform.operator import decode_replica
 from dahliashunt.platform.operator import DecodeError
+from dahliashunt.platform.operator import REPLICAS_PREFIX
 from dahliashunt.ports import Clock
 from dahliashunt.ports import TableFeed
 from dahliashunt.ports import TableService
--- a/dahliashunt/platform/serve_agent.py
+++ b/dahliashunt/platform/serve_agent.py
@@ -9,7 +9,7 @@
 from dahliashunt.adapters.http1 import ConnectionPool
 from dahliashunt.adapters.http1 import encode_request
 from dahliashunt.adapters.http1 import exchange_whole
-from dahliashunt.adapters.slots import SlotServer
+from dahliashunt.adapters.slots.server import SlotServer
 from dahliashunt.decisions.replica_memory import MemoryReport
 from dahliashunt.decisions.slot_allocator import SlotAllocator
 from dahliashunt.metrics import Metrics
--- a/dahliashunt/platform/serve_entry.py
+++ b/dahliashunt/platform/serve_entry.py
@@ -8,7 +8,7 @@
 from dahliashunt.adapters.http1 import ConnectionPool
 from dahliashunt.adapters.http_server import HttpBounds
 from dahliashunt.adapters.http_server import HttpServer
-from dahliashunt.adapters.slots import SlotClient
+from dahliashunt.adapters.slots.client import SlotClient
 from dahliashunt.adapters.write_backlog import ReadBacklog
 from dahliashunt.adapters.write_backlog import WriteBacklog
 from dahliashunt.decisions.feed_pace import FeedUse
@@ -40,11 +40,11 @@
 from dahliashunt.platform.ingress import Ingress
 from dahliashunt.platform.job_calls import JobCalls
 from dahliashunt.platform.job_parts import JobParts
-from dahliashunt.platform.listeners import CONFIG_KEY
 from dahliashunt.platform.listeners import ConfigListener
 from dahliashunt.platform.listeners import ReplicaListener
-from dahliashunt.platform.listeners import REPLICAS_PREFIX
 from dahliashunt.platform.metrics_page import serve_metrics
+from dahliashunt.platform.operator import CONFIG_KEY
+from dahliashunt.platform.operator import REPLICAS_PREFIX
 from dahliashunt.platform.reload import SettingsWatch
 from dahliashunt.platform.settings import LaunchOptions
 from dahliashunt.platform.store import PlatformStore
--- a/dahliashunt/platform/tests/conftest.py
+++ b/dahliashunt/platform/tests/conftest.py
@@ -12,7 +12,7 @@
 from dahliashunt.adapters.http1 import End
 from dahliashunt.adapters.http1 import open_connection
 from dahliashunt.adapters.http1 import ResponseHead
-from dahliashunt.adapters.slots import SlotServer
+from dahliashunt.adapters.slots.server import SlotServer
 from dahliashunt.decisions.slot_allocator import SlotAllocator
 from dahliashunt.metrics import Metrics
 from dahliashunt.platform.serve_agent import serve_agent
--- a/dahliashunt/platform/tests/test_own_replica.py
+++ b/dahliashunt/platform/tests/test_own_replica.py
@@ -9,7 +9,7 @@
 
 from dahliashunt.adapters.clock import VirtualClock
 from dahliashunt.errors import PlatformUnavailable
-from dahliashunt.platform.listeners import REPLICAS_PREFIX
+from dahliashunt.platform.operator import REPLICAS_PREFIX
 from dahliashunt.platform.own_replica import CHECK_INTERVAL_MS
 from dahliashunt.platform.own_replica import CHECKS_AFTER_SIGN_MS
 from dahliashunt.platform.own_replica import LATE_ROW_INTERVAL_MS
--- a/dahliashunt/platform/tests/test_report.py
+++ b/dahliashunt/platform/tests/test_report.py
@@ -7,7 +7,7 @@
 import structlog
 
 from dahliashunt.adapters.clock import VirtualClock
-from dahliashunt.adapters.slots import SlotServer
+from dahliashunt.adapters.slots.server import SlotServer
 from dahliashunt.decisions.replica_speed import RunProgress
 from dahliashunt.decisions.slot_allocator import SlotAllocator
 from dahliashunt.decisions.slot_messages import SlotRequest
