Order waiting requests with one precedence each

Cause: an agent computed the precedence of each waiting request twice for an order, and the decayed lead of each account with two calls of max. Change: the precedence is kept with the request. The answers and states of 60 random sequences of 500 requests and releases are the same.

--- a/dahliashunt/decisions/fair.py
+++ b/dahliashunt/decisions/fair.py
@@ -143,14 +143,14 @@
 
     def start(self, now: int, caller: CallerId) -> float:
         """Return the virtual start that a request would have now."""
+        virtual = self._virtual
         account = self._account_by_caller.get(caller)
-        if account is None:
-            return self._virtual
-        start = max(account.finish, self._virtual)
+        if account is None or account.finish <= virtual:
+            return virtual
         if self._half_life_ms is None:
-            return start
+            return account.finish
         kept = 0.5 ** ((now - account.at_ms) / self._half_life_ms)
-        return self._virtual + (start - self._virtual) * kept
+        return virtual + (account.finish - virtual) * kept
 
     def largest_lead(self, now: int) -> float:
         """Return how far the farthest account is ahead of virtual time."""
--- a/dahliashunt/decisions/workspace_shares.py
+++ b/dahliashunt/decisions/workspace_shares.py
@@ -38,6 +38,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+import operator
 
 from dahliashunt.decisions.fair import FairOrder
 from dahliashunt.decisions.fair import InFlight
@@ -78,6 +79,8 @@
 MEAN_WEIGHT = 0.1
 """Weight of a new request in the moving averages."""
 
+_FIRST = operator.itemgetter(0)
+
 
 def request_tokens(prompt_tokens: int, output_tokens: int) -> int:
     """Return the cost of a request in tokens; unknown lengths are 0."""
@@ -206,8 +209,10 @@
     def _starts(self, requests, now_ms, precedence):
         allowed = self._allowed(now_ms)
         next_by_workspace = {}
+        placed = [(precedence(request), request) for request in requests]
+        placed.sort(key=_FIRST)
         starts = []
-        for request in sorted(requests, key=precedence):
+        for place, request in placed:
             workspace = request.workspace
             start = next_by_workspace.get(workspace)
             if start is None:
@@ -215,9 +220,10 @@
             next_by_workspace[workspace] = start + _cost(request) / _weight(
                 request
             )
-            place = (precedence(request), max(start, allowed))
-            starts.append((place, request))
-        return sorted(starts, key=lambda pair: pair[0])
+            virtual = start if start > allowed else allowed
+            starts.append(((place, virtual), request))
+        starts.sort(key=_FIRST)
+        return starts
 
 
 def _cost(request):
