Ignore headers of callers that are no numbers

Cause: `str.isdigit` accepts characters that `int` rejects, and `int` rejects thousands of digits. Such a budget, event or token count ended the request with status 500. Change: one function reads digits, and bounds the number. The replica stand-in decodes header values as Latin-1, as the entry sends them.

--- a/dahliashunt/platform/ingress.py
+++ b/dahliashunt/platform/ingress.py
@@ -34,6 +34,7 @@
 from dahliashunt.platform.prompts import shared_parts
 from dahliashunt.platform.prompts import shared_tokens
 from dahliashunt.platform.prompts import token_sum
+from dahliashunt.row_fields import digits_field
 
 __all__ = ["Ingress"]
 
@@ -307,8 +308,6 @@
 
 def _decode_call(exchange, target, body, arrived_ms):
     headers = exchange.header_by_name
-    budget = headers.get(BUDGET, "")
-    last_event = headers.get(LAST_EVENT, "")
     prompt_tokens, output_tokens = prompt_and_output(headers.get(TOKENS, ""))
     return Call(
         request_id=RequestId(headers.get(REQUEST_ID, "")),
@@ -320,8 +319,8 @@
         ),
         body=body,
         arrived_ms=arrived_ms,
-        budget_ms=int(budget) if budget.isdigit() else None,
-        last_event=int(last_event) if last_event.isdigit() else 0,
+        budget_ms=digits_field(headers.get(BUDGET, "")),
+        last_event=digits_field(headers.get(LAST_EVENT, "")) or 0,
         resumes=RequestId(headers.get(RESUMES, "")),
         shared_parts=shared_parts(headers.get(PROMPT_PARTS, "")),
         shared_tokens=shared_tokens(headers.get(PROMPT_PARTS, "")),
--- a/dahliashunt/platform/job_calls.py
+++ b/dahliashunt/platform/job_calls.py
@@ -20,6 +20,7 @@
 from dahliashunt.platform.job_parts import JobParts
 from dahliashunt.platform.names import POLL_WAIT
 from dahliashunt.platform.names import REQUEST_ID
+from dahliashunt.row_fields import digits_field
 
 __all__ = ["JobCalls"]
 
@@ -109,17 +110,17 @@
 
     def _parse_request(self, action, name, query, headers):
         fields = parse_qs(query)
-        first = fields.get("after", ["0"])[0]
-        wait = headers.get(POLL_WAIT, "0")
-        if not first.isdigit() or not wait.isdigit():
+        first = digits_field(fields.get("after", ["0"])[0])
+        wait_ms = digits_field(headers.get(POLL_WAIT, "0"))
+        if first is None or wait_ms is None:
             raise RequestError(
                 ErrorKind.BAD_REQUEST, "after and the wait are numbers"
             )
         return JobRequest(
             action=action,
             job_id=JobId(unquote(name)),
-            first=int(first),
-            wait_ms=min(int(wait), MAX_POLL_WAIT_MS),
+            first=first,
+            wait_ms=min(wait_ms, MAX_POLL_WAIT_MS),
             item_id=fields.get("id", [""])[0],
         )
 
--- a/dahliashunt/platform/prompts.py
+++ b/dahliashunt/platform/prompts.py
@@ -1,5 +1,7 @@
 """Headers that describe a request's prompt."""
 
+from dahliashunt.row_fields import digits_field
+
 __all__ = [
     "MAX_TOKENS",
     "prompt_and_output",
@@ -58,10 +60,8 @@
     >>> token_sum("1460,80"), token_sum("")
     (1540, 0)
     """
-    numbers = [part.strip() for part in text.split(",")]
-    if not all(number.isdigit() for number in numbers):
-        return 0
-    return sum(map(int, numbers))
+    numbers = [digits_field(part.strip()) for part in text.split(",")]
+    return 0 if None in numbers else sum(numbers)
 
 
 def _shared(text):
--- a/dahliashunt/platform/standins/replica.py
+++ b/dahliashunt/platform/standins/replica.py
@@ -321,7 +321,9 @@
         elif isinstance(event, h11.Data):
             body += bytes(event.data)
         elif isinstance(event, h11.EndOfMessage):
-            headers = {n.decode(): v.decode() for n, v in request.headers}
+            headers = {
+                n.decode(): v.decode("latin-1") for n, v in request.headers
+            }
             method = request.method.decode()
             return Arrival(method, request.target.decode(), headers, body)
         else:
--- a/dahliashunt/platform/tests/test_slow_readers.py
+++ b/dahliashunt/platform/tests/test_slow_readers.py
@@ -211,6 +211,19 @@
     platform(scenario, STREAM, replicas=1)
 
 
+@pytest.mark.parametrize("number", ["\xb2", "9" * 5_000], ids=["²", "long"])
+@pytest.mark.parametrize("name", ["budget_ms", "last_event", "tokens"])
+def test_a_header_that_is_no_number_is_ignored(platform, name, number):
+    """Guards against a request that ends with an error of the program."""
+
+    async def scenario(p):
+        p.replicas[0].then(events=2)
+        value = f"{number},{number}" if name == "tokens" else number
+        assert (await p.call(**{name: value})).status == 200
+
+    platform(scenario, STREAM)
+
+
 def test_a_body_in_tiny_parts_takes_the_memory_of_its_bytes(platform):
     """Guards against an object for each part, of 20 times its bytes."""
     parts = 100_000
--- a/dahliashunt/row_fields.py
+++ b/dahliashunt/row_fields.py
@@ -14,6 +14,7 @@
 __all__ = [
     "FIELD_ERRORS",
     "MAX_WHOLE",
+    "digits_field",
     "list_field",
     "parse_json",
     "text_field",
@@ -49,6 +50,23 @@
         raise ValueError("the JSON text is nested too deeply") from None
 
 
+def digits_field(text: str) -> int | None:
+    r"""Return the number in `text`, `MAX_WHOLE` at most; None without one.
+
+    `str.isdigit` accepts characters that `int` rejects, and `int` rejects
+    thousands of digits.
+
+    Examples
+    --------
+    >>> digits_field("12"), digits_field("-1"), digits_field("\xb2")
+    (12, None, None)
+    """
+    if not (text.isascii() and text.isdigit()):
+        return None
+    is_long = len(text) > len(str(MAX_WHOLE))
+    return MAX_WHOLE if is_long else min(int(text), MAX_WHOLE)
+
+
 def text_field(value) -> str:
     """Return a string that UTF-8 can encode.
 
