Refuse ids, paths and headers that a request can't hold

Cause: the id of a replica's row, the name of a workspace and the items of a job become header values and request targets. One with a line break added headers or requests on a replica's connection; one beyond Latin-1 raised an error after a replica was chosen, and left its connection open. A submission that nests without end raised RecursionError. Change: the decoders check them, and such a row, workspace or job is invalid.

--- a/dahliashunt/platform/job_bodies.py
+++ b/dahliashunt/platform/job_bodies.py
@@ -4,6 +4,7 @@
 import binascii
 from dataclasses import dataclass
 import json
+import re
 
 from dahliashunt.errors import ErrorKind
 from dahliashunt.errors import RequestError
@@ -20,6 +21,8 @@
 from dahliashunt.platform.prompts import prompt_and_output
 from dahliashunt.platform.prompts import shared_parts
 from dahliashunt.platform.prompts import shared_tokens
+from dahliashunt.row_fields import header_field
+from dahliashunt.row_fields import parse_json
 
 __all__ = [
     "PlatformPayloadReader",
@@ -28,6 +31,9 @@
     "encode_results",
 ]
 
+_TOKEN = re.compile(r"[0-9A-Za-z!#$%&'*+.^_`|~-]+")
+"""Names of headers, by RFC 9110."""
+
 MAX_JOB_ITEMS = 200
 """Maximum number of items in one job, as the platform's API defines it."""
 
@@ -51,7 +57,7 @@
         The payload is malformed; the message names the item and the cause.
     """
     try:
-        fields = json.loads(payload)
+        fields = parse_json(payload)
         requests = fields["requests"]
     except (KeyError, TypeError, ValueError) as error:
         raise _bad_request(f"not a job: {error!r}") from None
@@ -73,10 +79,10 @@
         if type(tokens) is not int or tokens < 0:
             raise ValueError("tokens")
         return SubmittedItem(
-            item=Item(ItemId(str(fields["id"])), tokens),
-            path=str(fields["path"]),
+            item=Item(ItemId(header_field(str(fields["id"]))), tokens),
+            path=_path(str(fields["path"])),
             headers=tuple(
-                (str(name), str(value))
+                (_header_name(name), header_field(str(value)))
                 for name, value in (fields.get("headers") or {}).items()
             ),
             body=base64.b64decode(fields.get("body") or "", validate=True),
@@ -91,6 +97,18 @@
         raise _bad_request(f"requests[{number}]: {error!r}") from None
 
 
+def _path(text):
+    if " " in header_field(text) or "\t" in text:
+        raise ValueError("path")
+    return text
+
+
+def _header_name(text):
+    if not _TOKEN.fullmatch(text):
+        raise ValueError("the name of a header")
+    return text
+
+
 def _bad_request(message):
     return RequestError(ErrorKind.BAD_REQUEST, message)
 
--- a/dahliashunt/platform/operator.py
+++ b/dahliashunt/platform/operator.py
@@ -23,6 +23,7 @@
 from dahliashunt.ids import WorkspaceId
 from dahliashunt.key_digest import key_digest
 from dahliashunt.row_fields import FIELD_ERRORS
+from dahliashunt.row_fields import header_field
 from dahliashunt.row_fields import list_field
 from dahliashunt.row_fields import MAX_WHOLE
 from dahliashunt.row_fields import parse_json
@@ -181,7 +182,7 @@
 
 def _workspace(fields, digests):
     rank = fields.get("priority")
-    name = text_field(fields["name"])
+    name = header_field(fields["name"])
     if not name:
         raise ValueError("expected a non-empty workspace name")
     return Workspace(
@@ -248,7 +249,7 @@
     warm_in_ms = fields.get("cold-left-ms", 0)
     zone = fields.get("zone")
     return Replica(
-        replica_id=text_field(replica_id),
+        replica_id=header_field(replica_id),
         born_ms=whole_field(fields.get("born", 0)),
         service=text_field(fields["service"]),
         host=host,
--- a/dahliashunt/platform/tests/test_foreign_rows.py
+++ b/dahliashunt/platform/tests/test_foreign_rows.py
@@ -8,7 +8,9 @@
 from hypothesis import strategies as st
 import pytest
 
+from dahliashunt.errors import RequestError
 from dahliashunt.platform.dialect import decode_report
+from dahliashunt.platform.job_bodies import decode_submission
 from dahliashunt.platform.operator import decode_catalog
 from dahliashunt.platform.operator import decode_replica
 from dahliashunt.platform.operator import DecodeError
@@ -198,3 +200,29 @@
     workspaces = decode_catalog(text).workspaces
     assert workspaces.find_by_key("s") is None
     assert not workspaces.knows_all_keys
+
+
+@pytest.mark.parametrize("text", ["a\r\nx: y", "\u6f22"])
+@pytest.mark.parametrize("field", ["replica", "id", "path", "name", "value"])
+def test_a_text_that_no_header_can_hold_is_refused(field, text):
+    """Guards against text that adds headers or requests on a connection.
+
+    Text that can't be encoded raised an error once a replica was chosen.
+    """
+    item = {"id": "a", "path": "/a", "tokens": 1, "headers": {"x-a": "b"}}
+    if field == "replica":
+        with pytest.raises(DecodeError):
+            decode_replica(text, json.dumps(replica_fields(ADDRESS)))
+        return
+    if field in item:
+        item[field] = text
+    else:
+        item["headers"] = {text: "b"} if field == "name" else {"x-a": text}
+    with pytest.raises(RequestError):
+        decode_submission(json.dumps({"requests": [item]}).encode())
+
+
+def test_a_submission_that_nests_without_end_is_refused():
+    """Guards against an error of another type than that of a bad request."""
+    with pytest.raises(RequestError):
+        decode_submission(DEEP.encode())
--- a/dahliashunt/row_fields.py
+++ b/dahliashunt/row_fields.py
@@ -10,11 +10,13 @@
 """
 
 import json
+import re
 
 __all__ = [
     "FIELD_ERRORS",
     "MAX_WHOLE",
     "digits_field",
+    "header_field",
     "list_field",
     "parse_json",
     "text_field",
@@ -30,6 +32,8 @@
 )
 """Types of the errors that a value of another type or range causes."""
 
+_NO_HEADER = re.compile(r"[^\t -~\x80-\xff]")
+
 MAX_WHOLE = 2**53
 """Largest absolute value of a number: JSON writers that keep numbers as
 floats are exact up to it, and it fits into the 64 bits of a datagram."""
@@ -81,6 +85,23 @@
     return value
 
 
+def header_field(value) -> str:
+    """Return a string that may be the value of a header.
+
+    Another one would add headers or requests to those that are sent on a
+    connection, or raise an error once a replica was chosen.
+
+    Raises
+    ------
+    TypeError, ValueError
+        The value is no string, or has a control character or one that
+        Latin-1 has not.
+    """
+    if _NO_HEADER.search(text_field(value)):
+        raise ValueError("expected a string that a header can hold")
+    return value
+
+
 def list_field(value) -> list:
     """Return a list; raise `TypeError` for any other value."""
     if not isinstance(value, list):
