--- a/dahliashunt/platform/catalog_records.py
+++ b/dahliashunt/platform/catalog_records.py
@@ -29,6 +29,7 @@
 from dahliashunt.ids import WorkspaceId
 from dahliashunt.key_digest import key_digest
 from dahliashunt.row_fields import FIELD_ERRORS
+from dahliashunt.row_fields import header_field
 from dahliashunt.row_fields import list_field
 from dahliashunt.row_fields import MAX_WHOLE
 from dahliashunt.row_fields import text_field
@@ -373,7 +374,7 @@
 
 
 def _workspace_name(fields):
-    name = text_field(fields["name"])
+    name = header_field(fields["name"])
     if not name:
         raise ValueError("expected a non-empty workspace name")
     return WorkspaceId(name)
@@ -397,7 +398,11 @@
 )
 
 WORKSPACE_RULES = {
-    "workspace_id": FieldRule("name", "a non-empty string", _workspace_name),
+    "workspace_id": FieldRule(
+        "name",
+        "a non-empty string that a header can hold",
+        _workspace_name,
+    ),
     "rank": FieldRule(
         "priority", f"a number up to {MAX_I32}", _rank_or_none, is_number=True
     ),
--- a/dahliashunt/platform/operator.py
+++ b/dahliashunt/platform/operator.py
@@ -13,6 +13,7 @@
 from dahliashunt.platform.catalog_records import make_catalog
 from dahliashunt.platform.catalog_records import MAX_I32
 from dahliashunt.row_fields import FIELD_ERRORS
+from dahliashunt.row_fields import header_field
 from dahliashunt.row_fields import MAX_WHOLE
 from dahliashunt.row_fields import parse_json
 from dahliashunt.row_fields import text_field
@@ -80,7 +81,7 @@
     warm_in_ms = fields.get("cold-left-ms", 0)
     zone = fields.get("zone")
     return Replica(
-        replica_id=text_field(replica_id),
+        replica_id=header_field(replica_id),
         born_ms=whole_field(fields.get("born", 0)),
         service=text_field(fields["service"]),
         host=host,
