--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,115 +1,89 @@
-"""A result that doesn't fit into one transaction holds up its whole job."""
+"""A success without the replica's seal is passed on to the client."""
 
 import asyncio
 import pathlib
 import sys
-import time
 
 from common.fleet import main
+from common.http import answer_bytes
 
-HOST = "lots.example"
-PREFIX = "/lots/"
-JOB = "7c41e09b52d6a3f8"
-SHORT_ITEMS = 10
-TRAFFIC_S = 12
-FINISH_S = 18
-CALM_S = 5
-EVENT_BYTES = 2_000
-LARGE = "b" * 16
+HOST = "cards.example"
+REQUESTS = 450
+PER_S = 60
+SPOILT_EVERY = 34
+"""Every 34th answer of one of two replicas: share 0.5, x 0.0294."""
+
+BODY = b"job card 17: porcelain head, two cracks"
 
 
 def config():
-    """Return a configuration with one batch route."""
+    """Return a configuration with one idempotent route."""
     route = {
-        "name": "lots",
+        "name": "cards",
         "host": HOST,
-        "prefix": PREFIX,
-        "kind": "batch",
-        "timeout-ms": 15000,
-        "goal-ms": 400,
-        "gap-aim-ms": 400,
-        "service": "llm",
+        "prefix": "/cards/",
+        "kind": "idempotent",
+        "timeout-ms": 2500,
+        "goal-ms": 150,
+        "service": "app",
         "max-attempts": 3,
-        "completion-target-ms": 18000,
-        "max-wait-s": 60,
-        "cap": 2_200_000,
         "priority": 2,
-        "sticky": True,
-        "resumable": True,
-    }
-    service = {
-        "name": "llm",
-        "health-path": "/health",
-        "max-conns": 370,
-        "engine": {"slots": 8, "kv-capacity": 147_261},
     }
+    service = {"name": "app", "health-path": "/health", "max-conns": 110}
     return {"version": 3, "routes": [route], "services": [service]}
 
 
 async def scenario(fleet, troubled):
-    """Submit one job with one long output among short ones."""
-    last_end_s = [0.0]
-    whole = set()
+    """Send lookups while one replica spoils some of its answers."""
+    counts = {"i-1": 0, "i-2": 0}
 
     async def run(replica, request, writer):
-        item_id = request.headers["dahliashunt-request-id"]
-        fleet.note(f"{replica.replica_id} runs {item_id}")
-        texts = [f"w{number}" for number in range(100)]
-        gap_s = 0.03
-        if item_id == LARGE:
-            count = 400 if troubled else 100
-            texts = ["x" * EVENT_BYTES for _ in range(count)]
-            gap_s = 0.004
-        try:
-            done = await replica.stream(request, writer, texts, gap_s)
-            whole.add(item_id)
-            return done
-        finally:
-            last_end_s[0] = time.monotonic()
-            fleet.note(f"{replica.replica_id} ends {item_id}")
+        request_id = request.headers["dahliashunt-request-id"]
+        await asyncio.sleep(0.045)
+        counts[replica.replica_id] += 1
+        number = counts[replica.replica_id]
+        spoils = troubled and replica.replica_id == "i-2"
+        if spoils and number % SPOILT_EVERY == 0:
+            # Bytes that are not a response of a replica: no seal, no id.
+            fleet.note(f"{replica.replica_id} spoils {request_id}")
+            writer.write(answer_bytes(200, (), b"\x00\x01 not a response"))
+            return True
+        fleet.note(f"{replica.replica_id} runs {request_id}")
+        writer.write(answer_bytes(200, replica.sealed(request), BODY))
+        return True
 
     await fleet.open(config())
-    for replica_id in ("i-1", "i-2"):
-        await fleet.add_replica(replica_id, "llm", 8, run, agent=True)
+    for replica_id in counts:
+        await fleet.add_replica(replica_id, "app", 6, run)
     for name in ("front-1", "front-2"):
         fleet.add_entry(name)
     await fleet.until_ready()
-    began_s = time.monotonic()
-    ids = [LARGE, *(f"{n:016x}" for n in range(1, SHORT_ITEMS + 1))]
-    items = [
-        {
-            "id": item_id,
-            "tokens": 130_300 if item_id == LARGE else 500,
-            "usage": "300,130000" if item_id == LARGE else "300,200",
-            "parts": f"a1:100,{item_id}:200",
-        }
-        for item_id in ids
-    ]
-    answer = await fleet.submit("front-1", HOST, PREFIX, JOB, items)
-    if answer.status != 202:
-        return [f"the job was answered {answer.status}"]
-    page = None
-    while time.monotonic() < began_s + TRAFFIC_S + FINISH_S:
-        await asyncio.sleep(1)
-        page = await fleet.results("front-2", HOST, JOB)
-        if page and len(page["results"]) == len(items):
-            return []
-    return _judge(fleet, page, len(items), last_end_s[0], whole)
+    broken = []
+    tasks = []
+    for number in range(REQUESTS):
+        tasks.append(asyncio.create_task(_ask(fleet, number, broken)))
+        await asyncio.sleep(1 / PER_S)
+    await asyncio.gather(*tasks)
+    return broken
 
 
-def _judge(fleet, page, count, last_end_s, whole):
-    quiet_s = time.monotonic() - last_end_s
-    running = sum(len(replica.running) for replica in fleet.replicas)
-    fleet.note(f"{len(whole)} items finished at replicas: {sorted(whole)}")
-    fleet.note(f"the store refused {fleet.store.refused[:3]}")
-    left = count - len(page["results"])
-    if quiet_s < CALM_S or running:
-        return []
-    return [
-        f"LOST: {left} of {count} items of job {JOB}, which is open, are"
-        f" listed neither as done nor as dead; {len(whole)} were finished at"
-        f" replicas, the last one {quiet_s:.1f} s ago"
+async def _ask(fleet, number, broken):
+    request_id = f"{number:016x}"
+    headers = [
+        ("Host", HOST),
+        ("Dahliashunt-Request-Id", request_id),
+        ("Dahliashunt-Request-Timeout-Ms", "2500"),
     ]
+    entry = ("front-1", "front-2")[number % 2]
+    answer = await fleet.call(
+        entry, "POST", f"/cards/{number}", headers, b"{}", 3
+    )
+    seal = answer.headers.get("dahliashunt-response-seal")
+    if 200 <= answer.status < 300 and seal is None:
+        broken.append(
+            f"MIXED: request {request_id} got {answer.status} without a seal,"
+            f" body {answer.body!r}"
+        )
 
 
 if __name__ == "__main__":
