--- a/review/common/replica.py
+++ b/review/common/replica.py
@@ -27,6 +27,8 @@
     run : coroutine function
         Called with the replica, a request and the writer; answers a request
         and returns whether the channel stays open.
+    version : str
+        Version of its software; may be changed before `restart`.
     ran : list of str
         Ids of the requests that began to run, in order.
     ended : list of (str, str)
@@ -37,6 +39,7 @@
         self.replica_id = replica_id
         self.service = service
         self.slots = slots
+        self.version = "v1"
         self.run = run
         self.ran = []
         self.ended = []
@@ -87,7 +90,7 @@
                     "service": self.service,
                     "address": f"{host}:{port}",
                     "zone": self._zone,
-                    "version": "v1",
+                    "version": self.version,
                     "slots": self.slots,
                     "state": "ready",
                     "cold-left-ms": 0,
