Text after a separator within an event stays in an item's result

Cause: `Event.data` split the decoded event with `str.splitlines`, which also splits at these characters. The rest of the data line then was a line without the field name "data" and was dropped. Evidence: with the same stream cut by hand, `Event.raw` holds all bytes and `Event.data` 92 of 99 characters; online streams, which relay `raw`, were whole.

Fields are now split in bytes, at LF, CR and CRLF only, by one function for data and id. The same cause elsewhere:

- A stream whose lines end with CR alone never had a complete event, and one with a further blank line at its end counted as broken off, so that its items were run again until they were given up.
- A byte order mark hid the number of the first event, which items drop.
- `str.strip` on headers, which are decoded as Latin-1, removed U+0085 and U+00A0 from ids of prompt parts, token counts and keys; only spaces and tabs are whitespace there (RFC 9110).
- A Keep-Alive timeout of "²" is a digit for `str.isdigit` and not for `int`, which broke a sound response.

Read and unchanged: the engine adapters, `entry/sse.py` and `load/client.py` split bytes at LF and fail a stream that they can't read; `batch/cutter.py` and `batch/results.py` split bytes at LF, and the values are JSON.

--- a/dahliashunt/adapters/http1/connection.py
+++ b/dahliashunt/adapters/http1/connection.py
@@ -18,6 +18,7 @@
 from dahliashunt.adapters.write_backlog import ReadBacklog
 from dahliashunt.errors import DahliashuntError
 from dahliashunt.mailbox import Mailbox
+from dahliashunt.row_fields import digits_field
 
 __all__ = [
     "ConnectFailed",
@@ -269,8 +270,9 @@
             self.usable = False
         for part in (head.get("keep-alive") or "").split(","):
             name, _, value = part.strip().partition("=")
-            if name == "timeout" and value.isdigit():
-                self.keep_alive_ms = int(value) * 1000
+            timeout_s = digits_field(value)
+            if name == "timeout" and timeout_s is not None:
+                self.keep_alive_ms = timeout_s * 1000
 
     def _finish(self, end):
         if end is not End.WHOLE:
--- a/dahliashunt/entry/access.py
+++ b/dahliashunt/entry/access.py
@@ -27,7 +27,7 @@
     text = "" if value is None else value.decode("latin-1")
     if not text.lower().startswith(BEARER):
         raise RequestError(ErrorKind.UNAUTHENTICATED, "a bearer key is wanted")
-    return text[len(BEARER) :].strip()
+    return text[len(BEARER) :].strip(" \t")
 
 
 class Access:
--- a/dahliashunt/forwarding/attempt.py
+++ b/dahliashunt/forwarding/attempt.py
@@ -395,6 +395,8 @@
         if end is End.BROKEN or splitter.rest:
             return _broken_end(connection)
         await self._start_response(head, None)
+        if splitter.blank_lines:
+            await self._sink.send(splitter.blank_lines)
         await self._sink.end()
         return AttemptEnd.SERVED
 
--- a/dahliashunt/forwarding/events.py
+++ b/dahliashunt/forwarding/events.py
@@ -5,6 +5,7 @@
 .. [1] WHATWG, HTML Living Standard, "Server-sent events".
 """
 
+import re
 from typing import NamedTuple
 
 from dahliashunt.errors import EngineError
@@ -23,7 +24,12 @@
 MAX_ID_DIGITS = 18
 """Longest event id; `int` raises an error at some thousands of digits."""
 
-_CRLF_BLANK_LINE = b"\r\n\r\n"
+_LINE_ENDS = b"\r\n"
+_BLANK_LINE = re.compile(rb"(?:\r\n|\n|\r(?!\n)){2}")
+_CR_BLANK_LINE = b"\r\r"
+_LONGEST_BLANK_LINE = b"\r\n\r\n"
+
+_BYTE_ORDER_MARK = b"\xef\xbb\xbf"
 
 
 class EventOutOfOrder(EngineError):
@@ -53,13 +59,17 @@
     raw: bytes
 
     def data(self) -> str:
-        """Return the joined ``data`` fields."""
-        parts = []
-        for line in self.raw.decode("utf-8").splitlines():
-            name, _, value = line.partition(":")
-            if name == "data":
-                parts.append(value.removeprefix(" "))
-        return "\n".join(parts)
+        """Return the joined ``data`` fields.
+
+        Raises
+        ------
+        UnicodeDecodeError
+            The event is not valid UTF-8.
+        """
+        values = [
+            value for name, value in _fields(self.raw) if name == b"data"
+        ]
+        return b"\n".join(values).decode("utf-8")
 
 
 class EventSplitter:
@@ -84,7 +94,13 @@
     @property
     def rest(self) -> bytes:
         """Bytes of the event that is not complete yet."""
-        return bytes(self._buffer)
+        return b"" if self.blank_lines else bytes(self._buffer)
+
+    @property
+    def blank_lines(self) -> bytes:
+        """Further blank lines after the last event, which begin none."""
+        is_blank = not self._buffer.strip(_LINE_ENDS)
+        return bytes(self._buffer) if is_blank else b""
 
     def feed(self, data: bytes) -> list[Event]:
         """Return the events that `data` completes.
@@ -101,7 +117,7 @@
         """
         unread, searched = data, 0
         if self._buffer:
-            searched = max(0, len(self._buffer) - len(_CRLF_BLANK_LINE) + 1)
+            searched = max(0, len(self._buffer) - len(_LONGEST_BLANK_LINE) + 1)
             self._buffer += data
             unread = self._buffer
         self._has_cr = self._has_cr or b"\r" in data
@@ -127,24 +143,42 @@
 
 
 def _after_blank_line(data, offset, has_cr):
-    """Return the index after the next blank line, 0 without one."""
-    lf = data.find(b"\n\n", offset)
-    if has_cr:
-        crlf = data.find(_CRLF_BLANK_LINE, offset)
-        if crlf >= 0 and (lf < 0 or crlf < lf):
-            return crlf + len(_CRLF_BLANK_LINE)
-    return lf + 2 if lf >= 0 else 0
+    """Return the index after the next blank line, 0 without one.
+
+    Lines end with LF, CRLF or CR, as the standard has it.
+    """
+    if not has_cr:
+        found = data.find(b"\n\n", offset)
+        return found + 2 if found >= 0 else 0
+    match = _BLANK_LINE.search(data, offset)
+    if match is None:
+        return 0
+    if match.end() == len(data) and match.group().endswith(b"\r"):
+        # The other half of a CRLF may follow, unless lines end with CR.
+        return match.end() if match.group() == _CR_BLANK_LINE else 0
+    return match.end()
+
+
+def _fields(raw):
+    """Yield the names and values of an event's fields.
+
+    Only LF, CR and CRLF end a line, as for `bytes.splitlines`; other
+    separators, which `str.splitlines` splits at as well, are data.
+    """
+    for line in raw.removeprefix(_BYTE_ORDER_MARK).splitlines():
+        name, _, value = line.partition(b":")
+        yield name, value.removeprefix(b" ")
 
 
 def _event_id(raw):
     if raw.startswith(b"id:"):
         # The usual form, whose other lines need not be split.
-        text = raw[3 : raw.find(b"\n")].strip()
+        text = raw[3 : raw.find(b"\n")].strip(b" ")
         if text.isdigit():
             return _number(text)
-    for line in raw.splitlines():
-        if line.startswith(b"id:"):
-            text = line[3:].strip()
+    for name, value in _fields(raw):
+        if name == b"id":
+            text = value.strip(b" ")
             return _number(text) if text.isdigit() else None
     return None
 
--- a/dahliashunt/platform/caller_key.py
+++ b/dahliashunt/platform/caller_key.py
@@ -2,6 +2,7 @@
 
 from dahliashunt.platform.names import AUTHORIZATION
 from dahliashunt.platform.names import KEY_SCHEME
+from dahliashunt.platform.names import WHITESPACE
 
 __all__ = ["caller_key", "is_sendable"]
 
@@ -11,7 +12,7 @@
     scheme, _, key = headers.get(AUTHORIZATION, "").partition(" ")
     if scheme.lower() != KEY_SCHEME.lower():
         return None
-    return key.strip()
+    return key.strip(WHITESPACE)
 
 
 def is_sendable(key: str) -> bool:
--- a/dahliashunt/platform/names.py
+++ b/dahliashunt/platform/names.py
@@ -15,6 +15,7 @@
     "RESUMES",
     "SIGNATURE",
     "TOKENS",
+    "WHITESPACE",
     "WORKSPACE",
 ]
 
@@ -45,6 +46,10 @@
 WORKSPACE = "dahliashunt-tenant"
 """Workspace of a request, set by the entry; callers' values are dropped."""
 
+WHITESPACE = " \t"
+"""Optional whitespace around the parts of a header's value (RFC 9110, section
+5.6.3). `str.strip` removes characters of the value as well."""
+
 HOP_BY_HOP = frozenset(
     (
         "connection",
--- a/dahliashunt/platform/prompts.py
+++ b/dahliashunt/platform/prompts.py
@@ -1,5 +1,6 @@
 """Headers that describe a request's prompt."""
 
+from dahliashunt.platform.names import WHITESPACE
 from dahliashunt.row_fields import digits_field
 
 __all__ = [
@@ -60,19 +61,23 @@
     >>> token_sum("1460,80"), token_sum("")
     (1540, 0)
     """
-    numbers = [digits_field(part.strip()) for part in text.split(",")]
+    numbers = [
+        digits_field(part.strip(WHITESPACE)) for part in text.split(",")
+    ]
     return 0 if None in numbers else sum(numbers)
 
 
 def _shared(text):
     pairs = [part.partition(":") for part in text.split(",")]
-    named = ((part.strip(), tokens) for part, _, tokens in pairs[:-1])
+    named = (
+        (part.strip(WHITESPACE), tokens) for part, _, tokens in pairs[:-1]
+    )
     return [(part, tokens) for part, tokens in named if part]
 
 
 def _count(text):
     """Return a count of tokens, or None if invalid."""
-    digits = text.strip()
+    digits = text.strip(WHITESPACE)
     if not (digits.isascii() and digits.isdigit() and len(digits) <= 10):
         return None
     return min(int(digits), MAX_TOKENS)
--- a/dahliashunt/platform/tests/test_jobs.py
+++ b/dahliashunt/platform/tests/test_jobs.py
@@ -88,6 +88,27 @@
     platform(scenario, ROUTE)
 
 
+@pytest.mark.parametrize("cut_after", [None, 1])
+def test_an_output_keeps_the_separators_within_its_events(platform, cut_after):
+    # Guards against a result that lacks what follows a separator in an event.
+    texts = ["a\x0cb", "c\u2028data: d", "\x85", "e\x1ef "]
+
+    async def scenario(p):
+        replica = p.replicas[0].then(events=4, cut_after=cut_after)
+        replica.then(events=4)
+        replica.event = lambda number: (
+            f"id: {number}\ndata: {texts[number - 1]}\n\n".encode()
+        )
+        await submit(p, body=job_body("a"))
+        (result,) = await read_all(p)
+        assert (result["state"], result["output"]) == (
+            "done",
+            "\n".join(texts),
+        )
+
+    platform(scenario, ROUTE)
+
+
 def test_a_job_that_comes_again_is_accepted_once(platform):
     # Guards against a retried submission that runs and bills a job twice.
     async def scenario(p):
