A response that is not the replica's reaches no caller and no item

Cause: `Attempt._relay` took each head with a 2xx status as a success. The signature was looked at for items alone, and there only at the end, when unsigned events were in the text already. Evidence: the stand-in's log names each spoilt answer, and just these reached callers, with `served` and no `attempt_ended` line.

`ReplicaDialect.is_from_replica` is now asked about each head, before any byte of the body: a success needs the signature, any other status the signature or the echoed id of the request. An attempt without it ends as "unusable", is logged as `response_unsigned`, and is retried where the route allows it; else the caller gets 502. This holds for whole answers, streams, resumed streams and items.

- An item was dead after `max-attempts` answers of any status from 300 on.
Only 500 counts now; others are tried again with a growing pause.
- The product's own entry passed on any 2xx of an engine that is no event stream; the adapter now raises `EngineLost`.

The endless stand-in signs its heads, so that the bounds of bodies are tested as before; its endless 400 to an item now ends unread, as that status decides nothing.

--- a/dahliashunt/adapters/engine/http_engine.py
+++ b/dahliashunt/adapters/engine/http_engine.py
@@ -180,7 +180,15 @@
 async def _response_events(response) -> AsyncIterator[EngineEvents]:
     """Yield a stream by its events, any other response in one piece."""
     headers = response_headers(response.headers)
-    if response.content_type != _SSE:
+    is_stream = response.content_type == _SSE
+    if 200 <= response.status < 300 and not (
+        is_stream and response.status == 200
+    ):
+        raise EngineLost(
+            f"answered {response.status} with {response.content_type} instead"
+            " of an event stream"
+        )
+    if not is_stream:
         data = await read_body(response)
         yield EngineEvents(data, 1, response.status, headers)
         return
--- a/dahliashunt/adapters/engine/tests/test_engine_adapters.py
+++ b/dahliashunt/adapters/engine/tests/test_engine_adapters.py
@@ -10,6 +10,7 @@
 
 from dahliashunt.adapters.engine import create_engine_adapter
 from dahliashunt.adapters.engine.http_engine import complete_events
+from dahliashunt.adapters.engine.http_engine import HttpEngine
 from dahliashunt.adapters.table import HttpLimits
 from dahliashunt.errors import EngineError
 from dahliashunt.errors import EngineLost
@@ -440,3 +441,28 @@
     server = await asyncio.start_server(answer, "127.0.0.1", 0)
     async with server:
         yield server.sockets[0].getsockname()[1], heads
+
+
+@pytest.mark.parametrize("status", [200, 204, 206])
+def test_a_success_that_is_no_event_stream_is_lost(status):
+    """Guards against foreign bytes that a caller gets as a model's answer."""
+
+    async def answer(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        body = b"" if status == 204 else b"\x00\x01 not a response"
+        head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n"
+        writer.write(head.encode() + body)
+
+    async def test():
+        server = await asyncio.start_server(answer, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        engine = HttpEngine(f"http://{host}:{port}")
+        call = EngineCall("a1", "POST", "/v1/completions", b"{}", {})
+        try:
+            with pytest.raises(EngineLost):
+                await read_all(engine.call(call, 1_000))
+        finally:
+            await engine.close()
+            server.close()
+
+    asyncio.run(test())
--- a/dahliashunt/forwarding/attempt.py
+++ b/dahliashunt/forwarding/attempt.py
@@ -162,17 +162,31 @@
         if self._proves_not_run(connection, head):
             return await self._end_not_run(connection, mailbox, head)
         self._state.ran += 1
+        if not self._forwarder.dialect.is_from_replica(head):
+            return self._end_unsigned(head)
         if head.status >= 500:
             return await self._hold_failure(connection, mailbox, head)
         is_good = 200 <= head.status < 300
         self._state.is_rejected = head.status >= 400
         if self._state.started and not is_good:
             # A started stream may only be followed by more of its events.
-            return AttemptEnd.LOST
+            return AttemptEnd.UNUSABLE
         if is_good and self._route.kind is RouteKind.STREAM:
             return await self._relay_stream(connection, mailbox, head)
         return await self._relay_whole(connection, mailbox, head)
 
+    def _end_unsigned(self, head):
+        self._forwarder.metrics.count(
+            "responses_unsigned", status=str(head.status)
+        )
+        self._forwarder.log.warning(
+            "response_unsigned",
+            request_id=self._state.call.request_id,
+            replica=self._replica.replica_id,
+            status=head.status,
+        )
+        return AttemptEnd.UNUSABLE
+
     def _proves_not_run(self, connection, head):
         """Return whether `head` proves that the call has not run.
 
--- a/dahliashunt/forwarding/ports.py
+++ b/dahliashunt/forwarding/ports.py
@@ -26,8 +26,8 @@
     def names_request(self, head: ResponseHead) -> bool:
         """Return whether the response names the request that it is for."""
 
-    def is_signed(self, head: ResponseHead) -> bool:
-        """Return whether the response has the replica's signature."""
+    def is_from_replica(self, head: ResponseHead) -> bool:
+        """Return whether a replica has made the response."""
 
     def unsigned_headers(self, head: ResponseHead) -> list[tuple[str, str]]:
         """Return the headers to pass on with another status."""
--- a/dahliashunt/jobs/item_run.py
+++ b/dahliashunt/jobs/item_run.py
@@ -30,6 +30,10 @@
 """Delay before the next attempt after a refusal. Without it one item makes
 250 attempts a second at a replica that was replaced."""
 
+MAX_UNUSABLE_WAIT_MS = 3_200
+"""Longest delay after unusable responses, which doubles with each in a row.
+An item that gets no others is attempted until it is given up."""
+
 HELD_BACK_SHARE = 8
 """Divisor of the time that an item has left: no wait for its lost runs takes
 more."""
@@ -44,6 +48,11 @@
 """Longest text of an item, one hundred times that of an item of 2,100 tokens.
 A node runs up to 128 items at once."""
 
+REJECTED_STATUS = 422
+"""An item with this response can never be done."""
+
+_DECISIVE_ERRORS = (REJECTED_STATUS, 500)
+
 MAX_DROPPED_BYTES = 262_144
 """Bytes of one attempt that add no text: the body of an error response, and
 comments and other events without a number."""
@@ -61,13 +70,20 @@
 
     NOT_RUN = "not_run"
     LOST = "lost"
+    UNUSABLE = "unusable"
+    """The response is not the replica's, or decides nothing on the item."""
+
     FAILED = "failed"
-    """The replica ran the item and answered with an error."""
+    """The replica ran the item and answered with status 500."""
 
     IMPOSSIBLE = "impossible"
     """The replica rejected the item for good (status 422)."""
 
 
+_ABORTED_ENDS = (ItemEnd.LOST, ItemEnd.REVOKED, ItemEnd.UNUSABLE)
+"""Ends after which the replica may still work on the item."""
+
+
 class ItemRun:
     """An item's text and failures over all its attempts.
 
@@ -137,6 +153,7 @@
         self._dropped_bytes = 0
         self._connection = None
         self._attempt_origin = 0
+        self._unusable_in_row = 0
         self._revoked = False
 
     @property
@@ -232,7 +249,7 @@
             self._connection = None
             self.exceeded = connection.exceeded
             self.ran_ms += clock.now_ms() - began_ms
-            if end in (ItemEnd.LOST, ItemEnd.REVOKED):
+            if end in _ABORTED_ENDS:
                 connection.abort()
             pool.give_back(address, connection)
         return self._record_end(end, clock)
@@ -247,6 +264,13 @@
             self.failures += 1
         if end is ItemEnd.NOT_RUN:
             self.wait_after_refusal(clock)
+        self._unusable_in_row += 1
+        if end is ItemEnd.UNUSABLE:
+            wait_ms = REFUSED_WAIT_MS << min(self._unusable_in_row - 1, 16)
+            wait_ms = min(wait_ms, MAX_UNUSABLE_WAIT_MS)
+            self.not_before_ms = clock.now_ms() + wait_ms
+        else:
+            self._unusable_in_row = 0
         return end
 
     def wait_after_refusal(self, clock: Clock) -> None:
@@ -265,6 +289,8 @@
                 if isinstance(event, ResponseHead):
                     head = event
                     self.status = head.status
+                    if not _is_usable(head, dialect):
+                        return ItemEnd.UNUSABLE
                 elif isinstance(event, End):
                     if connection.exceeded is not None:
                         return ItemEnd.LOST
@@ -322,16 +348,27 @@
             return ItemEnd.LOST
         if dialect.proves_not_run(head):
             return ItemEnd.NOT_RUN
-        if head.status == 422:
+        if head.status == REJECTED_STATUS:
             return ItemEnd.IMPOSSIBLE
         if head.status >= 300:
             return ItemEnd.FAILED
-        is_whole = end is not End.BROKEN and not splitter.rest
-        if not is_whole or not dialect.is_signed(head):
+        if end is End.BROKEN or splitter.rest:
             return ItemEnd.LOST
         return ItemEnd.DONE
 
 
+def _is_usable(head, dialect):
+    """Return whether a response, if it ends, decides on the item.
+
+    A success adds to the text only if it is the replica's. No other status
+    than these counts as a failure of the item.
+    """
+    if dialect.proves_not_run(head):
+        return True
+    is_decisive = 200 <= head.status < 300 or head.status in _DECISIVE_ERRORS
+    return is_decisive and dialect.is_from_replica(head)
+
+
 def _origin(replica):
     if not replica.version:
         return 0
--- a/dahliashunt/jobs/worker.py
+++ b/dahliashunt/jobs/worker.py
@@ -473,7 +473,7 @@
         guard = self.node.forwarder.crash_guard
         if end is ItemEnd.DONE:
             guard.served(permit.keys)
-        elif end in (None, ItemEnd.REVOKED):
+        elif end in (None, ItemEnd.REVOKED, ItemEnd.UNUSABLE):
             guard.left(permit, item.call.request_id, replica)
         elif end is not ItemEnd.LOST:
             guard.ended_unharmed(permit)
@@ -486,7 +486,7 @@
             self._record_done(job_run, item, reservation.replica)
             job_run.finish(item, Outcome.DONE, "")
             return
-        if end in (ItemEnd.LOST, ItemEnd.FAILED, ItemEnd.NOT_RUN):
+        if end in _FAULTY_ENDS:
             # A refusal counts as well: the address may belong to another
             # replica by now.
             suspicion.failed(incarnation, self.clock.now_ms())
@@ -538,5 +538,13 @@
 _UNLOGGED_ENDS = (ItemEnd.DONE, ItemEnd.REVOKED, ItemEnd.QUARANTINED)
 """Ends that have another log line, or none as they are usual."""
 
+_FAULTY_ENDS = (
+    ItemEnd.LOST,
+    ItemEnd.UNUSABLE,
+    ItemEnd.FAILED,
+    ItemEnd.NOT_RUN,
+)
+"""Ends after which a replica is suspected."""
+
 _NOT_NEEDED = object()
 """Sentinel: the item has ended and needs no reservation."""
--- a/dahliashunt/platform/dialect.py
+++ b/dahliashunt/platform/dialect.py
@@ -79,9 +79,17 @@
         """Tell whether `head` carries the id of the request it is for."""
         return head.get(REQUEST_ID) is not None
 
-    def is_signed(self, head: ResponseHead) -> bool:
-        """Tell whether the response carries the replica's signature."""
-        return head.get(SIGNATURE) is not None
+    def is_from_replica(self, head: ResponseHead) -> bool:
+        """Tell whether a replica has made the response.
+
+        A faulty one may send bytes that are no response of its own. A success
+        counts only with the signature; other responses have at least the id
+        of their request, which replicas echo.
+        """
+        if head.get(SIGNATURE) is not None:
+            return True
+        is_success = 200 <= head.status < 300
+        return not is_success and self.names_request(head)
 
     def unsigned_headers(self, head: ResponseHead) -> list[tuple[str, str]]:
         """Return the headers to pass on with another status.
--- a/dahliashunt/platform/standins/endless.py
+++ b/dahliashunt/platform/standins/endless.py
@@ -6,6 +6,7 @@
 
 from dahliashunt.platform.names import NOT_RUN
 from dahliashunt.platform.names import REQUEST_ID
+from dahliashunt.platform.names import SIGNATURE
 
 __all__ = ["Endless", "EndlessPeer"]
 
@@ -15,7 +16,8 @@
 
 BLOCK_BYTES = 65_536
 
-_HEAD = b"HTTP/1.1 200 OK\r\n"
+_SIGNED = SIGNATURE.encode() + b": s\r\n"
+_HEAD = b"HTTP/1.1 200 OK\r\n" + _SIGNED
 _CHUNKED = _HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 _LATE = _HEAD + REQUEST_ID.encode() + b": other\r\n"
 _CHUNK = b"400\r\n" + b"x" * 1024 + b"\r\n"
@@ -50,8 +52,8 @@
         b"HTTP/1.1 503 X\r\n" + NOT_RUN.encode() + b": 1\r\n\r\n",
         b"x",
     )
-    FAILURE = (b"HTTP/1.1 500 X\r\n\r\n", b"x")
-    REJECTION = (b"HTTP/1.1 400 X\r\n\r\n", b"x")
+    FAILURE = (b"HTTP/1.1 500 X\r\n" + _SIGNED + b"\r\n", b"x")
+    REJECTION = (b"HTTP/1.1 400 X\r\n" + _SIGNED + b"\r\n", b"x")
     LATE = (_LATE + b"Content-Length: 999999999999\r\n\r\n", b"x")
     LATES = (b"", _LATE + b"Content-Length: 1\r\n\r\nx")
     NO_HTTP = (b"", b"\x00")
