A result larger than a transaction is listed and holds up no other

A result of more than some 740,000 bytes was never listed, nor were the other results of its job: the store refuses a transaction of more than 1 MB, and `JobRun._list_some` takes the same first result again for good.

Cause: `_page` always took at least one result, whatever its size.

Such a result now comes after all others of its job. Its first pieces are written ahead, in transactions that each depend on the version of the progress row, so that no other owner can list at the position meanwhile; the last one lists it. Pieces of an owner that ended in between are overwritten, or lie behind the pieces that the progress row names.

--- a/dahliashunt/jobs/ledger.py
+++ b/dahliashunt/jobs/ledger.py
@@ -58,8 +58,9 @@
 MAX_LISTING_ROWS = 90
 """Rows that are written together; the store's limit is a hundred."""
 
-MAX_FOREIGN_ROWS = 100
-"""Rows of other writers between a page's rows that do not hide it."""
+MAX_FOREIGN_ROWS = 250
+"""Rows between a page's rows that do not hide it: those of other writers, and
+pieces of a long result whose owner ended before it was listed."""
 
 MAX_DELETES = 90
 """Rows removed per transaction; the store's limit is a hundred."""
@@ -451,23 +452,23 @@
         return await self._list(job, finished)
 
     async def _list(self, job, finished):
-        known = self._view.progress_by_id.get(job.job_id)
         progress = self._view.progress(job)
         todo = [f for f in finished if f.index not in progress.indices]
         todo = _page(todo)
         if not todo:
             return len(finished)
+        todo = await self._write_ahead(job, todo)
+        known = self._view.progress_by_id.get(job.job_id)
+        progress = self._view.progress(job)
         entries, writes = [], []
-        for position, (each, values) in enumerate(todo, len(progress.listed)):
+        start = len(progress.listed)
+        for position, (each, values, ahead) in enumerate(todo, start):
             entries.append(
                 ListedResult(
                     each.index, each.outcome, len(values), len(each.text)
                 )
             )
-            writes += [
-                Write(result_key(job.job_id, position, n), value)
-                for n, value in enumerate(values)
-            ]
+            writes += _result_writes(job, position, values, ahead)
             if each.saved:
                 writes.append(Write(partial_key(job.job_id, each.index), None))
         progress = replace(progress, listed=(*progress.listed, *entries))
@@ -477,6 +478,30 @@
             )
         return len(todo)
 
+    async def _write_ahead(self, job, page):
+        """Write the first pieces of a result that exceeds a transaction.
+
+        Each transaction depends on the progress row, so that no other node
+        lists a result at this position meanwhile. Return the page, with the
+        number of pieces that are written.
+        """
+        (each, values), *others = page
+        ahead, listed = 0, self._view.progress(job).listed
+        while (count := _fitting(values[ahead:])) < len(values) - ahead:
+            progress = self._view.progress(job)
+            known = self._view.progress_by_id.get(job.job_id)
+            pieces = values[: ahead + count]
+            writes = _result_writes(job, len(listed), pieces, ahead)
+            is_written = await self._write_progress(
+                job, known, progress, writes
+            )
+            if not is_written or progress.listed != listed:
+                raise PlatformUnavailable(
+                    "another node has changed the progress row"
+                )
+            ahead += count
+        return [(each, values, ahead), *((*other, 0) for other in others)]
+
     async def _write_progress(self, job, known, progress, writes):
         key = progress_key(job.job_id)
         expect = known.version if known else MustBe.ABSENT
@@ -533,14 +558,35 @@
     ]
 
 
+def _result_writes(job, position, values, first):
+    """Return the writes of a result's pieces from number `first` on."""
+    return [
+        Write(result_key(job.job_id, position, number), values[number])
+        for number in range(first, len(values))
+    ]
+
+
+def _fitting(values):
+    """Return how many of a result's pieces fit into one transaction."""
+    size = 0
+    for count, value in enumerate(values):
+        size += len(value.encode())
+        if size > LISTING_BYTES or count + 2 >= MAX_LISTING_ROWS:
+            return max(1, count)
+    return len(values)
+
+
 def _page(finished):
     """Return the first of `finished` that fit into one transaction.
 
-    Each is paired with the values of its rows.
+    Each is paired with the values of its rows. A result that exceeds a
+    transaction by itself comes last, on a page of its own, so that it holds
+    up no other one.
     """
     page, size, rows = [], 0, 1
-    for each in finished:
-        values = _values(each.text)
+    valued = [(each, _values(each.text)) for each in finished]
+    valued.sort(key=lambda pair: _fitting(pair[1]) < len(pair[1]))
+    for each, values in valued:
         size += sum(len(value.encode()) for value in values)
         rows += len(values) + each.saved
         if page and (size > LISTING_BYTES or rows > MAX_LISTING_ROWS):
--- a/dahliashunt/jobs/tests/test_ledger.py
+++ b/dahliashunt/jobs/tests/test_ledger.py
@@ -167,6 +167,73 @@
     asyncio.run(main())
 
 
+def limit_transactions(table):
+    """Refuse what exceeds the limits of the store."""
+
+    def check(writes):
+        sizes = [len((write.value or "").encode()) for write in writes]
+        if sum(sizes) * 4 / 3 > MAX_TRANSACTION_BYTES or len(writes) > 100:
+            raise PlatformUnavailable("the transaction is too large")
+
+    table.before_transact = check
+
+
+@pytest.mark.parametrize("character", "a\x01\u20ac\U0001f600")
+def test_a_result_larger_than_a_transaction_is_listed(
+    make_ledger, table, character
+):
+    # Guards against a long result that is never listed, and that holds up
+    # all other results of its job.
+    async def main():
+        ledger = make_ledger(FIRST)
+        await ledger.accept(JOB, b"payload", 0)
+        limit_transactions(table)
+        text = character * 1_048_576
+        finished = [done(0, text), done(1)]
+        assert await ledger.list_results(JOB, finished) == 1
+        assert await ledger.list_results(JOB, finished) == 1
+        job = await ledger.find(JOB.job_id, fresh=True)
+        (short,) = await ledger.results(job, 0)
+        (long,) = await ledger.results(job, 1)
+        assert (short.item_id, short.text) == ("y", "text")
+        assert (long.item_id, long.text) == ("x", text)
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("kept", range(1, 4))
+def test_a_long_result_that_was_written_in_part_is_overwritten(
+    make_ledger, table, kept
+):
+    # Guards against pieces of an owner that ended in another result's text.
+    async def main():
+        old, new = make_ledger(FIRST), make_ledger(SECOND)
+        await old.accept(JOB, b"payload", 0)
+        await new.find(JOB.job_id)
+        limit_transactions(table)
+        check, left = table.before_transact, [kept]
+
+        def end_later(writes):
+            check(writes)
+            left[0] -= 1
+            if left[0] < 0:
+                raise PlatformUnavailable("the owner ends here")
+
+        table.before_transact = end_later
+        with pytest.raises(PlatformUnavailable):
+            await old.list_results(JOB, [done(0, "\x01" * 1_048_576)])
+        table.before_transact = check
+        await new.refresh_progress(JOB)
+        assert await new.take_over(JOB)
+        with pytest.raises(PlatformUnavailable):
+            await old.list_as_former_owner(JOB, [done(0, "a" * 1_048_576)])
+        await new.list_results(JOB, [done(1, "new")])
+        await new.list_results(JOB, [done(0, "text")])
+        assert await results(new) == [("y", "new"), ("x", "text")]
+
+    asyncio.run(main())
+
+
 def test_an_acceptance_without_trace_is_never_called_not_run(
     make_ledger, table
 ):
