Items that get no slot hold up no items that would

Cause: the worker asks for a slot for the first item in the order and puts it back if it is refused, whatever the reason. A refusal that concerns one item alone repeats at once and for good. Evidence: with a count of the reasons at the worker (`items_refused`, new) there are some 15 refusals a second of the reason "unasked" while no datagram is sent and no item starts; with 200 instead of 120,000 output tokens there are none.

A pass over the queue now goes on after a refusal with the next item that needs less: another service or version, or fewer tokens than the most memory beside a free slot. If all slots of a service are taken the pass ends for it, so that the order by due time is unchanged in a full fleet. At most eight refusals by agents end a pass. The first refused item is asked for again in each pass, as before; others pause for 100 to 800 ms. Also covered: a service without replicas, a version that is not listed, memory beside running items, and a route that can't be read.

Two ways, without a network (test_item_refusals.py): ending a pass at the first refusal leaves 60 items behind 1 or 200 too large ones, going on leaves none; in a full fleet both give the same order; items that fit only alone run in both.

--- a/dahliashunt/decisions/item_order.py
+++ b/dahliashunt/decisions/item_order.py
@@ -104,19 +104,29 @@
         self.mean_run_ms: float = INITIAL_RUN_MS
         self._feasible = _Heaps()
         self._infeasible = _Heaps()
+        # Heap of (time, number, item).
+        self._parked: list[tuple[int, int, WaitingItem]] = []
         self._accounts = FairOrder()
         self._sequence = itertools.count()
 
     def __len__(self):
-        return len(self._feasible) + len(self._infeasible)
+        ready = len(self._feasible) + len(self._infeasible)
+        return ready + len(self._parked)
 
     def put(self, item: WaitingItem) -> None:
         """Add an item, also one whose attempt got no slot."""
         entry = (item.due_ms, next(self._sequence), item)
         self._feasible.push(entry)
 
+    def park(self, item: WaitingItem, until_ms: int) -> None:
+        """Add an item that is not to be taken before `until_ms`."""
+        entry = (until_ms, next(self._sequence), item)
+        heapq.heappush(self._parked, entry)
+
     def take(self, now_ms: int) -> WaitingItem | None:
         """Remove and return the next item; None if there is none."""
+        while self._parked and self._parked[0][0] <= now_ms:
+            self.put(heapq.heappop(self._parked)[2])
         for workspace in self._feasible.workspaces():
             self._move_infeasible(workspace, now_ms)
         for heaps, similar_ms in (
--- a/dahliashunt/decisions/slot_messages.py
+++ b/dahliashunt/decisions/slot_messages.py
@@ -144,3 +144,10 @@
     free_tokens: int = -1
     born_ms: int = 0
     batch_room: int = -1
+
+    @property
+    def has_batch_room(self) -> bool:
+        """Whether a batch item may get a slot, as far as slots decide."""
+        if self.batch_room >= 0:
+            return self.batch_room > 0
+        return not self.away and self.online + self.batch < self.slots
--- a/dahliashunt/forwarding/replica_selector.py
+++ b/dahliashunt/forwarding/replica_selector.py
@@ -3,6 +3,7 @@
 import asyncio
 from dataclasses import replace
 import functools
+import math
 import random
 
 from dahliashunt.adapters.slots.client import SlotClient
@@ -139,6 +140,27 @@
             return self._granted_if_current(replies, requirements)
         return await self._fall_back(replies, requirements, request_id)
 
+    def batch_room(self, requirements: SlotRequirements) -> float:
+        """Return the most memory, in tokens, beside a slot for a batch item.
+
+        By the recent states of the partners: 0 if none has such a slot, and
+        infinite if the memory of one that has is unknown.
+        """
+        partners = self._known.partners(requirements.service)
+        admitted = [
+            replica
+            for replica in partners
+            if self._admits(requirements, replica)
+        ]
+        states = self._known.usable_states(admitted)
+        rooms = [
+            self._known.free_tokens(replica)
+            for replica in admitted
+            if replica.replica_id in states
+            and states[replica.replica_id].has_batch_room
+        ]
+        return math.inf if -1 in rooms else max(rooms, default=0)
+
     def is_announced(self, replica: Replica) -> bool:
         """Return whether its agent does not announce another incarnation."""
         return self._known.is_announced(replica)
--- a/dahliashunt/jobs/item_run.py
+++ b/dahliashunt/jobs/item_run.py
@@ -109,6 +109,8 @@
         Start of the first attempt on this node.
     revokes : int
         Number of attempts ended by a revoked slot.
+    refusals : int
+        Slot requests in a row that were refused or not worth sending.
     status : int or None
         Status of the latest answer; None without one.
     last_event : int
@@ -142,6 +144,7 @@
         self.ran_ms = 0
         self.started_ms: int | None = None
         self.revokes = 0
+        self.refusals = 0
         self.last_event = 0
         self.saved_event = 0
         self.origin = 0
--- a/dahliashunt/jobs/worker.py
+++ b/dahliashunt/jobs/worker.py
@@ -1,18 +1,24 @@
 """Execution of the items of the jobs that this node owns.
 
-The first item of `ItemQueue` requests a slot; if none is free the worker
-retries after a short delay. A revoked item is queued again and keeps its
-text.
+The first item of `ItemQueue` requests a slot, and after a refusal the next one
+that needs less (`item_refusals`). If none is free the worker retries after a
+short delay. A revoked item is queued again and keeps its text.
 """
 
 import asyncio
+import math
 import random
 
 from dahliashunt.adapters.http1 import ConnectionPool
 from dahliashunt.decisions.item_order import ItemQueue
 from dahliashunt.decisions.item_order import WaitingItem
+from dahliashunt.decisions.item_refusals import Demand
+from dahliashunt.decisions.item_refusals import Refusal
+from dahliashunt.decisions.item_refusals import Refusals
+from dahliashunt.decisions.item_refusals import refused_pause_ms
 from dahliashunt.decisions.slot_messages import Use
 from dahliashunt.decisions.stream_origins import origin_key
+from dahliashunt.errors import ErrorKind
 from dahliashunt.errors import PlatformUnavailable
 from dahliashunt.errors import RequestError
 from dahliashunt.forwarding.catalog import BrokenRoute
@@ -263,25 +269,62 @@
 
     async def _start_items(self):
         while True:
-            entry = self._next_ready()
-            if entry is None:
+            if await self._pass_over_items():
+                await self._pause()
+            else:
                 self._item_queued.clear()
                 await self._pause_or_wake()
+
+    async def _pass_over_items(self):
+        """Start the items that get a slot; return whether one was refused."""
+        refusals = Refusals()
+        first = None
+        while not (refusals and refusals.end_pass(self._services())):
+            entry = self._next_ready(refusals)
+            if entry is None:
+                break
+            if await self._start_or_refuse(entry, refusals):
                 continue
-            job_run, item = entry.work
-            reservation = await self._reserve(entry)
-            if reservation is _NOT_NEEDED:
-                continue
-            if reservation is None:
-                self._waiting.put(entry)
-                await self._pause()
-                continue
-            if job_run.stopped:
-                reservation.release()
-                continue
-            self._running += 1
-            self._waiting.started(entry, self.clock.now_ms())
-            job_run.spawn(self._attempt(job_run, item, reservation))
+            if first is None:
+                first = entry
+            else:
+                self._park(entry)
+        if first is not None:
+            self._waiting.put(first)
+        return bool(refusals)
+
+    async def _start_or_refuse(self, entry, refusals):
+        """Start an item; return False if it has to be asked for again."""
+        job_run, item = entry.work
+        reservation = await self._reserve(entry, refusals)
+        if reservation is _NOT_NEEDED:
+            return True
+        if reservation is None:
+            return False
+        if job_run.stopped:
+            reservation.release()
+            return True
+        item.refusals = 0
+        self._running += 1
+        self._waiting.started(entry, self.clock.now_ms())
+        job_run.spawn(self._attempt(job_run, item, reservation))
+        return True
+
+    def _park(self, entry):
+        _, item = entry.work
+        item.refusals += 1
+        pause_ms = refused_pause_ms(item.refusals)
+        self._waiting.park(entry, self.clock.now_ms() + pause_ms)
+
+    def _services(self):
+        """Return the services of the routes of this node's jobs."""
+        routes = (
+            self.node.catalog.batch_route(run.job.route)
+            for run in self._run_by_id.values()
+        )
+        return frozenset().union(
+            *(route.weight_by_service for route in routes if route)
+        )
 
     async def _pause(self):
         await self.clock.sleep_ms(self._rng.randint(*SLOT_RETRY_MS))
@@ -293,8 +336,8 @@
         except TimeoutError:
             return
 
-    def _next_ready(self):
-        """Remove and return the first waiting item that is ready."""
+    def _next_ready(self, refusals):
+        """Remove and return the first waiting item that may get a slot."""
         if self._running >= MAX_RUNNING_ITEMS:
             return None
         if self.held_characters > MAX_HELD_CHARACTERS:
@@ -302,19 +345,46 @@
         now_ms = self.clock.now_ms()
         later = []
         found = None
-        while len(self._waiting) and found is None:
+        while found is None:
             entry = self._waiting.take(now_ms)
+            if entry is None:
+                break
             job_run, item = entry.work
             if job_run.stopped or job_run.is_listed(item):
                 continue
-            if item.is_ready(now_ms) and not self._is_held_back(job_run, item):
-                found = entry
-            else:
+            if not item.is_ready(now_ms) or self._is_held_back(job_run, item):
                 later.append(entry)
+            elif (
+                refusals
+                and now_ms < item.abandon_ms
+                and refusals.covers(self._demand(entry))
+            ):
+                self._park(entry)
+            else:
+                found = entry
         for entry in later:
             self._waiting.put(entry)
         return found
 
+    def _demand(self, entry):
+        job_run, item = entry.work
+        service = self._service(job_run, item)
+        return Demand(
+            service=service,
+            version=self._version_to_continue(job_run, item, service),
+            tokens=entry.prompt_tokens + entry.output_tokens,
+            run_ms=self._waiting.run_ms(entry),
+        )
+
+    def _service(self, job_run, item):
+        """Return the service of an item, "" without a route."""
+        route = self.node.catalog.match(job_run.job.host, item.call.target)
+        if route is None:
+            return ""
+        if isinstance(route, BrokenRoute):
+            return _UNREADABLE
+        return route.service_for(item.call.request_id)
+
     def _is_held_back(self, job_run, item):
         """Return whether an item may neither run nor be given up yet."""
         if self.clock.now_ms() >= item.abandon_ms:
@@ -324,24 +394,24 @@
         return guard.is_quarantined(keys) or guard.must_wait(keys)
 
     def _crash_keys(self, job_run, item):
-        route = self.node.catalog.match(job_run.job.host, item.call.target)
-        service = ""
-        if isinstance(route, Route):
-            service = route.service_for(item.call.request_id)
         return crash_keys(
             item.digest,
-            service,
+            self._service(job_run, item),
             item.call.shared_parts,
             item.longest_wait_ms(self.clock.now_ms()),
         )
 
-    async def _reserve(self, entry):
-        """Return a reservation, None without a slot, or `_NOT_NEEDED`."""
+    async def _reserve(self, entry, refusals):
+        """Return a reservation, None without a slot, or `_NOT_NEEDED`.
+
+        A refusal is noted in `refusals`.
+        """
         job_run, item = entry.work
         now_ms = self.clock.now_ms()
         route = self.node.catalog.match(job_run.job.host, item.call.target)
         if isinstance(route, BrokenRoute):
             # The route still exists but can't be read: the item waits.
+            refusals.note(Demand(_UNREADABLE), Refusal.FULL)
             return None
         if route is None or route.kind is not RouteKind.BATCH:
             job_run.abandon(item, "the batch route no longer exists")
@@ -373,13 +443,16 @@
             return await self.replica_selector.find(
                 requirements, item.call.request_id, with_agents
             )
-        except RequestError:
-            # Not logged, since it is usual in a full fleet; the gauge shows
-            # the waiting items.
+        except RequestError as error:
+            # Not logged, since it is usual in a full fleet; the gauges show
+            # the waiting items and the reasons.
             self.node.metrics.gauge("items_waiting", len(self._waiting) + 1)
-            if requirements.version is not None:
-                # Other items may use replicas of other versions meanwhile.
-                item.wait_after_refusal(self.clock)
+            refusal, room = Refusal.UNASKED, math.inf
+            if error.kind is ErrorKind.OVERLOADED:
+                room = self.replica_selector.batch_room(requirements)
+                refusal = Refusal.ASKED if room else Refusal.FULL
+            self.node.metrics.count("items_refused", reason=refusal.value)
+            refusals.note(self._demand(entry), refusal, room)
             return None
 
     def _version_to_continue(self, job_run, item, service):
@@ -546,5 +619,8 @@
 )
 """Ends after which a replica is suspected."""
 
+_UNREADABLE = "unreadable route"
+"""Stands for the service of an item whose route can't be read."""
+
 _NOT_NEEDED = object()
 """Sentinel: the item has ended and needs no reservation."""
--- a/dahliashunt/platform/standins/caller.py
+++ b/dahliashunt/platform/standins/caller.py
@@ -50,6 +50,7 @@
     tokens: int
     body: bytes = b"{}"
     prompt_parts: str = ""
+    token_usage: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -141,7 +142,8 @@
 
 
 def _item(item):
-    headers = {PROMPT_PARTS: item.prompt_parts} if item.prompt_parts else {}
+    headers = {PROMPT_PARTS: item.prompt_parts, TOKENS: item.token_usage}
+    headers = {name: value for name, value in headers.items() if value}
     return {
         "id": item.item_id,
         "path": item.path,
