What an entry gives up itself is not counted as a replica's crash

Cause: `ItemRun` gave each attempt up after 1.5 s of silence, whatever the length of the prompt, and reported it as lost with its replica. `CrashGuard` counted the part, made it a suspect, and after four lost trials a guilty one. Evidence: in the log each `item_attempt_ended` with end "lost" comes 1.5 s after its begin and is followed by `part_lost`, while the stand-in records no crash and names the same incarnation throughout.

- An item's attempt that ends by silence is "silent": it is left and followed, and counts only if its replica's incarnation ends.
- The silence allowed grows with the tokens to be read, and doubles with each silent attempt in a row, four times at most.
- Responses that are cut off at a bound, or whose events are not the next ones, end as "unusable" at items and online requests.
Silence within the body of a whole response, and of an error, ends as "silent", no longer as "lost".

Measured: the new test fails before in 3 of 3 cases and passes now. The tests of parts and requests that crash replicas (test_parts, test_losses, test_crash_guard) pass unchanged.

--- a/dahliashunt/forwarding/attempt.py
+++ b/dahliashunt/forwarding/attempt.py
@@ -156,7 +156,7 @@
         return end
 
     async def _relay(self, connection, mailbox):
-        head = await self._read_head(mailbox)
+        head = await self._read_head(connection, mailbox)
         if not isinstance(head, ResponseHead):
             return head
         if self._proves_not_run(connection, head):
@@ -206,16 +206,17 @@
         )
         if connection.exceeded is not None:
             self._state.ran += 1
-            return AttemptEnd.LOST
-        if body is None:
+            return AttemptEnd.UNUSABLE
+        if isinstance(body, AttemptEnd):
+            body = b""
             # The rest of the body must not meet another request.
             connection.abort()
         if head.status == TOO_LARGE_STATUS:
             self._state.is_too_large = True
-            self._state.held = HeldResponse(head, body or b"")
+            self._state.held = HeldResponse(head, body)
         return AttemptEnd.NOT_RUN
 
-    async def _read_head(self, mailbox):
+    async def _read_head(self, connection, mailbox):
         """Return the response head, or the attempt's end without one."""
         silence_ms = self._head_silence_ms()
         events = await self._take_events(mailbox, silence_ms)
@@ -226,7 +227,7 @@
             return AttemptEnd.NOT_RUN
         if isinstance(events[0], End):
             self._state.ran += 1
-            return AttemptEnd.LOST
+            return self._broken_end(connection)
         for event in reversed(events[1:]):
             mailbox.put_back(event)
         return events[0]
@@ -264,28 +265,30 @@
         return AttemptEnd.SILENT
 
     async def _read_body(self, connection, mailbox, head, max_bytes):
-        """Return the rest of the body, or None if it is incomplete.
+        """Return the rest of the body, or the attempt's end without it.
 
         A body that is, or is stated to be, longer than `max_bytes` ends the
         connection.
         """
         if head.has_body and (head.stated_bytes() or 0) > max_bytes:
             connection.exceed(Bound.BODY)
-            return None
+            return AttemptEnd.UNUSABLE
         parts = bytearray()
         size = 0
         while True:
             events = await self._take_events(mailbox, self._head_silence_ms())
             if not events:
-                return None
+                return self._timed_out_or_silent()
             for event in events:
+                if event is End.BROKEN:
+                    return self._broken_end(connection)
                 if isinstance(event, End):
-                    return None if event is End.BROKEN else bytes(parts)
+                    return bytes(parts)
                 parts += event
                 size += len(event)
                 if size > max_bytes:
                     connection.exceed(Bound.BODY)
-                    return None
+                    return AttemptEnd.UNUSABLE
             await self._pass_on(connection, parts, events)
 
     async def _pass_on(self, connection, parts, events):
@@ -303,8 +306,8 @@
         body = await self._read_body(
             connection, mailbox, head, MAX_BUFFERED_BYTES
         )
-        if body is None:
-            return AttemptEnd.LOST
+        if isinstance(body, AttemptEnd):
+            return body
         self._state.held = HeldResponse(head, body)
         return AttemptEnd.FAILED
 
@@ -319,18 +322,23 @@
             if MAX_BUFFERED_BYTES < length <= max_bytes:
                 await self._start_response(head, length)
         body = await self._read_body(connection, mailbox, head, max_bytes)
-        if body is None:
-            return self._timed_out_or_lost(connection)
+        if isinstance(body, AttemptEnd):
+            is_late = self._clock.now_ms() >= self._state.deadline_ms
+            return AttemptEnd.TIMED_OUT if is_late else body
         if not self._state.started:
             await self._start_response(head, len(body))
         await self._sink.send(body)
         await self._sink.end()
         return AttemptEnd.SERVED
 
-    def _timed_out_or_lost(self, connection):
-        if self._clock.now_ms() >= self._state.deadline_ms:
-            return AttemptEnd.TIMED_OUT
-        return _broken_end(connection)
+    @staticmethod
+    def _broken_end(connection):
+        """Return the end of an attempt whose response broke off."""
+        if connection.exceeded is not None:
+            return AttemptEnd.UNUSABLE
+        if connection.was_unread:
+            return AttemptEnd.UNREAD
+        return AttemptEnd.LOST
 
     async def _start_response(self, head, length):
         if self._state.started:
@@ -362,10 +370,10 @@
                 )
             except EventTooLong:
                 connection.exceed(Bound.EVENT)
-                return AttemptEnd.LOST
+                return AttemptEnd.UNUSABLE
             except TooManyEvents:
                 connection.exceed(Bound.EVENTS)
-                return AttemptEnd.LOST
+                return AttemptEnd.UNUSABLE
             except EventOutOfOrder as error:
                 forwarder = self._forwarder
                 forwarder.metrics.count("stream_out_of_order")
@@ -375,7 +383,7 @@
                     replica=self._replica.replica_id,
                     reason=str(error),
                 )
-                return AttemptEnd.LOST
+                return AttemptEnd.UNUSABLE
             if end is not None:
                 return end
 
@@ -407,7 +415,7 @@
         if end is None:
             return None
         if end is End.BROKEN or splitter.rest:
-            return _broken_end(connection)
+            return self._broken_end(connection)
         await self._start_response(head, None)
         if splitter.blank_lines:
             await self._sink.send(splitter.blank_lines)
@@ -452,10 +460,3 @@
 
 def _body_bytes(events):
     return sum(len(event) for event in events if isinstance(event, bytes))
-
-
-def _broken_end(connection):
-    """Return the end of an attempt whose response broke off."""
-    if connection.was_unread and connection.exceeded is None:
-        return AttemptEnd.UNREAD
-    return AttemptEnd.LOST
--- a/dahliashunt/forwarding/call_state.py
+++ b/dahliashunt/forwarding/call_state.py
@@ -25,8 +25,8 @@
     """The connection broke; whether the call completed is unknown."""
 
     UNUSABLE = "unusable"
-    """The response can't be passed on, as it is not the replica's or does not
-    continue the stream that has started."""
+    """The response can't be passed on, as it is not the replica's, exceeds a
+    bound, or does not continue the stream that has started."""
 
     UNREAD = "unread"
     """The response broke off after the caller had not read it for a while."""
--- a/dahliashunt/jobs/item_run.py
+++ b/dahliashunt/jobs/item_run.py
@@ -22,9 +22,17 @@
 __all__ = ["ItemEnd", "ItemRun"]
 
 SILENCE_MS = 1_500
-"""Silence after which an attempt is given up. Events come every few
-milliseconds, ten times as slowly at a slowed replica; the text is kept, so
-that giving up costs a prompt's reading only."""
+"""Silence after which an attempt is given up, beside the time to read the
+prompt. Events come every few milliseconds, ten times as slowly at a slowed
+replica; the text is kept, so that giving up costs a prompt's reading only."""
+
+READ_TOKENS_PER_MS = 20
+"""Assumed rate at which a replica reads a prompt, also after a preemption;
+that of a replica with many other prompts to read."""
+
+MAX_SILENCE_DOUBLINGS = 4
+"""Silent attempts in a row, without an event, that double the silence allowed
+of the next one: the rate may be lower than is assumed."""
 
 REFUSED_WAIT_MS = 100
 """Delay before the next attempt after a refusal. Without it one item makes
@@ -70,8 +78,12 @@
 
     NOT_RUN = "not_run"
     LOST = "lost"
+    SILENT = "silent"
+    """Given up for its silence; the replica may still work on it."""
+
     UNUSABLE = "unusable"
-    """The response is not the replica's, or decides nothing on the item."""
+    """The response is not the replica's, exceeds a bound, has other events
+    than the next ones, or decides nothing on the item."""
 
     FAILED = "failed"
     """The replica ran the item and answered with status 500."""
@@ -80,7 +92,12 @@
     """The replica rejected the item for good (status 422)."""
 
 
-_ABORTED_ENDS = (ItemEnd.LOST, ItemEnd.REVOKED, ItemEnd.UNUSABLE)
+_ABORTED_ENDS = (
+    ItemEnd.LOST,
+    ItemEnd.REVOKED,
+    ItemEnd.SILENT,
+    ItemEnd.UNUSABLE,
+)
 """Ends after which the replica may still work on the item."""
 
 
@@ -157,6 +174,7 @@
         self._connection = None
         self._attempt_origin = 0
         self._unusable_in_row = 0
+        self._silent_in_row = 0
         self._revoked = False
 
     @property
@@ -260,13 +278,15 @@
     def _record_end(self, end, clock):
         if self._revoked:
             self._revoked = False
-            if end is ItemEnd.LOST:
+            if end in (ItemEnd.LOST, ItemEnd.SILENT):
                 self.revokes += 1
                 return ItemEnd.REVOKED
         if end is ItemEnd.FAILED:
             self.failures += 1
         if end is ItemEnd.NOT_RUN:
             self.wait_after_refusal(clock)
+        if end is ItemEnd.SILENT:
+            self._silent_in_row += 1
         self._unusable_in_row += 1
         if end is ItemEnd.UNUSABLE:
             wait_ms = REFUSED_WAIT_MS << min(self._unusable_in_row - 1, 16)
@@ -285,9 +305,10 @@
         self._dropped_bytes = 0
         splitter = EventSplitter()
         while True:
-            events = await mailbox.take(SILENCE_MS)
+            events = await mailbox.take(self._silence_ms())
             if not events:
-                return self._classify_end(End.BROKEN, head, splitter, dialect)
+                end = self._classify_end(End.BROKEN, head, splitter, dialect)
+                return ItemEnd.SILENT if end is ItemEnd.LOST else end
             for event in events:
                 if isinstance(event, ResponseHead):
                     head = event
@@ -296,7 +317,7 @@
                         return ItemEnd.UNUSABLE
                 elif isinstance(event, End):
                     if connection.exceeded is not None:
-                        return ItemEnd.LOST
+                        return ItemEnd.UNUSABLE
                     return self._classify_end(event, head, splitter, dialect)
                 else:
                     connection.taken(len(event))
@@ -307,7 +328,13 @@
                     else:
                         is_good = self._drop(connection, len(event))
                     if not is_good:
-                        return ItemEnd.LOST
+                        return ItemEnd.UNUSABLE
+
+    def _silence_ms(self):
+        """Return the silence after which the attempt is given up."""
+        tokens = self.call.prompt_tokens + self.last_event
+        silence_ms = SILENCE_MS + tokens // READ_TOKENS_PER_MS
+        return silence_ms << min(self._silent_in_row, MAX_SILENCE_DOUBLINGS)
 
     def _drop(self, connection, size):
         """Count bytes that make no text; return False past their bound."""
@@ -343,6 +370,7 @@
         self._characters += len(text) + 1
         self.origin = self._attempt_origin
         self.last_event += 1
+        self._silent_in_row = 0
 
     def _classify_end(self, end, head, splitter, dialect):
         if end is End.UNSENT:
--- a/dahliashunt/jobs/worker.py
+++ b/dahliashunt/jobs/worker.py
@@ -546,7 +546,7 @@
         guard = self.node.forwarder.crash_guard
         if end is ItemEnd.DONE:
             guard.served(permit.keys)
-        elif end in (None, ItemEnd.REVOKED, ItemEnd.UNUSABLE):
+        elif end in _LEFT_ENDS:
             guard.left(permit, item.call.request_id, replica)
         elif end is not ItemEnd.LOST:
             guard.ended_unharmed(permit)
@@ -611,8 +611,12 @@
 _UNLOGGED_ENDS = (ItemEnd.DONE, ItemEnd.REVOKED, ItemEnd.QUARANTINED)
 """Ends that have another log line, or none as they are usual."""
 
+_LEFT_ENDS = (None, ItemEnd.REVOKED, ItemEnd.SILENT, ItemEnd.UNUSABLE)
+"""Ends brought about here, after which the replica may still work."""
+
 _FAULTY_ENDS = (
     ItemEnd.LOST,
+    ItemEnd.SILENT,
     ItemEnd.UNUSABLE,
     ItemEnd.FAILED,
     ItemEnd.NOT_RUN,
--- a/dahliashunt/platform/tests/test_jobs.py
+++ b/dahliashunt/platform/tests/test_jobs.py
@@ -4,6 +4,7 @@
 import json
 
 import pytest
+from structlog.testing import capture_logs
 
 from dahliashunt.decisions.job_expiry import ORPHAN_GRACE_MS
 from dahliashunt.decisions.job_expiry import RETENTION_MARGIN_MS
@@ -626,6 +627,30 @@
     platform(scenario, SOON)
 
 
+@pytest.mark.parametrize(
+    ("usage", "head_ms", "runs"),
+    [("140000,20", 2_500, 1), ("", 2_500, 2), ("10,20", 5_000, 3)],
+)
+def test_an_item_that_is_given_up_for_silence_is_no_loss(
+    platform, usage, head_ms, runs
+):
+    # Guards against a long prompt that is given up each time it is read, and
+    # that holds back all items which share its parts.
+    async def scenario(p):
+        replica = p.replicas[0].then(events=2, head_ms=head_ms)
+        item = JobItem("a", "/j/a", 1, b"", PROMPT_PARTS, usage)
+        with capture_logs() as lines:
+            await submit(p, body=encode_job([item]))
+            (result,) = await read_all(p)
+        assert result["output"] == output(2)
+        assert len(replica.arrivals) == runs
+        ends = [e["end"] for e in lines if e["event"] == "item_attempt_ended"]
+        assert ends == ["silent"] * (runs - 1)
+        assert not any(e["event"] == "part_lost" for e in lines)
+
+    platform(scenario, ROUTE)
+
+
 def counted_losses(p):
     """Return the number of losses in the store's only row of them."""
     for table, part, key in p.store.names():
