Items with a part lost in unrelated crashes are tried in time

Cause: from the fourth lost trial of a part on, `CrashGuard._wait_ms` bounded the wait of batch items no longer, and the last quarantine is 600 s. A trial that is lost in an unrelated crash counts like any other. Evidence: in a play without a network in which replicas without the part crash beside each trial, the item is admitted after the fourth lost trial at no time within 8 s of the last crash; with the bound of the item's own it is.

The wait between trials is now decided in decisions/owed_trials.py. The list shows which incarnations ended without a notice. If as many ended without the part as with it, a further trial waits 5 s, or the item's own bound; else 25 s, doubled with each trial, so that a guilty part stays within its three late runs and no item waits for good. Online requests are held back as before.

--- a/dahliashunt/forwarding/crash_guard.py
+++ b/dahliashunt/forwarding/crash_guard.py
@@ -11,6 +11,7 @@
 from dahliashunt.decisions.loss_counts import EXPIRY_MS
 from dahliashunt.decisions.loss_counts import MAX_DIGESTS
 from dahliashunt.decisions.loss_counts import Permission
+from dahliashunt.decisions.owed_trials import owed_wait_ms
 from dahliashunt.decisions.prompt_parts import is_held_back
 from dahliashunt.decisions.prompt_parts import PartHistory
 from dahliashunt.forwarding.left_runs import LeftRuns
@@ -41,11 +42,6 @@
 """Losses to different causes after which a popular request is spared no
 longer."""
 
-MAX_OWED_TRIALS = 4
-"""Lost trials of a part up to which an item waits no longer than it can. An
-item alone crashes no replica, but a part of its prompt may; a part that was
-lost so often is taken to be guilty, and not to be unlucky."""
-
 
 @dataclass(frozen=True, slots=True)
 class CrashKeys:
@@ -59,11 +55,13 @@
     longest_wait_ms : int
         Bounds each wait of a batch item, which is owed whatever was lost
         with it.
+    service : str
     """
 
     request: Fingerprint
     parts: tuple[Fingerprint, ...]
     longest_wait_ms: int = EXPIRY_MS
+    service: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,7 +105,8 @@
         Bounds each wait of a batch item.
     """
     found = (part_fingerprint(service, part) for part in parts)
-    return CrashKeys(request, tuple(dict.fromkeys(found)), longest_wait_ms)
+    digests = tuple(dict.fromkeys(found))
+    return CrashKeys(request, digests, longest_wait_ms, service)
 
 
 class CrashGuard:
@@ -120,6 +119,9 @@
     left_runs : LeftRuns, optional
         Follows the runs that this entry leaves; by default no replica is
         known to end.
+    ended_since : callable
+        Given a time and a service, returns the incarnations of its replicas
+        that have ended without a notice since.
     """
 
     def __init__(
@@ -127,9 +129,11 @@
         losses: SharedLosses,
         clock: Clock,
         left_runs: LeftRuns | None = None,
+        ended_since=lambda from_ms, service: set(),
     ):
         self._losses = losses
         self._clock = clock
+        self._ended_since = ended_since
         self._left_runs = left_runs
         if left_runs is None:
             self._left_runs = LeftRuns(clock)
@@ -163,8 +167,25 @@
         """Return the longest wait for the next trial of one of the keys."""
         if digest == keys.request or keys.longest_wait_ms >= EXPIRY_MS:
             return keys.longest_wait_ms
-        is_guilty = self._losses.lost_trials(digest) >= MAX_OWED_TRIALS
-        return EXPIRY_MS if is_guilty else keys.longest_wait_ms
+        return owed_wait_ms(
+            self._losses.lost_trials(digest),
+            self._losses.losses(digest),
+            self._other_ends(keys.service, digest),
+            keys.longest_wait_ms,
+        )
+
+    def _other_ends(self, service, digest):
+        """Return how many replicas ended that lost no run with a part."""
+        lost = self._losses.runs(digest)
+        if not lost:
+            return 0
+        age_ms = self._losses.now_ms() - lost[0].lost_ms
+        from_ms = self._clock.now_ms() - age_ms
+        ended = {
+            f"{replica_id}@{born_ms}"
+            for replica_id, born_ms in self._ended_since(from_ms, service)
+        }
+        return len(ended - {run.replica for run in lost})
 
     async def admit(self, keys: CrashKeys) -> RunPermit | None:
         """Return permission to send the request now, or None.
--- a/dahliashunt/forwarding/losses.py
+++ b/dahliashunt/forwarding/losses.py
@@ -168,7 +168,7 @@
         self._has_unwritten = asyncio.Event()
         self._claim_from_ms = clock.now_ms()
 
-    def _now_ms(self):
+    def now_ms(self) -> int:
         """Return the store's clock, steady between two runs of this entry."""
         now_ms = self._clock.now_ms()
         offset_ms = self._store_now_ms() - now_ms
@@ -198,7 +198,7 @@
         replica : str
             Identifies the replica's incarnation.
         """
-        now_ms = self._now_ms()
+        now_ms = self.now_ms()
         age_ms = self._clock.now_ms() - began_ms
         before = self._known(digest, now_ms)
         self._learn_beside(digest, beside)
@@ -243,7 +243,7 @@
 
     def losses(self, digest: Fingerprint) -> int:
         """Return the number of crashes."""
-        return self._counts.losses(digest, self._now_ms())
+        return self._counts.losses(digest, self.now_ms())
 
     def permission(
         self, digest: Fingerprint, longest_wait_ms: int = EXPIRY_MS
@@ -256,7 +256,7 @@
         """
         if digest in self._kept_by_digest:
             return Permission.TRIAL
-        now_ms = self._now_ms()
+        now_ms = self.now_ms()
         permission = self._counts.permission(digest, now_ms, longest_wait_ms)
         if permission is not Permission.TRIAL or not self._is_cut_off():
             return permission
@@ -266,17 +266,21 @@
             return Permission.ALLOWED
         return permission
 
+    def runs(self, digest: Fingerprint) -> tuple[LostRun, ...]:
+        """Return the lost runs that are kept, the earliest first."""
+        return self._counts.runs(digest, self.now_ms())
+
     def causes(self, digest: Fingerprint) -> int:
         """Return how many causes the kept losses have had at least."""
-        return len(losses_in_row(self._counts.runs(digest, self._now_ms())))
+        return len(losses_in_row(self._counts.runs(digest, self.now_ms())))
 
     def longest_ms(self, digest: Fingerprint) -> int:
         """Return how long the longest of the lost runs has lasted."""
-        return self._counts.longest_ms(digest, self._now_ms())
+        return self._counts.longest_ms(digest, self.now_ms())
 
     def lost_trials(self, digest: Fingerprint) -> int:
         """Return the number of trials whose runs were lost."""
-        return self._counts.lost_trials(digest, self._now_ms())
+        return self._counts.lost_trials(digest, self.now_ms())
 
     def may_claim(self) -> bool:
         """Return whether the store may be asked for a trial now."""
@@ -324,7 +328,7 @@
             # Another entry has served the request.
             self._clear(digest)
             return Admission(digest)
-        now_ms = self._now_ms()
+        now_ms = self.now_ms()
         losses = self._learn(digest, _decode(row))
         permission = self._counts.permission(digest, now_ms, longest_wait_ms)
         if permission is Permission.ALLOWED:
@@ -358,7 +362,7 @@
 
     def take_back_old(self) -> None:
         """Take back the kept trials whose time is over."""
-        until_ms = self._now_ms() - REUSE_MS
+        until_ms = self.now_ms() - REUSE_MS
         for digest, trial in list(self._kept_by_digest.items()):
             if trial.claimed_ms <= until_ms:
                 self.take_back(Admission(digest, trial))
@@ -382,7 +386,7 @@
     def _learn(self, digest, stored):
         if stored.runs:
             self._learn_beside(digest, stored.beside)
-        now_ms = self._now_ms()
+        now_ms = self.now_ms()
         latest_ms = now_ms + MAX_CLOCK_ERROR_MS
         runs = [run for run in stored.runs if run.lost_ms <= latest_ms]
         losses = self._counts.learn(digest, runs, now_ms)
@@ -409,7 +413,7 @@
         digest = Fingerprint(row.key.removeprefix(LOSSES_PREFIX))
         if self._drops_row_by_digest.get(digest):
             return
-        now_ms = self._now_ms()
+        now_ms = self.now_ms()
         before = self._counts.losses(digest, now_ms)
         losses = self._learn(digest, _decode(row))
         if losses > before:
@@ -445,7 +449,7 @@
         """
         while True:
             await self._clock.sleep_ms(self._rng.randint(*SWEEP_MS))
-            expired = self._counts.expired(self._now_ms())
+            expired = self._counts.expired(self.now_ms())
             removals = min(MAX_REMOVALS, len(expired))
             for digest in self._rng.sample(expired, removals):
                 self._write_later(digest, False)
@@ -470,7 +474,7 @@
         stored = _decode(row)
         if not cleared:
             self._learn(digest, stored)
-        runs, beside = self._known(digest, self._now_ms())
+        runs, beside = self._known(digest, self.now_ms())
         trials = self._counts.trials(digest)
         is_same = beside == stored.beside and decides_alike(
             (runs, trials), (stored.runs, stored.trials)
--- a/dahliashunt/forwarding/replicas.py
+++ b/dahliashunt/forwarding/replicas.py
@@ -1,5 +1,6 @@
 """Registry of the replicas in the platform's list."""
 
+import collections
 from dataclasses import dataclass
 
 from dahliashunt.decisions.listed_versions import ListedVersions
@@ -12,6 +13,9 @@
 """Time after an outage of the list during which lapsed rows stay usable;
 live replicas renew theirs within it."""
 
+MAX_ENDED = 10_000
+"""Ended incarnations that are remembered, the latest ones."""
+
 
 @dataclass(frozen=True, slots=True)
 class Replica:
@@ -81,6 +85,10 @@
         self._warm_at_ms_by_id: dict[str, int] = {}
         self._outage_ended_ms: int | None = None
         self._versions = ListedVersions()
+        # Pairs of a time and a replica whose incarnation had ended by then.
+        self._ended: collections.deque[tuple[int, Replica]] = (
+            collections.deque(maxlen=MAX_ENDED)
+        )
         self._known_services: frozenset[str] | None = None
 
     def outage_ended(self, now_ms: int) -> None:
@@ -106,6 +114,8 @@
         if held != replica:
             if held is not None:
                 self._versions.note_gone(now_ms, held.service, held.version)
+                if held.incarnation != replica.incarnation:
+                    self._note_ended(held, now_ms)
                 if held.address != replica.address:
                     self._remove_from_address(held)
             self._replica_by_id[replica_id] = replica
@@ -191,11 +201,31 @@
         self._lapsed_until_ms_by_id.pop(replica_id, None)
         if replica is not None:
             self._versions.note_gone(now_ms, replica.service, replica.version)
+            self._note_ended(replica, now_ms)
             self._note_change()
             self._remove_from_address(replica)
         self._version_by_id.pop(replica_id, None)
         self._warm_at_ms_by_id.pop(replica_id, None)
 
+    def _note_ended(self, replica, now_ms):
+        if not replica.leaving:
+            self._ended.append((now_ms, replica))
+
+    def ended_since(self, from_ms: int, service: str) -> set[tuple[str, int]]:
+        """Return the incarnations of `service` that ended without a notice.
+
+        Parameters
+        ----------
+        from_ms : int
+            Monotonic time from which the list has shown their end.
+        service : str
+        """
+        return {
+            replica.incarnation
+            for ended_ms, replica in self._ended
+            if ended_ms >= from_ms and replica.service == service
+        }
+
     def is_cold(self, replica: Replica, now_ms: int) -> bool:
         """Return whether `replica` is still warming up.
 
--- a/dahliashunt/forwarding/tests/test_replicas.py
+++ b/dahliashunt/forwarding/tests/test_replicas.py
@@ -116,3 +116,18 @@
     assert names(registry) == ["a"]
     registry.know_services(frozenset())
     assert not registry.has_ended(registry.get("a"))
+
+
+def test_ends_without_a_notice_are_known_by_time_and_service(registry):
+    """Guards against drained replicas, or others' ends, that excuse a part."""
+    registry.put(replica("a", 0, born_ms=5), 2, 1_000)
+    registry.put(replica("b", 1, leaving=True), 3, 1_500)
+    registry.put(replica("b", 1, born_ms=6), 4, 2_000)
+    registry.put(replica("c", 2, service="t"), 5, 2_000)
+    registry.put(replica("c", 2, service="t", born_ms=7), 6, 2_500)
+    assert registry.ended_since(0, "s") == {("a", 0)}
+    assert registry.ended_since(1_001, "s") == set()
+    assert registry.ended_since(0, "t") == {("c", 0)}
+    registry.remove("a", 3_000)
+    registry.expire(60_000)
+    assert registry.ended_since(1_001, "s") == {("a", 5)}
--- a/dahliashunt/platform/serve_entry.py
+++ b/dahliashunt/platform/serve_entry.py
@@ -261,7 +261,12 @@
             self._pool,
             PlatformDialect(),
             self._suspicion,
-            CrashGuard(self._losses, self._clock, left_runs),
+            CrashGuard(
+                self._losses,
+                self._clock,
+                left_runs,
+                self._registry.ended_since,
+            ),
             self._make_stream_origins(),
             self._clock,
             self.node.metrics,
