Test that an entry that has just started joins no two versions

The users report, of a system like this one, streams of two versions after all entries were killed and came back. Here an entry that has just started takes the version of a stream from the notes at the agents, which outlive it; without a note it goes on only if the list was read for as long as the stream can have run, which is never so right after the start.

--- a/dahliashunt/platform/tests/test_versions.py
+++ b/dahliashunt/platform/tests/test_versions.py
@@ -225,6 +225,54 @@
     platform(scenario, engine=True, versions=("v1", "v2"))
 
 
+async def start_anew(p, gone, first):
+    """Begin a stream, kill all entries and start one, which is returned.
+
+    Unlist the replica that began the stream before or after the kill.
+    """
+    await hear_agents(p, p.entries[0])
+    connection = await read_first_events(p, p.entries[0], first)
+    (version,) = versions_by_request(p.replicas)[first]
+    (old,) = (r for r in p.replicas if r.version == version)
+    if gone == "before":
+        p.store.unlist_replica(old.replica_id)
+        registry = p.entries[0].node.registry
+        await p.until(lambda: registry.get(old.replica_id) is None)
+    await p.kill(p.entries[0])
+    connection.abort()
+    if gone == "after":
+        p.store.unlist_replica(old.replica_id)
+    entry = await p.add_entry(wait=False)
+    listed = len(p.replicas) - (gone is not None)
+    await p.until(
+        lambda: entry.node.ready and len(entry.node.registry.all()) == listed
+    )
+    return entry
+
+
+@pytest.mark.parametrize("gone", [None, "before", "after"])
+@pytest.mark.parametrize("has_notes", [True, False])
+def test_an_entry_that_has_just_started_joins_no_versions(
+    platform, gone, has_notes
+):
+    # Guards against taking the versions that are listed at the start for all
+    # that there were, once all entries were killed.
+    async def scenario(p):
+        async with p.agent():
+            entry = await start_anew(p, gone, "r")
+            first = "r" if has_notes else "of-lost-notes"
+            answer = await go_on(p, entry, "s", first)
+        reached = versions_by_request(p.replicas)
+        if has_notes and gone is None:
+            assert events(answer) == [4, 5, 6]
+            assert reached["s"] == reached["r"]
+        else:
+            assert answer.status == 503
+            assert "s" not in reached
+
+    platform(scenario, engine=True, versions=("v1", "v2"))
+
+
 ITEMS = route_fields(
     **{
         "kind": "batch",
