Bound the silence of items and the work per held-back item

Read in the diff: a long prompt with several silent attempts was waited for up to 136 s, and the ends of replicas were counted for each item with a suspect part, also where fewer than four trials were lost and nothing depends on it. The doubled silence is now 12 s at most, and ends are counted from the fourth lost trial on.

--- a/dahliashunt/forwarding/attempt.py
+++ b/dahliashunt/forwarding/attempt.py
@@ -208,9 +208,9 @@
             self._state.ran += 1
             return AttemptEnd.UNUSABLE
         if isinstance(body, AttemptEnd):
-            body = b""
             # The rest of the body must not meet another request.
             connection.abort()
+            body = b""
         if head.status == TOO_LARGE_STATUS:
             self._state.is_too_large = True
             self._state.held = HeldResponse(head, body)
--- a/dahliashunt/forwarding/crash_guard.py
+++ b/dahliashunt/forwarding/crash_guard.py
@@ -11,6 +11,7 @@
 from dahliashunt.decisions.loss_counts import EXPIRY_MS
 from dahliashunt.decisions.loss_counts import MAX_DIGESTS
 from dahliashunt.decisions.loss_counts import Permission
+from dahliashunt.decisions.owed_trials import MAX_UNDOUBTED_TRIALS
 from dahliashunt.decisions.owed_trials import owed_wait_ms
 from dahliashunt.decisions.prompt_parts import is_held_back
 from dahliashunt.decisions.prompt_parts import PartHistory
@@ -167,8 +168,11 @@
         """Return the longest wait for the next trial of one of the keys."""
         if digest == keys.request or keys.longest_wait_ms >= EXPIRY_MS:
             return keys.longest_wait_ms
+        lost_trials = self._losses.lost_trials(digest)
+        if lost_trials < MAX_UNDOUBTED_TRIALS:
+            return keys.longest_wait_ms
         return owed_wait_ms(
-            self._losses.lost_trials(digest),
+            lost_trials,
             self._losses.losses(digest),
             self._other_ends(keys.service, digest),
             keys.longest_wait_ms,
--- a/dahliashunt/jobs/item_run.py
+++ b/dahliashunt/jobs/item_run.py
@@ -30,9 +30,9 @@
 """Assumed rate at which a replica reads a prompt, also after a preemption;
 that of a replica with many other prompts to read."""
 
-MAX_SILENCE_DOUBLINGS = 4
-"""Silent attempts in a row, without an event, that double the silence allowed
-of the next one: the rate may be lower than is assumed."""
+MAX_DOUBLED_SILENCE_MS = 12_000
+"""Bound of the silence allowed, which doubles with each silent attempt in a
+row, without an event: the rate may be lower than is assumed."""
 
 REFUSED_WAIT_MS = 100
 """Delay before the next attempt after a refusal. Without it one item makes
@@ -334,7 +334,8 @@
         """Return the silence after which the attempt is given up."""
         tokens = self.call.prompt_tokens + self.last_event
         silence_ms = SILENCE_MS + tokens // READ_TOKENS_PER_MS
-        return silence_ms << min(self._silent_in_row, MAX_SILENCE_DOUBLINGS)
+        doubled_ms = silence_ms << min(self._silent_in_row, 10)
+        return max(silence_ms, min(doubled_ms, MAX_DOUBLED_SILENCE_MS))
 
     def _drop(self, connection, size):
         """Count bytes that make no text; return False past their bound."""
