Tests of the platform leave entries a port above the agents'

A dump of its stack shows `Platform.add_entry` looking for a free port above that of the agents, for eight minutes at full speed: the agents' port was the last of the system's range (32768 to 60999), above which no port is handed out.

The agents' port is now the lowest of eight free ones. No check changes.

--- a/dahliashunt/platform/tests/conftest.py
+++ b/dahliashunt/platform/tests/conftest.py
@@ -84,7 +84,8 @@
         self._folder = folder
         self._tasks = {}
         self._store_address = None
-        self._agent_port = free_port()
+        # Entries need free ports above it.
+        self._agent_port = min(free_port() for _ in range(8))
 
     async def open(
         self,
