--- a/dahliashunt/forwarding/tests/test_events.py
+++ b/dahliashunt/forwarding/tests/test_events.py
@@ -1,5 +1,9 @@
 """Tests of how a stream is split into events and an event into fields."""
 
+import itertools
+
+from hypothesis import given
+from hypothesis import strategies as st
 import pytest
 
 from dahliashunt.forwarding.events import EventSplitter
@@ -68,3 +72,32 @@
     """Guards against a first event without a number, which items drop."""
     event = split_event("\ufeffid: 1\ndata: \ufeffa\n\n".encode())
     assert (event.number, event.data()) == (1, "\ufeffa")
+
+
+@given(
+    st.lists(
+        st.sampled_from([b"id: 1", b"data: a", b"\r", b"\n", b"\x0c", b":"])
+    ),
+    st.lists(st.integers(0, 60)),
+)
+def test_events_do_not_depend_on_how_reads_cut_them(parts, cuts):
+    """Guards against bytes that are lost, or moved, between two reads."""
+    stream = b"".join(parts)
+    bounds = [0, *sorted(cut for cut in cuts if cut < len(stream)), None]
+    splitter, whole = EventSplitter(), EventSplitter()
+    events = []
+    for start, end in itertools.pairwise(bounds):
+        events += splitter.feed(stream[start:end])
+    expected = whole.feed(stream)
+    for part, found in ((splitter, events), (whole, expected)):
+        left = part.rest + part.blank_lines
+        assert b"".join(event.raw for event in found) + left == stream
+    assert numbered(events) == numbered(expected)
+
+
+def numbered(events):
+    return [
+        (event.number, event.data())
+        for event in events
+        if event.number is not None
+    ]
--- a/dahliashunt/jobs/worker.py
+++ b/dahliashunt/jobs/worker.py
@@ -419,41 +419,50 @@
         if now_ms >= item.abandon_ms + ABANDON_MARGIN_MS:
             job_run.abandon(item, "the time limit of its route has passed")
             return _NOT_NEEDED
-        service = route.service_for(item.call.request_id)
-        parts = item.call.shared_parts
-        requirements = SlotRequirements(
+        requirements = self._requirements(entry, route)
+        with_agents = self.node.has_agents(requirements.service)
+        try:
+            return await self.replica_selector.find(
+                requirements, item.call.request_id, with_agents
+            )
+        except RequestError as error:
+            self._note_refusal(entry, requirements, error, refusals)
+            return None
+
+    def _requirements(self, entry, route):
+        job_run, item = entry.work
+        call = item.call
+        service = route.service_for(call.request_id)
+        parts = call.shared_parts
+        return SlotRequirements(
             service=service,
             use=Use.BATCH,
             affinity=parts[-1] if parts else "",
             wait_ms=0,
-            slack_ms=self._waiting.slack_ms(entry, now_ms),
+            slack_ms=self._waiting.slack_ms(entry, self.clock.now_ms()),
             run_ms=self._waiting.run_ms(entry),
             avoid=frozenset(),
             on_revoke=item.revoke,
             version=self._version_to_continue(job_run, item, service),
-            workspace=workspace_digest(item.call.workspace),
-            prompt_tokens=item.call.prompt_tokens,
-            output_tokens=item.call.output_tokens,
-            shared_parts=tuple(
-                zip(parts, item.call.shared_tokens, strict=False)
-            ),
+            workspace=workspace_digest(call.workspace),
+            prompt_tokens=call.prompt_tokens,
+            output_tokens=call.output_tokens,
+            shared_parts=tuple(zip(parts, call.shared_tokens, strict=False)),
         )
-        with_agents = self.node.has_agents(service)
-        try:
-            return await self.replica_selector.find(
-                requirements, item.call.request_id, with_agents
-            )
-        except RequestError as error:
-            # Not logged, since it is usual in a full fleet; the gauges show
-            # the waiting items and the reasons.
-            self.node.metrics.gauge("items_waiting", len(self._waiting) + 1)
-            refusal, room = Refusal.UNASKED, math.inf
-            if error.kind is ErrorKind.OVERLOADED:
-                room = self.replica_selector.batch_room(requirements)
-                refusal = Refusal.ASKED if room else Refusal.FULL
-            self.node.metrics.count("items_refused", reason=refusal.value)
-            refusals.note(self._demand(entry), refusal, room)
-            return None
+
+    def _note_refusal(self, entry, requirements, error, refusals):
+        """Note why an item got no slot.
+
+        It is not logged, since it is usual in a full fleet; the metrics show
+        the waiting items and the reasons.
+        """
+        self.node.metrics.gauge("items_waiting", len(self._waiting) + 1)
+        refusal, room = Refusal.UNASKED, math.inf
+        if error.kind is ErrorKind.OVERLOADED:
+            room = self.replica_selector.batch_room(requirements)
+            refusal = Refusal.ASKED if room else Refusal.FULL
+        self.node.metrics.count("items_refused", reason=refusal.value)
+        refusals.note(self._demand(entry), refusal, room)
 
     def _version_to_continue(self, job_run, item, service):
         """Return the version that must continue the item; None for any.
--- a/dahliashunt/platform/tests/test_refused_items.py
+++ b/dahliashunt/platform/tests/test_refused_items.py
@@ -48,5 +48,10 @@
             results = await read_all(p, "j2")
             assert {each["output"] for each in results} == {output(2)}
             assert (await read(p, "j1")).json()["results"] == []
+            metrics = p.entries[0].node.metrics.text()
+            assert (
+                'items_refused_total{node="front-0",reason="unasked"}'
+                in metrics
+            )
 
     platform(scenario, config=config)
