Bound the time that an item waits for its prompt to be read

Read in the diff: the silence allowed grew with the prompt tokens that the caller states, without a bound where the memory of replicas is not known. The reading time is now 30 s at most, and the function and its bounds have examples that run.

--- a/dahliashunt/jobs/item_run.py
+++ b/dahliashunt/jobs/item_run.py
@@ -19,7 +19,7 @@
 from dahliashunt.jobs.partials import Partial
 from dahliashunt.ports import Clock
 
-__all__ = ["ItemEnd", "ItemRun"]
+__all__ = ["ItemEnd", "ItemRun", "allowed_silence_ms"]
 
 SILENCE_MS = 1_500
 """Silence after which an attempt is given up, beside the time to read the
@@ -30,8 +30,11 @@
 """Assumed rate at which a replica reads a prompt, also after a preemption;
 that of a replica with many other prompts to read."""
 
+MAX_READ_MS = 30_000
+"""Longest assumed time to read a prompt, whatever length the caller states."""
+
 MAX_DOUBLED_SILENCE_MS = 12_000
-"""Bound of the silence allowed, which doubles with each silent attempt in a
+"""Bound up to which the silence allowed doubles with each silent attempt in a
 row, without an event: the rate may be lower than is assumed."""
 
 REFUSED_WAIT_MS = 100
@@ -66,6 +69,31 @@
 comments and other events without a number."""
 
 
+def allowed_silence_ms(tokens: int, silent_attempts: int) -> int:
+    """Return the silence after which an attempt is given up.
+
+    Parameters
+    ----------
+    tokens : int
+        Tokens that the replica reads before its next event.
+    silent_attempts : int
+        Silent attempts in a row before this one.
+
+    Examples
+    --------
+    >>> [allowed_silence_ms(0, attempts) for attempts in (0, 1, 9)]
+    [1500, 3000, 12000]
+    >>> [allowed_silence_ms(140_000, attempts) for attempts in (0, 9)]
+    [8500, 12000]
+    >>> allowed_silence_ms(2**31, 1_000_000)
+    31500
+    """
+    read_ms = min(tokens // READ_TOKENS_PER_MS, MAX_READ_MS)
+    silence_ms = SILENCE_MS + read_ms
+    doubled_ms = silence_ms << min(silent_attempts, 10)
+    return max(silence_ms, min(doubled_ms, MAX_DOUBLED_SILENCE_MS))
+
+
 class ItemEnd(enum.Enum):
     """How an attempt at a replica ended."""
 
@@ -305,7 +333,9 @@
         self._dropped_bytes = 0
         splitter = EventSplitter()
         while True:
-            events = await mailbox.take(self._silence_ms())
+            tokens = self.call.prompt_tokens + self.last_event
+            silence_ms = allowed_silence_ms(tokens, self._silent_in_row)
+            events = await mailbox.take(silence_ms)
             if not events:
                 end = self._classify_end(End.BROKEN, head, splitter, dialect)
                 return ItemEnd.SILENT if end is ItemEnd.LOST else end
@@ -330,13 +360,6 @@
                     if not is_good:
                         return ItemEnd.UNUSABLE
 
-    def _silence_ms(self):
-        """Return the silence after which the attempt is given up."""
-        tokens = self.call.prompt_tokens + self.last_event
-        silence_ms = SILENCE_MS + tokens // READ_TOKENS_PER_MS
-        doubled_ms = silence_ms << min(self._silent_in_row, 10)
-        return max(silence_ms, min(doubled_ms, MAX_DOUBLED_SILENCE_MS))
-
     def _drop(self, connection, size):
         """Count bytes that make no text; return False past their bound."""
         self._dropped_bytes += size
