Bound the connections to listeners that are not for callers

A crowd at the readiness or metrics port of an entry, or the metrics port of an agent, took all descriptors of the process: nothing bounded their connections.

--- a/dahliashunt/platform/metrics_page.py
+++ b/dahliashunt/platform/metrics_page.py
@@ -1,14 +1,18 @@
 """Metrics and inspection pages over HTTP."""
 
+from dahliashunt.adapters.held_memory import HeldMemory
+from dahliashunt.adapters.http_server import HttpBounds
 from dahliashunt.adapters.http_server import HttpServer
 from dahliashunt.forwarding.explain import Explainer
 from dahliashunt.forwarding.explain_workspaces import WorkspaceExplainer
 from dahliashunt.metrics import Metrics
 from dahliashunt.platform.inspect_page import InspectPage
 from dahliashunt.platform.plain_text import send_text
+from dahliashunt.process_shares import SIDE_BYTES
+from dahliashunt.process_shares import SIDE_CONNECTIONS
 from dahliashunt.recent_lines import RecentLines
 
-__all__ = ["MetricsPage", "serve_metrics"]
+__all__ = ["MetricsPage", "serve_metrics", "side_bounds"]
 
 METRICS_PATH = "/metrics"
 
@@ -27,6 +31,18 @@
             await send_text(send, 404, b"")
 
 
+def side_bounds(metrics: Metrics) -> HttpBounds:
+    """Return the bounds of a listener that is not for callers."""
+
+    def count(stages):
+        for stage, number in stages.items():
+            metrics.count("side_connections_ended", number, stage=stage.value)
+
+    return HttpBounds(
+        memory=HeldMemory(SIDE_BYTES, SIDE_CONNECTIONS, on_ended=count)
+    )
+
+
 async def serve_metrics(
     metrics: Metrics,
     host: str,
@@ -53,6 +69,7 @@
         return None
     fallback = MetricsPage(metrics)
     page = InspectPage(explainer, recent, fallback, workspaces)
-    server = HttpServer(page, host, port, lifespan=False)
+    bounds = side_bounds(metrics)
+    server = HttpServer(page, host, port, lifespan=False, bounds=bounds)
     await server.start()
     return server
--- a/dahliashunt/platform/serve_entry.py
+++ b/dahliashunt/platform/serve_entry.py
@@ -44,6 +44,7 @@
 from dahliashunt.platform.listeners import ConfigListener
 from dahliashunt.platform.listeners import ReplicaListener
 from dahliashunt.platform.metrics_page import serve_metrics
+from dahliashunt.platform.metrics_page import side_bounds
 from dahliashunt.platform.operator import CONFIG_KEY
 from dahliashunt.platform.operator import REPLICAS_PREFIX
 from dahliashunt.platform.refusals import memory_refusal
@@ -385,6 +386,7 @@
                 Health(self.node),
                 *settings.readiness,
                 lifespan=False,
+                bounds=side_bounds(self.node.metrics),
             ),
         ]
         for server in self._servers:
