Bound the connections that requests open to replicas

If all are open, the one that is idle for longest is closed; if none is idle the request is refused as not run, and the item of a job is queued again. This end, `no_connection`, says nothing against the replica: it is not suspected, and no further replica is asked.

The pool of the store has no such bound, so that a process short of descriptors still reads it.

--- a/dahliashunt/adapters/http1/__init__.py
+++ b/dahliashunt/adapters/http1/__init__.py
@@ -9,6 +9,7 @@
 from dahliashunt.adapters.http1.fetch import exchange_whole
 from dahliashunt.adapters.http1.fetch import HttpResponse
 from dahliashunt.adapters.http1.pool import ConnectionPool
+from dahliashunt.adapters.http1.pool import PoolExhausted
 from dahliashunt.adapters.http1.request import encode_request
 
 __all__ = [
@@ -18,6 +19,7 @@
     "End",
     "HttpConnection",
     "HttpResponse",
+    "PoolExhausted",
     "ResponseHead",
     "encode_request",
     "exchange_whole",
--- a/dahliashunt/adapters/http1/connection.py
+++ b/dahliashunt/adapters/http1/connection.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 import enum
 import socket
@@ -107,6 +108,8 @@
     ----------
     backlog : ReadBacklog, optional
         Counts the unconsumed body bytes of several connections.
+    on_lost : callable, optional
+        Called with the connection once it is closed.
 
     The events of an exchange are a `ResponseHead`, parts of the body as
     bytes, and an `End`.
@@ -123,7 +126,12 @@
         The bound at which reading ended.
     """
 
-    def __init__(self, backlog: ReadBacklog | None = None):
+    def __init__(
+        self,
+        backlog: ReadBacklog | None = None,
+        on_lost: "Callable[[HttpConnection], None] | None" = None,
+    ):
+        self._on_lost = on_lost
         self.usable = True
         self.idle_since_ms = 0
         self.opened_after = 0
@@ -180,6 +188,8 @@
         """End the exchange, if one is open."""
         self.usable = False
         self._finish(End.BROKEN)
+        if self._on_lost is not None:
+            self._on_lost(self)
 
     # Callbacks of the parser.
 
@@ -376,6 +386,7 @@
     port: int,
     timeout_ms: int,
     backlog: ReadBacklog | None = None,
+    on_lost: Callable[[HttpConnection], None] | None = None,
 ) -> HttpConnection:
     """Connect and set the socket's timeouts.
 
@@ -388,7 +399,7 @@
     try:
         async with asyncio.timeout(timeout_ms / 1000):
             _, connection = await loop.create_connection(
-                lambda: HttpConnection(backlog), host, port
+                lambda: HttpConnection(backlog, on_lost), host, port
             )
     except (OSError, TimeoutError) as error:
         raise ConnectFailed(
--- a/dahliashunt/adapters/http1/pool.py
+++ b/dahliashunt/adapters/http1/pool.py
@@ -1,11 +1,14 @@
 """Pool of idle connections, which reuses the newest first."""
 
+import math
+
+from dahliashunt.adapters.http1.connection import ConnectFailed
 from dahliashunt.adapters.http1.connection import HttpConnection
 from dahliashunt.adapters.http1.connection import open_connection
 from dahliashunt.adapters.write_backlog import ReadBacklog
 from dahliashunt.ports import Clock
 
-__all__ = ["ConnectionPool"]
+__all__ = ["ConnectionPool", "PoolExhausted"]
 
 CONNECT_TIMEOUT_MS = 400
 """Longest time to connect: many round trips within a region, but less than
@@ -26,6 +29,10 @@
 """Most idle connections kept for one address."""
 
 
+class PoolExhausted(ConnectFailed):
+    """As many connections are in use as the pool may open."""
+
+
 class ConnectionPool:
     """Keeps idle connections and opens new ones.
 
@@ -35,6 +42,13 @@
     connect_ms : int
     backlog : ReadBacklog, optional
         Counts the unconsumed bytes of all its connections.
+    max_open : int, optional
+        Most open connections, idle ones included.
+
+    Attributes
+    ----------
+    opened : int
+        Number of connections opened so far.
     """
 
     def __init__(
@@ -42,7 +56,11 @@
         clock: Clock,
         connect_ms: int = CONNECT_TIMEOUT_MS,
         backlog: ReadBacklog | None = None,
+        max_open: int | None = None,
     ):
+        self._max_open = math.inf if max_open is None else max_open
+        self._open: set[HttpConnection] = set()
+        self._opening = 0
         self._clock = clock
         self._connect_ms = connect_ms
         self._backlog = backlog
@@ -61,6 +79,8 @@
         ------
         ConnectFailed
             A new connection could not be made.
+        PoolExhausted
+            None may be opened.
         """
         idle = self._idle_by_address.get(address)
         now_ms = self._clock.now_ms()
@@ -70,14 +90,48 @@
                 return connection
             connection.abort()
         self._idle_by_address.pop(address, None)
+        self._make_room()
         self.opened += 1
         forgets = self._forgets
-        connection = await open_connection(
-            *address, self._connect_ms, self._backlog
-        )
+        self._opening += 1
+        try:
+            connection = await open_connection(
+                *address, self._connect_ms, self._backlog, self._open.discard
+            )
+        finally:
+            self._opening -= 1
+        if not connection.transport.is_closing():
+            self._open.add(connection)
         connection.opened_after = forgets
         return connection
 
+    @property
+    def open_connections(self) -> int:
+        """Number of open connections."""
+        return len(self._open) + self._opening
+
+    def _make_room(self):
+        """Close the connection that is idle for longest if all are open."""
+        if self.open_connections < self._max_open:
+            return
+        oldest = min(
+            (
+                (idle[0].idle_since_ms, address)
+                for address, idle in self._idle_by_address.items()
+                if idle
+            ),
+            default=None,
+        )
+        if oldest is None:
+            raise PoolExhausted(f"{len(self._open)} connections are open")
+        address = oldest[1]
+        idle = self._idle_by_address[address]
+        connection = idle.pop(0)
+        if not idle:
+            del self._idle_by_address[address]
+        connection.abort()
+        self._open.discard(connection)
+
     def has_idle(self, address: tuple[str, int]) -> bool:
         """Return whether `take` would reuse a connection."""
         now_ms = self._clock.now_ms()
--- a/dahliashunt/forwarding/attempt.py
+++ b/dahliashunt/forwarding/attempt.py
@@ -6,6 +6,7 @@
 from dahliashunt.adapters.http1 import Bound
 from dahliashunt.adapters.http1 import ConnectFailed
 from dahliashunt.adapters.http1 import End
+from dahliashunt.adapters.http1 import PoolExhausted
 from dahliashunt.adapters.http1 import ResponseHead
 from dahliashunt.adapters.http1.connection import READ_HIGH_WATER_BYTES
 from dahliashunt.forwarding.call_state import AttemptEnd
@@ -119,6 +120,8 @@
         )
         try:
             connection = await forwarder.pool.take(replica.address, idle_ms)
+        except PoolExhausted:
+            return AttemptEnd.NO_CONNECTION
         except ConnectFailed:
             return AttemptEnd.NOT_RUN
         left_ms = self._state.deadline_ms - self._clock.now_ms()
--- a/dahliashunt/forwarding/call_state.py
+++ b/dahliashunt/forwarding/call_state.py
@@ -18,6 +18,9 @@
     NOT_RUN = "not_run"
     """The replica reported it as not run, or no connection was made."""
 
+    NO_CONNECTION = "no_connection"
+    """This node may open no more connections; nothing was sent."""
+
     FAILED = "failed"
     """The replica ran it and returned a server error."""
 
--- a/dahliashunt/forwarding/forwarder.py
+++ b/dahliashunt/forwarding/forwarder.py
@@ -64,6 +64,20 @@
 MAX_NOT_RUN_ATTEMPTS = 6
 """Attempts that may end as not run before the call is given up."""
 
+_UNHARMED_ENDS = (
+    AttemptEnd.NOT_RUN,
+    AttemptEnd.NO_CONNECTION,
+    AttemptEnd.FAILED,
+)
+"""Ends after which the replica certainly lives on."""
+
+_UNSUSPICIOUS_ENDS = (
+    AttemptEnd.TIMED_OUT,
+    AttemptEnd.UNREAD,
+    AttemptEnd.NO_CONNECTION,
+)
+"""Ends that say nothing against the replica."""
+
 
 class ResponseTruncated(RequestError):
     """A response broke off after its start and must not look complete."""
@@ -372,13 +386,11 @@
         guard, request_id = self._forwarder.crash_guard, self._call.request_id
         if end is AttemptEnd.LOST:
             guard.lost(permit, request_id, replica)
-        elif end in (AttemptEnd.NOT_RUN, AttemptEnd.FAILED):
+        elif end in _UNHARMED_ENDS:
             guard.ended_unharmed(permit)
         else:
             guard.left(permit, request_id, replica)
-        if end not in (AttemptEnd.TIMED_OUT, AttemptEnd.UNREAD) and not (
-            self._state.is_too_large
-        ):
+        if end not in _UNSUSPICIOUS_ENDS and not self._state.is_too_large:
             now_ms = self._clock.now_ms()
             self._forwarder.suspicion.failed(replica.incarnation, now_ms)
         self._record(
@@ -394,7 +406,7 @@
 
     def _may_try_again(self, end):
         if (
-            end is AttemptEnd.TIMED_OUT
+            end in (AttemptEnd.TIMED_OUT, AttemptEnd.NO_CONNECTION)
             or self._clock.now_ms() >= self._state.deadline_ms
         ):
             return False
--- a/dahliashunt/jobs/item_run.py
+++ b/dahliashunt/jobs/item_run.py
@@ -6,6 +6,7 @@
 from dahliashunt.adapters.http1 import ConnectFailed
 from dahliashunt.adapters.http1 import ConnectionPool
 from dahliashunt.adapters.http1 import End
+from dahliashunt.adapters.http1 import PoolExhausted
 from dahliashunt.adapters.http1 import ResponseHead
 from dahliashunt.decisions.stream_origins import origin_key
 from dahliashunt.forwarding.call import Call
@@ -105,6 +106,9 @@
     """Not sent, since its runs were lost with their replicas."""
 
     NOT_RUN = "not_run"
+    NO_CONNECTION = "no_connection"
+    """Not sent, since this node may open no more connections."""
+
     LOST = "lost"
     SILENT = "silent"
     """Given up for its silence; the replica may still work on it."""
@@ -273,6 +277,8 @@
         address = reservation.replica.address
         try:
             connection = await pool.take(address, MAX_IDLE_MS)
+        except PoolExhausted:
+            return self._record_end(ItemEnd.NO_CONNECTION, clock)
         except ConnectFailed:
             return self._record_end(ItemEnd.NOT_RUN, clock)
         if self._revoked:
@@ -311,7 +317,7 @@
                 return ItemEnd.REVOKED
         if end is ItemEnd.FAILED:
             self.failures += 1
-        if end is ItemEnd.NOT_RUN:
+        if end in (ItemEnd.NOT_RUN, ItemEnd.NO_CONNECTION):
             self.wait_after_refusal(clock)
         if end is ItemEnd.SILENT:
             self._silent_in_row += 1
--- a/dahliashunt/platform/serve_entry.py
+++ b/dahliashunt/platform/serve_entry.py
@@ -171,6 +171,7 @@
         self._pool = ConnectionPool(
             self._clock,
             backlog=self._read_backlog,
+            max_open=self._shares.replica_connections,
         )
         self._store_pool = ConnectionPool(self._clock)
         self._store = PlatformStore(
@@ -449,6 +450,7 @@
         gauge("held_bytes_max", held.max_bytes)
         gauge("caller_connections", len(held))
         gauge("caller_connections_max", held.max_connections)
+        gauge("replica_connections", self._pool.open_connections)
 
     def _log_wave(self, service, wave, in_effect):
         self._log.info(
