Bound the answers that callers do not read, short and whole ones

Callers that asked for answers of 0.9 MB and read none had 120 of them in memory before any was judged slow: 249 MB.

A response above 64 KB that is read whole takes its turn before its body is read, by its stated length, while what is held leaves no room; its replica's connection is paused meanwhile, at 64 KB rather than 256 KB, with a receive buffer to match. Slow readers are ended from half of the bound on, so that the turn comes, and one long response is always let in. What is read of a body without length counts as unread until it is passed on. Shorter responses never wait.

--- a/dahliashunt/adapters/http1/connection.py
+++ b/dahliashunt/adapters/http1/connection.py
@@ -38,7 +38,7 @@
 KEEPALIVE_PROBES = 2
 """TCP keep-alive: a silent peer is detected in about 3 s."""
 
-READ_HIGH_WATER_BYTES = 262_144
+READ_HIGH_WATER_BYTES = 65_536
 """Unconsumed body bytes above which reading pauses, to bound the memory of
 a connection with a slow reader."""
 
@@ -150,6 +150,7 @@
         self._skipping = False
         self._backlog = backlog or ReadBacklog()
         self._unread = 0
+        self._kept = 0
         self._paused = False
         self._paused_s = 0.0
         self._longest_pause_s = 0.0
@@ -343,6 +344,12 @@
         if self._paused and self._unread <= READ_HIGH_WATER_BYTES // 2:
             self._resume()
 
+    def keep(self, size: int) -> None:
+        """Mark bytes as consumed that are held until `release`."""
+        self.taken(size)
+        self._kept += size
+        self._backlog.size += size
+
     def _resume(self):
         self._paused = False
         now_s = asyncio.get_running_loop().time()
@@ -354,8 +361,9 @@
 
     def release(self) -> None:
         """Stop counting body bytes that nobody will consume."""
-        self._backlog.size -= self._unread
+        self._backlog.size -= self._unread + self._kept
         self._unread = 0
+        self._kept = 0
         if self._paused:
             self._resume()
 
@@ -416,6 +424,7 @@
         (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
         (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
         (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+        (socket.SOL_SOCKET, socket.SO_RCVBUF, READ_HIGH_WATER_BYTES),
     )
     for level, option, value in options:
         sock.setsockopt(level, option, value)
--- /dev/null
+++ b/dahliashunt/forwarding/answer_room.py
@@ -0,0 +1,83 @@
+"""Memory for long responses that are read whole before they are passed on.
+
+Load pattern
+------------
+Many callers ask for long responses and read none of them.
+
+What goes wrong without it
+--------------------------
+Each response is read from its replica at once, since it can be retried
+elsewhere until it is passed on. All of them are in memory before any reader
+has shown that it is slow.
+
+How
+---
+A response longer than `FREE_BYTES` waits for its turn before its body is
+read, while what is held for readers leaves no room; its replica's connection
+is paused. Slow readers are ended below the bound, so that the turn comes.
+Shorter responses never wait.
+"""
+
+import asyncio
+from collections.abc import Callable
+import contextlib
+
+from dahliashunt.ports import Clock
+
+__all__ = ["AnswerRoom"]
+
+FREE_BYTES = 65_536
+"""Longest response that does not wait."""
+
+COPIES = 2
+"""Copies of a response: its parts, and what is passed on."""
+
+POLL_MS = 20
+
+
+class AnswerRoom:
+    """Bytes reserved for long responses, and their bound.
+
+    Parameters
+    ----------
+    max_bytes : int
+    unread_bytes : callable
+        Returns what is held already for readers.
+    clock : Clock
+
+    Attributes
+    ----------
+    reserved_bytes : int
+    """
+
+    def __init__(
+        self, max_bytes: int, unread_bytes: Callable[[], int], clock: Clock
+    ):
+        self._clock = clock
+        self._max_bytes = max_bytes
+        self._unread_bytes = unread_bytes
+        self._turn = asyncio.Lock()
+        self.reserved_bytes = 0
+
+    @contextlib.asynccontextmanager
+    async def hold(self, size: int):
+        """Reserve memory for a response of `size` bytes, once there is some.
+
+        One that exceeds the bound by itself is let in alone.
+        """
+        if size <= FREE_BYTES:
+            yield
+            return
+        size *= COPIES
+        async with self._turn:
+            while self.reserved_bytes and not self._fits(size):
+                await self._clock.sleep_ms(POLL_MS)
+            self.reserved_bytes += size
+        try:
+            yield
+        finally:
+            self.reserved_bytes -= size
+
+    def _fits(self, size):
+        held = self.reserved_bytes + self._unread_bytes()
+        return held + size <= self._max_bytes
--- a/dahliashunt/forwarding/attempt.py
+++ b/dahliashunt/forwarding/attempt.py
@@ -1,5 +1,7 @@
 """Send a call to one replica and relay the response to the caller."""
 
+import asyncio
+import contextlib
 from dataclasses import replace
 import math
 
@@ -49,7 +51,7 @@
 """Longest body of a response that says that the request has not run; it is
 dropped. Honest ones are a line of text."""
 
-MAX_OVERDUE_BYTES = 2 * READ_HIGH_WATER_BYTES
+MAX_OVERDUE_BYTES = 8 * READ_HIGH_WATER_BYTES
 """Bytes of a stream that are relayed after the request's time is over: what
 a connection may hold unread by then. Without it a replica that always has
 more to send is read for ever, since no wait for it ends in silence."""
@@ -136,6 +138,8 @@
             request,
             lambda head: forwarder.dialect.answers(self._state.call, head),
         )
+        # The connection has its own copy of what is not written yet.
+        del request
         end = None
         try:
             end = await self._relay(connection, mailbox)
@@ -300,10 +304,13 @@
         What is being sent counts as unread, so that a slow caller pauses
         the replica.
         """
-        if self._state.started:
-            await self._sink.send(bytes(parts))
-            parts.clear()
-        connection.taken(sum(map(len, events)))
+        size = sum(map(len, events))
+        if not self._state.started:
+            connection.keep(size)
+            return
+        await self._sink.send(bytes(parts))
+        parts.clear()
+        connection.taken(size)
 
     async def _hold_failure(self, connection, mailbox, head):
         body = await self._read_body(
@@ -324,6 +331,26 @@
             max_bytes = MAX_STATED_BODY_BYTES
             if MAX_BUFFERED_BYTES < length <= max_bytes:
                 await self._start_response(head, length)
+        is_kept = not self._state.started and length is not None
+        try:
+            async with self._answer_room(length if is_kept else 0):
+                return await self._relay_body(
+                    connection, mailbox, head, max_bytes
+                )
+        except TimeoutError:
+            return AttemptEnd.TIMED_OUT
+
+    @contextlib.asynccontextmanager
+    async def _answer_room(self, size):
+        """Hold memory for `size` bytes; raise `TimeoutError` at the end."""
+        left_ms = max(1, self._state.deadline_ms - self._clock.now_ms())
+        async with contextlib.AsyncExitStack() as held:
+            async with asyncio.timeout(left_ms / 1000):
+                room = self._forwarder.answer_room
+                await held.enter_async_context(room.hold(size))
+            yield
+
+    async def _relay_body(self, connection, mailbox, head, max_bytes):
         body = await self._read_body(connection, mailbox, head, max_bytes)
         if isinstance(body, AttemptEnd):
             is_late = self._clock.now_ms() >= self._state.deadline_ms
--- a/dahliashunt/forwarding/forwarder.py
+++ b/dahliashunt/forwarding/forwarder.py
@@ -20,6 +20,7 @@
 from dahliashunt.errors import ErrorKind
 from dahliashunt.errors import Ran
 from dahliashunt.errors import RequestError
+from dahliashunt.forwarding.answer_room import AnswerRoom
 from dahliashunt.forwarding.attempt import Attempt
 from dahliashunt.forwarding.call import Call
 from dahliashunt.forwarding.call_state import AttemptEnd
@@ -97,6 +98,7 @@
     clock : Clock
     metrics : Metrics
     log : structlog logger
+    answer_room : AnswerRoom
     """
 
     def __init__(
@@ -110,7 +112,9 @@
         clock: Clock,
         metrics: Metrics,
         log,
+        answer_room: AnswerRoom,
     ):
+        self.answer_room = answer_room
         self.places = places
         self.pool = pool
         self.dialect = dialect
--- a/dahliashunt/platform/serve_entry.py
+++ b/dahliashunt/platform/serve_entry.py
@@ -16,6 +16,7 @@
 from dahliashunt.decisions.rate_limits import RATE_LIMIT_POLICIES
 from dahliashunt.decisions.suspicion import Suspicion
 from dahliashunt.forwarding.agent_ring import AgentRing
+from dahliashunt.forwarding.answer_room import AnswerRoom
 from dahliashunt.forwarding.crash_guard import CrashGuard
 from dahliashunt.forwarding.explain import Explainer
 from dahliashunt.forwarding.explain_workspaces import WorkspaceExplainer
@@ -252,7 +253,7 @@
             )
 
         backlog = WriteBacklog(
-            self._shares.unread_bytes,
+            self._shares.unread_bytes // 2,
             self._read_backlog,
             report_slow,
         )
@@ -304,6 +305,11 @@
             self._clock,
             self.node.metrics,
             self._log,
+            AnswerRoom(
+                self._shares.unread_bytes,
+                lambda: self.bounds.backlog.size,
+                self._clock,
+            ),
         )
 
     def _make_stream_origins(self):
