Do not parse a submission that takes more memory than there is

A submission of 4 MB that holds 1.4 million empty arrays took 159 MB while it was parsed (test_a_submission_of_many_values_is_not_parsed on the code before, bound 128 MB). What may begin a value is now counted before a submission is parsed: above 262,144 it is answered 400, and what parsing takes is held in the account of all callers for that time, or the job is refused as not run.

--- a/dahliashunt/platform/job_bodies.py
+++ b/dahliashunt/platform/job_bodies.py
@@ -28,12 +28,30 @@
     "PlatformPayloadReader",
     "SubmittedItem",
     "decode_submission",
+    "decoding_bytes",
     "encode_results",
 ]
 
 _TOKEN = re.compile(r"[0-9A-Za-z!#$%&'*+.^_`|~-]+")
 """Names of headers, by RFC 9110."""
 
+_WIDE = re.compile(rb"[\xc4-\xff]|\\u")
+"""Characters beyond Latin-1, or an escape, in UTF-8: strings that hold one
+take up to four bytes for each character."""
+
+COPIES = 3
+"""Copies of a submission while it is decoded: its text, the values of its
+members, and the items' bodies."""
+
+WIDE_COPIES = 9
+"""The same where a character takes four bytes in all of them."""
+
+MAX_VALUES = 262_144
+"""Most values in a submission: over 600 header fields an item."""
+
+VALUE_BYTES = 100
+"""Memory of an empty array or object, with its place in the one around it."""
+
 MAX_JOB_ITEMS = 200
 """Maximum number of items in one job, as the platform's API defines it."""
 
@@ -48,6 +66,23 @@
     body: bytes
 
 
+def decoding_bytes(payload: bytes) -> int:
+    """Return the memory that decoding a submission takes at most.
+
+    Complexity O(n): counts what may begin a value or a member.
+
+    Raises
+    ------
+    RequestError
+        There are more values than the items of a job may have.
+    """
+    values = sum(payload.count(mark) for mark in (b"[", b"{", b",", b":"))
+    if values > MAX_VALUES:
+        raise _bad_request(f"not a job: more than {MAX_VALUES} values")
+    copies = WIDE_COPIES if _WIDE.search(payload) else COPIES
+    return copies * len(payload) + VALUE_BYTES * values
+
+
 def decode_submission(payload: bytes) -> list[SubmittedItem]:
     """Return the items of a submitted job.
 
--- a/dahliashunt/platform/job_calls.py
+++ b/dahliashunt/platform/job_calls.py
@@ -16,6 +16,7 @@
 from dahliashunt.jobs.model import Job
 from dahliashunt.jobs.model import JobState
 from dahliashunt.platform.job_bodies import decode_submission
+from dahliashunt.platform.job_bodies import decoding_bytes
 from dahliashunt.platform.job_bodies import encode_results
 from dahliashunt.platform.job_parts import JobParts
 from dahliashunt.platform.names import POLL_WAIT
@@ -162,7 +163,8 @@
                 "this node is cut off from the store",
                 retry_after_ms=RETRY_ELSEWHERE_MS,
             )
-        items = tuple(each.item for each in decode_submission(body))
+        with exchange.holding(decoding_bytes(body)):
+            items = tuple(each.item for each in decode_submission(body))
         digest = hashlib.blake2b(body, digest_size=8).hexdigest()
         job = Job(
             job_id=job_id,
