Bound the payloads of jobs, and what reads of jobs hold

Two payloads are read at a time. A page of results or a body is held in the account of all callers while it is read, and freed before it is sent.

--- a/dahliashunt/jobs/job_run.py
+++ b/dahliashunt/jobs/job_run.py
@@ -17,6 +17,9 @@
 RETRY_MS = (150, 400)
 """Bounds of the random delay before a failed store call is retried."""
 
+ITEM_BYTES = 3_000
+"""Memory of an item beside its part of the payload."""
+
 
 class JobRun:
     """Runs one job until all of its items are listed or it is stopped.
@@ -75,6 +78,7 @@
         self.stopped = True
         for task in list(self._tasks):
             task.cancel()
+        self._worker.room.release(self.job.job_id)
         for finished in self._finished:
             self._worker.held_characters -= len(finished.text)
         self._finished.clear()
@@ -195,18 +199,35 @@
         return found
 
     async def _calls(self):
+        worker, job_id = self._worker, self.job.job_id
         while True:
             try:
-                payload = await self._worker.ledger.payload(self.job)
+                payload = await worker.ledger.payload(self.job)
             except RequestError as error:
-                self._worker.log.warning(
+                worker.log.warning(
                     "payload_read_failed",
-                    job_id=self.job.job_id,
+                    job_id=job_id,
                     reason=error.message,
                 )
                 await self._retry_pause()
                 continue
-            return self._worker.payloads.calls(self.job, payload)
+            size = len(payload) + ITEM_BYTES * len(self.job.items)
+            if worker.room.take(job_id, size):
+                return worker.payloads.calls(self.job, payload)
+            del payload
+            await self._wait_for_room(size)
+
+    async def _wait_for_room(self, size):
+        worker = self._worker
+        worker.node.metrics.count("jobs_waited_for_memory")
+        worker.log.info(
+            "job_waits_for_memory",
+            job_id=self.job.job_id,
+            bytes=size,
+            held=worker.room.held_bytes,
+        )
+        while not worker.room.fits(size):
+            await self._retry_pause()
 
     async def _retry_pause(self):
         worker = self._worker
--- a/dahliashunt/jobs/ledger.py
+++ b/dahliashunt/jobs/ledger.py
@@ -1,5 +1,6 @@
 """Transactions on jobs, and resolution of unknown write outcomes."""
 
+import asyncio
 from dataclasses import dataclass
 from dataclasses import replace
 import json
@@ -65,6 +66,9 @@
 MAX_DELETES = 90
 """Rows removed per transaction; the store's limit is a hundred."""
 
+MAX_PAYLOAD_READS = 2
+"""Payloads read at the same time; each may have the size of an object."""
+
 QUOTA_RETRY_MS = 1_000
 """Retry-After of a job that exceeds the quota."""
 
@@ -131,6 +135,7 @@
         self._view = view
         self.owner = owner
         self._log = log
+        self._payload_reads = asyncio.Semaphore(MAX_PAYLOAD_READS)
 
     # Acceptance.
 
@@ -258,16 +263,15 @@
     async def results(self, job: Job, first: int) -> list[Result]:
         """Return one page of listed results from position `first`."""
         listed = self._view.progress(job).listed
-        last, size = first, 0
-        while last < len(listed):
-            size += listed[last].size
-            if last > first and size > PAGE_CHARACTERS:
-                break
-            last += 1
+        last, _ = _page_end(listed, first)
         if last <= first:
             return []
         return await self._read_results(job, listed, first, last)
 
+    def page_characters(self, job: Job, first: int) -> int:
+        """Return the length of the page of results from `first` on."""
+        return _page_end(self._view.progress(job).listed, first)[1]
+
     async def _read_results(self, job, listed, first, last):
         start, end = results_range(job.job_id, first, last)
         wanted = sum(each.pieces for each in listed[first:last])
@@ -300,7 +304,8 @@
     async def payload(self, job: Job) -> bytes:
         """Return the items' requests as submitted."""
         try:
-            data = await self._objects.get(job.payload)
+            async with self._payload_reads:
+                data = await self._objects.get(job.payload)
         except PlatformUnavailable as error:
             raise _store_unavailable(error, Ran.NO) from None
         if data is None:
@@ -531,6 +536,18 @@
             self._view.update_progress(job.job_id, progress, row.version)
 
 
+def _page_end(listed, first):
+    """Return the position after a page of results, and its characters."""
+    last, characters = first, 0
+    while last < len(listed):
+        size = listed[last].size
+        if last > first and characters + size > PAGE_CHARACTERS:
+            break
+        characters += size
+        last += 1
+    return last, characters
+
+
 def _store_unavailable(error, ran):
     return RequestError(
         ErrorKind.STORE_UNAVAILABLE,
--- a/dahliashunt/jobs/worker.py
+++ b/dahliashunt/jobs/worker.py
@@ -43,6 +43,7 @@
 from dahliashunt.jobs.partials import PartialTexts
 from dahliashunt.jobs.partials import without_text
 from dahliashunt.jobs.payload import PayloadReader
+from dahliashunt.jobs.payload_room import PayloadRoom
 from dahliashunt.jobs.view import JobView
 
 __all__ = ["JobWorker"]
@@ -81,6 +82,7 @@
     partials : PartialTexts
     store_now_ms : callable
         Returns this node's estimate of the store's clock.
+    room : PayloadRoom
 
     Attributes
     ----------
@@ -101,7 +103,9 @@
         payloads: PayloadReader,
         partials: PartialTexts,
         store_now_ms,
+        room: PayloadRoom,
     ):
+        self.room = room
         self.node = node
         self.view = view
         self.ledger = ledger
--- a/dahliashunt/platform/job_calls.py
+++ b/dahliashunt/platform/job_calls.py
@@ -1,5 +1,6 @@
 """Handle requests about batch jobs: submit, read results or a body, end."""
 
+import asyncio
 from dataclasses import dataclass
 import enum
 import hashlib
@@ -32,6 +33,10 @@
 MAX_POLL_WAIT_MS = 1_500
 """Upper bound of the wait that a caller may request for results."""
 
+PAGE_COPIES = 4
+"""Copies of a page of results while it is read: the store's answer in base64,
+its parts, and the texts."""
+
 RETRY_ELSEWHERE_MS = 50
 """Retry-After of a job refused for a fault of this node alone: the caller's
 retry goes to another node."""
@@ -86,9 +91,14 @@
     jobs : JobParts
     followers : list of TableFollower
         Followers of the job and progress tables.
+    max_store_calls : int
+        Requests that may call the store at the same time; others wait.
     """
 
-    def __init__(self, node: Node, jobs: JobParts, followers):
+    def __init__(
+        self, node: Node, jobs: JobParts, followers, max_store_calls: int
+    ):
+        self._store_calls = asyncio.Semaphore(max_store_calls)
         self._node = node
         self._view = jobs.view
         self._ledger = jobs.ledger
@@ -133,7 +143,8 @@
         A job of another workspace is reported as not found. A job that was
         submitted without a key may be read without one.
         """
-        job = await self._ledger.find(job_request.job_id)
+        async with self._store_calls:
+            job = await self._ledger.find(job_request.job_id)
         if job is None:
             raise _job_not_found()
         if job.workspace and self._node.requires_keys:
@@ -176,7 +187,10 @@
             accepted_by=self._ledger.owner,
             workspace=_workspace_id(workspace),
         )
-        is_new = await self._ledger.accept(job, body, route.max_waiting_tokens)
+        async with self._store_calls:
+            is_new = await self._ledger.accept(
+                job, body, route.max_waiting_tokens
+            )
         event = "job_accepted" if is_new else "job_repeated"
         node.metrics.count(event)
         node.log.info(
@@ -200,9 +214,15 @@
                 await self._refresh_if_stale(job)
                 break
             await self._view.wait(left_ms)
-        results = await self._ledger.results(job, job_request.first)
-        body = encode_results(len(job.items), job_request.first, results)
-        await exchange.whole(200, _JSON, body)
+        first = job_request.first
+        characters = self._ledger.page_characters(job, first)
+        with exchange.holding(characters * PAGE_COPIES):
+            async with self._store_calls:
+                results = await self._ledger.results(job, first)
+            body = encode_results(len(job.items), first, results)
+            del results
+        with exchange.holding(len(body)):
+            await exchange.whole(200, _JSON, body)
 
     def _is_open(self, job):
         known = self._view.job(job.job_id)
@@ -213,18 +233,27 @@
         now_ms = self._node.clock.now_ms()
         heard = [follower.heard_ms for follower in self._followers]
         if any(h is None or now_ms - h > FEED_FRESHNESS_MS for h in heard):
-            await self._ledger.refresh_progress(job)
+            async with self._store_calls:
+                await self._ledger.refresh_progress(job)
 
     async def _body(self, job, job_request, exchange):
-        payload = await self._ledger.payload(job)
-        for each in decode_submission(payload):
-            if each.item.item_id == job_request.item_id:
-                await exchange.whole(200, [], each.body)
-                return
+        body = await self._read_body(job, job_request.item_id, exchange)
+        with exchange.holding(len(body)):
+            await exchange.whole(200, [], body)
+
+    async def _read_body(self, job, item_id, exchange):
+        """Return an item's body; the job's payload is not kept."""
+        async with self._store_calls:
+            payload = await self._ledger.payload(job)
+        with exchange.holding(decoding_bytes(payload)):
+            for each in decode_submission(payload):
+                if each.item.item_id == item_id:
+                    return each.body
         raise RequestError(ErrorKind.NOT_FOUND, "the job has no such item")
 
     async def _end(self, job, job_request, exchange):
-        await self._ledger.set_state(job.job_id, JobState.ENDED)
+        async with self._store_calls:
+            await self._ledger.set_state(job.job_id, JobState.ENDED)
         self._node.log.info("job_ended", job_id=job.job_id)
         await exchange.whole(200, [], b"")
 
--- a/dahliashunt/platform/job_parts.py
+++ b/dahliashunt/platform/job_parts.py
@@ -13,6 +13,7 @@
 from dahliashunt.jobs.ledger import JobLedger
 from dahliashunt.jobs.model import Owner
 from dahliashunt.jobs.partials import PartialTexts
+from dahliashunt.jobs.payload_room import PayloadRoom
 from dahliashunt.jobs.takeover import Takeover
 from dahliashunt.jobs.view import JobView
 from dahliashunt.jobs.worker import JobWorker
@@ -37,6 +38,7 @@
     pool : ConnectionPool
     keep_ms : int
         Retention of results after a job's acceptance.
+    room : PayloadRoom
 
     Attributes
     ----------
@@ -54,6 +56,7 @@
         places: ReplicaSelector,
         pool: ConnectionPool,
         keep_ms: int,
+        room: PayloadRoom,
     ):
         owner = Owner(NodeId(node.metrics.node_id), secrets.token_hex(6))
         self._node = node
@@ -61,13 +64,13 @@
         self.view = JobView(node.log)
         self.ledger = JobLedger(store, store, self.view, owner, node.log)
         self.partials = PartialTexts(store, node.log)
-        self.worker = self._make_worker(places, pool)
+        self.worker = self._make_worker(places, pool, room)
         self._checkpoints = Checkpoints(self.worker, self.partials, node.clock)
         self._reader = BeatReader(store, owner, node.clock, node.log)
         self._takeover = self._make_takeover(owner)
         self.expiry = self._make_expiry(keep_ms)
 
-    def _make_worker(self, places, pool):
+    def _make_worker(self, places, pool, room):
         return JobWorker(
             self._node,
             self.view,
@@ -78,6 +81,7 @@
             PlatformPayloadReader(),
             self.partials,
             self.store.now_ms,
+            room,
         )
 
     @property
--- a/dahliashunt/platform/serve_entry.py
+++ b/dahliashunt/platform/serve_entry.py
@@ -36,6 +36,7 @@
 from dahliashunt.forwarding.stream_origins import StreamOrigins
 from dahliashunt.jobs.keys import JOBS_PREFIX
 from dahliashunt.jobs.keys import PROGRESS_PREFIXES
+from dahliashunt.jobs.payload_room import PayloadRoom
 from dahliashunt.metrics import Metrics
 from dahliashunt.platform.dialect import PlatformDialect
 from dahliashunt.platform.health import Health
@@ -203,12 +204,14 @@
         )
         self._selector.waves.on_change = self._log_wave
         self.node.forwarder = self._make_forwarder()
+        self._room = PayloadRoom(self._shares.payload_bytes)
         self.jobs = JobParts(
             self.node,
             self._store,
             self._selector,
             self._pool,
             settings.bounds.result_retention_ms,
+            self._room,
         )
         self.node.caps = self._make_rate_limiter(rate_limit_policy)
         self.explainer = Explainer(
@@ -260,7 +263,7 @@
         memory = HeldMemory(
             self._shares.held_bytes,
             self._shares.caller_connections,
-            lambda: 0,
+            lambda: self._room.held_bytes,
             report_ended,
         )
         return HttpBounds(
@@ -380,6 +383,7 @@
             self.node,
             self.jobs,
             self._followers[NEEDED_TABLES:],
+            self._shares.store_connections,
         )
         self.ingress = Ingress(self.node, jobs)
         self._servers = [
@@ -454,6 +458,7 @@
         gauge("backlog_bytes", self.bounds.backlog.size)
         gauge("held_bytes", held.total_bytes)
         gauge("held_bytes_max", held.max_bytes)
+        gauge("payload_bytes", self._room.held_bytes)
         gauge("caller_connections", len(held))
         gauge("caller_connections_max", held.max_connections)
         gauge("replica_connections", self._pool.open_connections)
