Let a refused connection end first, and end no other for it

A refused client is read on for two seconds. With all connections in use its place ended the next unfinished request, which was refused and ended the next one in turn: 82 refusals for one new caller, after which the next caller was turned away for 0.2 s, as none had been there for long enough to be judged. Seen at the product's own entry, tests/crowds/test_own_entry.py, once the entry had the account; the same held for an entry of the platform.

A refused connection now takes no place of another one and is the first to end. TLS connections are paused from the first unwritten byte on, as others are: a mark of 0 paused them without one, and a response never ended.

--- a/dahliashunt/adapters/held_memory.py
+++ b/dahliashunt/adapters/held_memory.py
@@ -38,6 +38,8 @@
     Attributes
     ----------
     size : int
+    body_bytes : int
+        Bytes of the body among them, of which copies follow once it is whole.
     acts : bool
         Whether the application is doing something else than to wait for the
         rest of the request, so that it is not known to have done nothing.
@@ -64,6 +66,11 @@
         self.size -= size
         self._connection.fits()
 
+    def consumed(self, size: int) -> None:
+        """Hold `size` bytes of the body no longer: it is stored elsewhere."""
+        self.body_bytes -= size
+        self.release(size)
+
     def put_into(self, scope: dict) -> None:
         """Make the request known to the application of `scope`."""
         scope[_SCOPE_KEY] = self
@@ -111,6 +118,10 @@
         ended = self.decisions.opened(connection, _now_ms())
         return self._end(ended, connection)
 
+    def refused(self, connection: HeldConnection, size: int) -> bool:
+        """Count a refused connection; return whether it may be read on."""
+        return self.decisions.refused(connection, size, _now_ms())
+
     def resized(self, connection: HeldConnection, size: int) -> bool:
         """Note what a connection holds; return whether it may stay."""
         ended = self.decisions.resized(connection, size, _now_ms())
--- a/dahliashunt/adapters/http_server.py
+++ b/dahliashunt/adapters/http_server.py
@@ -44,9 +44,6 @@
 HEADER_BYTES = 512
 """Memory of the objects for one header field, beside its bytes."""
 
-BODY_COPIES = 2
-"""Copies of a whole body: its own and what a replica has not taken yet."""
-
 ACCEPTS_AT_ONCE = 32
 """New connections taken in one turn of the event loop, by which the bound of
 open connections can be exceeded for a moment."""
@@ -106,6 +103,8 @@
         Returns the `Refusal` of a request with the given headers, pairs of
         bytes with names in lower case. Without it the connection of an
         unfinished request is closed when its memory is needed.
+    body_copies : int
+        Copies of a whole body: its own and what a replica has not taken yet.
     """
 
     keep_alive_s: int = 75
@@ -115,6 +114,7 @@
     backlog: WriteBacklog | None = None
     memory: HeldMemory | None = None
     refusal: Callable[[list[tuple[bytes, bytes]]], Refusal] | None = None
+    body_copies: int = 2
 
 
 class _ClosingTransport:
@@ -186,8 +186,8 @@
         self._requests: collections.deque[HeldRequest] = collections.deque()
         self._start_header_timer()
         if self.config.bounds.backlog is not None:
-            # Each byte that a caller does not read is counted.
-            transport.set_write_buffer_limits(high=0)
+            # All that a caller does not read is counted.
+            transport.set_write_buffer_limits(high=1, low=0)
         if not self._is_opened and not self.opened():
             transport.abort()
 
@@ -298,7 +298,11 @@
         cycle.response_complete = True
         cycle.message_event.set()
         self.transport.write(refusal.encode())
-        if not self.transport.can_write_eof():
+        self.stage = Stage.REFUSED
+        if not (
+            self.transport.can_write_eof()
+            and self.config.bounds.memory.refused(self, CONNECTION_BYTES)
+        ):
             self.transport.close()
             return
         self.transport.write_eof()
@@ -306,8 +310,6 @@
         self._linger_timer = asyncio.get_running_loop().call_later(
             LINGER_S, self.transport.abort
         )
-        if not self.opened():
-            self.transport.abort()
 
     def _drop_unread_bodies(self):
         """Free at once what no application has taken yet.
@@ -405,7 +407,8 @@
         self._discarded_bytes = 0
         if not self.cycle.response_complete:
             request = self._requests[-1]
-            request.size += request.body_bytes * (BODY_COPIES - 1)
+            copies = self.config.bounds.body_copies - 1
+            request.size += request.body_bytes * copies
             # Checked before the application gets the whole request.
             if not self.fits():
                 self.yield_memory()
--- a/dahliashunt/adapters/tls_handshake.py
+++ b/dahliashunt/adapters/tls_handshake.py
@@ -31,6 +31,8 @@
 
     def connection_made(self, transport):
         """Count the connection and begin the handshake."""
+        # What is encrypted waits in the TLS layer, where it is counted.
+        transport.set_write_buffer_limits(high=1, low=0)
         # The account ends the connection through the protocol's transport.
         self._protocol.transport = transport
         if not self._protocol.opened():
--- a/dahliashunt/decisions/client_memory.py
+++ b/dahliashunt/decisions/client_memory.py
@@ -62,6 +62,9 @@
     SERVED = "served"
     """For the response to a complete request."""
 
+    REFUSED = "refused"
+    """For the end of what its client still sends."""
+
 
 @dataclass(slots=True)
 class _Holding:
@@ -76,9 +79,16 @@
 
     def may_end(self, now_ms):
         """Return whether it may be ended for another connection."""
+        if self.stage in (Stage.SERVED, Stage.REFUSED):
+            return self.stage is Stage.REFUSED
+        return now_ms - self.since_ms >= MIN_JUDGED_MS
+
+    def order(self):
+        """Return the key by which connections are ended if too many."""
         return (
-            self.stage is not Stage.SERVED
-            and now_ms - self.since_ms >= MIN_JUDGED_MS
+            self.stage is not Stage.REFUSED,
+            self.has_asked,
+            self.since_ms,
         )
 
 
@@ -133,17 +143,29 @@
         self._holding_by_key[key] = _Holding(now_ms)
         if len(self._holding_by_key) <= self.max_connections:
             return []
-        oldest = min(
-            (
-                (each.has_asked, each.since_ms, number, other)
-                for number, (other, each) in enumerate(
-                    self._holding_by_key.items()
-                )
-                if other != key and each.may_end(now_ms)
-            ),
-            default=None,
+        others = (
+            (other, each)
+            for other, each in self._holding_by_key.items()
+            if other != key and each.may_end(now_ms)
+        )
+        oldest, _ = min(
+            others, key=lambda pair: pair[1].order(), default=(key, None)
         )
-        return self._end([key if oldest is None else oldest[-1]])
+        return self._end([oldest])
+
+    def refused(self, key: Hashable, size: int, now_ms: int) -> bool:
+        """Count a connection that was ended and is read on for a while.
+
+        Return False if there is no room, so that it must be closed.
+        """
+        if (
+            len(self._holding_by_key) >= self.max_connections
+            or self.total_bytes + size > self.max_bytes
+        ):
+            return False
+        self._holding_by_key[key] = _Holding(now_ms, size, Stage.REFUSED)
+        self.held_bytes += size
+        return True
 
     def resized(self, key: Hashable, size: int, now_ms: int) -> list[Hashable]:
         """Note what a connection holds; return those to end, maybe itself.
