Bound the sum of what clients make the product's own entry hold

60 bodies of 4 MB that stopped short took 307 MB at `dahliashunt-entry`, 60 operators' calls 569 MB, 90 bodies 431 MB at `dahliashunt-local`, and 500 connections or unfinished TLS handshakes 516 descriptors (tests/crowds, test_own_entry.py and test_local.py on the code before, without its settings `limits`): each body was bounded, nothing counted their sum, and the server counted a TLS connection after its handshake only.

The listener has the account of the platform's entry, with bounds from the new settings `limits.memory` and `limits.descriptors`. A TLS handshake is counted from its first byte and has `http.header_ms`. An upload holds 4 MB however long it is, since what was cut into chunks is stored. What parsing a body takes is held while it is parsed. Bodies of operators' calls have a time limit, and a client that leaves within its body no longer causes an error of the program. Errors free the body that was read, whoever keeps their traceback.

--- a/dahliashunt/entry/batch_upload.py
+++ b/dahliashunt/entry/batch_upload.py
@@ -9,6 +9,7 @@
 from blacksheep.exceptions import MessageAborted
 from blacksheep.multipart import parse_multipart_async
 
+from dahliashunt.adapters.held_memory import held_request
 from dahliashunt.errors import ErrorKind
 from dahliashunt.errors import RequestError
 
@@ -18,6 +19,10 @@
 _TOTAL_S = 1_800
 _MAX_JSON = 64 * 1024
 _MAX_UNPARSED = 256 * 1024
+_HELD_BYTES = 4 * 1024 * 1024
+"""Bytes of an upload that are in memory at a time: a chunk, a line of the
+next one, and what was read but not cut yet."""
+
 _BOUNDARY = re.compile(
     rb'multipart/form-data;.*boundary="?([^";\s]{1,70})"?', re.IGNORECASE
 )
@@ -42,6 +47,7 @@
         self._limit = limit
         self._size = 0
         self._unparsed = 0
+        self._held = held_request(request.scope or {})
         self.tail = b""
 
     def parsed(self) -> None:
@@ -70,6 +76,9 @@
                 raise RequestError(
                     ErrorKind.BAD_REQUEST, "the body has endless headers"
                 )
+            # Earlier pieces are in the object store by now.
+            if self._held is not None and self._size > _HELD_BYTES:
+                self._held.consumed(len(piece))
             self.tail = (self.tail + piece)[-128:]
             yield piece
 
--- a/dahliashunt/entry/online_routes.py
+++ b/dahliashunt/entry/online_routes.py
@@ -19,6 +19,7 @@
 from dahliashunt.entry.calls import Finished
 from dahliashunt.entry.calls import OnlineCall
 from dahliashunt.entry.calls import Piece
+from dahliashunt.entry.held_requests import parsing
 from dahliashunt.entry.messages import Arrive
 from dahliashunt.entry.messages import CallerGone
 from dahliashunt.entry.messages import CaughtUp
@@ -120,7 +121,8 @@
             raw = await read_body(
                 request, self._http.body_limit, self._http.body_ms
             )
-            model_call = parse_model_call(path, raw)
+            with parsing(request, raw):
+                model_call = parse_model_call(path, raw)
             self._context.access.check_model(caller, model_call.model)
             asked = Asked(
                 caller=caller,
--- a/dahliashunt/entry/operator_requests.py
+++ b/dahliashunt/entry/operator_requests.py
@@ -7,6 +7,8 @@
 
 from blacksheep import Request
 
+from dahliashunt.entry.bodies import read_body
+from dahliashunt.entry.held_requests import parsing
 from dahliashunt.errors import ErrorKind
 from dahliashunt.errors import RequestError
 from dahliashunt.ids import Revision
@@ -31,21 +33,20 @@
 ]
 
 MAX_BODY_BYTES = 8_000_000
+
+MAX_BODY_MS = 60_000
+"""Longest time that a call's body may take to arrive."""
+
 _CHANGE_ID = re.compile(r"[A-Za-z0-9._:-]{8,100}")
 _REQUIRED = object()
 
 
 async def body_of(request: Request) -> dict[str, Any]:
     """Return the JSON object that a request carries."""
-    data = bytearray()
-    async for piece in request.stream():
-        data += piece
-        if len(data) > MAX_BODY_BYTES:
-            raise RequestError(
-                ErrorKind.TOO_LARGE, f"more than {MAX_BODY_BYTES} bytes"
-            )
+    data = await read_body(request, MAX_BODY_BYTES, MAX_BODY_MS)
     try:
-        body = json.loads(data)
+        with parsing(request, data):
+            body = json.loads(data)
     except (ValueError, RecursionError):
         raise _bad("", "the body must be JSON") from None
     if not isinstance(body, dict):
--- a/dahliashunt/entry/serve.py
+++ b/dahliashunt/entry/serve.py
@@ -31,6 +31,7 @@
 from dahliashunt.entry.directory import Directory
 from dahliashunt.entry.dispatcher import Dispatcher
 from dahliashunt.entry.health_routes import add_health_routes
+from dahliashunt.entry.held_requests import entry_bounds
 from dahliashunt.entry.measures import Measures
 from dahliashunt.entry.messages import DrainsChanged
 from dahliashunt.entry.once import OnceRunner
@@ -44,6 +45,7 @@
 from dahliashunt.membership.row_lease import RowLease
 from dahliashunt.metrics import Metrics
 from dahliashunt.online.claims import Claims
+from dahliashunt.process_shares import ProcessShares
 from dahliashunt.records import RecordStore
 from dahliashunt.records.catalog import Catalog
 from dahliashunt.records.follower import Follower
@@ -58,6 +60,9 @@
 __all__ = ["Entry", "serve"]
 
 DRAIN_LOOK_MS = 50
+PLATFORM_CONNECTIONS = 64
+"""Descriptors for connections to the platform's services."""
+
 BEAT_MS_A_LINK = 40
 """Heartbeats of all idle links of an entry together: 25 a second at most,
 2.5 KB/s at 100 bytes each."""
@@ -256,12 +261,29 @@
             BatchPolicy(held_bytes=self.settings.batch.held_bytes),
         )
 
+    def _bounds(self):
+        """Return the bounds of what clients can make this process hold."""
+        settings = self.settings
+        shares = ProcessShares.of(
+            settings.limits.memory,
+            settings.limits.descriptors,
+            settings.max_links + PLATFORM_CONNECTIONS,
+        )
+        return entry_bounds(
+            shares,
+            self.measures.metrics,
+            self._log,
+            settings.http.header_ms / 1000,
+        )
+
     async def run(self, signals, ready=None) -> None:
         """Serve until `signals` ask to leave and all has drained."""
         http = self.settings.http
         check_plaintext("http", http.host, http.tls, self._log)
         tls = server_context(http.tls, mutual=False)
-        server = HttpServer(self.app, http.host, http.port, tls)
+        server = HttpServer(
+            self.app, http.host, http.port, tls, bounds=self._bounds()
+        )
         reloader = TlsReloader(http.tls, tls, self.clock, self._log)
         tasks = [
             asyncio.create_task(self.dispatcher.run()),
--- a/dahliashunt/entry/settings.py
+++ b/dahliashunt/entry/settings.py
@@ -12,6 +12,7 @@
     "BatchSettings",
     "EntrySettings",
     "HttpSettings",
+    "LimitSettings",
     "LinkTiming",
     "Platform",
 ]
@@ -29,6 +30,8 @@
         Longest body of an online request.
     file_limit : ByteSize
         Longest file of batch items.
+    header_ms : Milliseconds
+        Longest time that a head or a TLS handshake may take to arrive.
     body_ms : Milliseconds
         Longest time that a body may take to arrive.
     first_token_ms : Milliseconds
@@ -42,6 +45,7 @@
     port: int = 0
     body_limit: ByteSize = ByteSize(4_000_000)
     file_limit: ByteSize = ByteSize(512_000_000)
+    header_ms: Milliseconds = Milliseconds(10_000)
     body_ms: Milliseconds = Milliseconds(10_000)
     first_token_ms: Milliseconds = Milliseconds(760)
     request_ms: Milliseconds = Milliseconds(600_000)
@@ -138,6 +142,22 @@
     held_bytes: ByteSize = ByteSize(8_000_000)
 
 
+@dataclass(frozen=True)
+class LimitSettings:
+    """What this process may use; clients' shares are parts of it.
+
+    Attributes
+    ----------
+    memory
+        Memory of the process.
+    descriptors : int
+        Open files and sockets; the system's own limit counts if it is lower.
+    """
+
+    memory: ByteSize = ByteSize(256_000_000)
+    descriptors: int = 4_096
+
+
 @dataclass(frozen=True)
 class EntrySettings:
     """All settings of an entry.
@@ -165,6 +185,7 @@
     platform: Platform = Platform()
     links: LinkTiming = LinkTiming()
     batch: BatchSettings = BatchSettings()
+    limits: LimitSettings = LimitSettings()
     agents: tuple[AgentAddress, ...] = ()
     operator_key_sha256: str = ""
     max_links: int = 84
--- a/dahliashunt/platform/ingress.py
+++ b/dahliashunt/platform/ingress.py
@@ -75,6 +75,8 @@
         while True:
             message = await self.receive()
             if message["type"] == "http.disconnect":
+                # Freed now, whoever keeps the traceback.
+                body.clear()
                 raise CallerDisconnected
             body += message.get("body", b"")
             _check_size(len(body), limits)
--- a/dahliashunt/platform/job_bodies.py
+++ b/dahliashunt/platform/job_bodies.py
@@ -14,6 +14,8 @@
 from dahliashunt.jobs.model import Item
 from dahliashunt.jobs.model import ItemId
 from dahliashunt.jobs.model import Job
+from dahliashunt.json_memory import parsing_bytes
+from dahliashunt.json_memory import TooManyValues
 from dahliashunt.platform.names import AUTHORIZATION
 from dahliashunt.platform.names import PROMPT_PARTS
 from dahliashunt.platform.names import REQUEST_ID
@@ -35,23 +37,6 @@
 _TOKEN = re.compile(r"[0-9A-Za-z!#$%&'*+.^_`|~-]+")
 """Names of headers, by RFC 9110."""
 
-_WIDE = re.compile(rb"[\xc4-\xff]|\\u")
-"""Characters beyond Latin-1, or an escape, in UTF-8: strings that hold one
-take up to four bytes for each character."""
-
-COPIES = 3
-"""Copies of a submission while it is decoded: its text, the values of its
-members, and the items' bodies."""
-
-WIDE_COPIES = 9
-"""The same where a character takes four bytes in all of them."""
-
-MAX_VALUES = 262_144
-"""Most values in a submission: over 600 header fields an item."""
-
-VALUE_BYTES = 100
-"""Memory of an empty array or object, with its place in the one around it."""
-
 MAX_JOB_ITEMS = 200
 """Maximum number of items in one job, as the platform's API defines it."""
 
@@ -69,18 +54,15 @@
 def decoding_bytes(payload: bytes) -> int:
     """Return the memory that decoding a submission takes at most.
 
-    Complexity O(n): counts what may begin a value or a member.
-
     Raises
     ------
     RequestError
         There are more values than the items of a job may have.
     """
-    values = sum(payload.count(mark) for mark in (b"[", b"{", b",", b":"))
-    if values > MAX_VALUES:
-        raise _bad_request(f"not a job: more than {MAX_VALUES} values")
-    copies = WIDE_COPIES if _WIDE.search(payload) else COPIES
-    return copies * len(payload) + VALUE_BYTES * values
+    try:
+        return parsing_bytes(payload)
+    except TooManyValues as error:
+        raise _bad_request(f"not a job: {error}") from None
 
 
 def decode_submission(payload: bytes) -> list[SubmittedItem]:
--- a/tests/crowds/clients.py
+++ b/tests/crowds/clients.py
@@ -94,7 +94,9 @@
         self.writer.transport.abort()
 
 
-async def connect(port, host="127.0.0.1", receive_bytes=None):
+async def connect(
+    port, host="127.0.0.1", receive_bytes=None, ssl_context=None
+):
     """Return a `Client`; None if the server refuses the connection."""
     sock = socket.socket()
     if receive_bytes:
@@ -103,7 +105,12 @@
     try:
         async with asyncio.timeout(ANSWER_S):
             await asyncio.get_running_loop().sock_connect(sock, (host, port))
-            return Client(*await asyncio.open_connection(sock=sock))
+            name = host if ssl_context else None
+            return Client(
+                *await asyncio.open_connection(
+                    sock=sock, ssl=ssl_context, server_hostname=name
+                )
+            )
     except ConnectionError:
         sock.close()
         return None
@@ -115,9 +122,9 @@
     return [client for client in found if client is not None]
 
 
-async def send_once(port, data, host="127.0.0.1"):
+async def send_once(port, data, host="127.0.0.1", ssl_context=None):
     """Send one request on a new connection; return its reply or None."""
-    client = await connect(port, host)
+    client = await connect(port, host, ssl_context=ssl_context)
     if client is None:
         return None
     try:
--- a/tests/crowds/fleet.py
+++ b/tests/crowds/fleet.py
@@ -16,6 +16,7 @@
 from tests.crowds.clients import is_served
 from tests.crowds.clients import send_once
 from tests.crowds.clients import send_until_served
+from tests.crowds.processes import check_limits
 from tests.crowds.processes import MB
 from tests.crowds.processes import Program
 from tests.crowds.replica import CrowdReplica
@@ -148,10 +149,7 @@
         """Check that a process lives within its limits."""
         program = program or self.entry
         assert program.is_alive, program.text()[-2_000:]
-        peak, most = program.peak_bytes, self.memory_mb * MB
-        assert peak <= most, f"{peak} bytes of memory, {most} at most"
-        count = program.descriptors
-        assert count <= self.fds, f"{count} descriptors, {self.fds} at most"
+        check_limits(program.pid, self.memory_mb * MB, self.fds)
         assert "Traceback" not in program.text()
 
     async def check_without(self, clients, path="/a/x"):
--- a/tests/crowds/processes.py
+++ b/tests/crowds/processes.py
@@ -7,13 +7,31 @@
 import signal
 import sys
 
-__all__ = ["MB", "Program"]
+__all__ = ["MB", "Program", "check_limits"]
 
 MB = 1_000_000
 READY_WITHIN_S = 30
 POLL_S = 0.02
 
 
+def check_limits(pid, memory_bytes, descriptors):
+    """Check a process's largest memory and its open descriptors."""
+    peak = _peak_bytes(pid)
+    assert peak <= memory_bytes, (
+        f"{peak} bytes of memory, {memory_bytes} at most"
+    )
+    count = len(os.listdir(f"/proc/{pid}/fd"))
+    assert count <= descriptors, f"{count} descriptors, {descriptors} at most"
+
+
+def _peak_bytes(pid):
+    status = pathlib.Path(f"/proc/{pid}/status")
+    for line in status.read_text().splitlines():
+        if line.startswith("VmHWM:"):
+            return int(line.split()[1]) * 1024
+    raise AssertionError("the process has no memory")
+
+
 class Program:
     """A process of the system under test.
 
@@ -77,18 +95,9 @@
         return self._process.returncode is None
 
     @property
-    def descriptors(self):
-        """Number of open descriptors."""
-        return len(os.listdir(f"/proc/{self._process.pid}/fd"))
-
-    @property
-    def peak_bytes(self):
-        """Largest resident memory since the start."""
-        status = pathlib.Path(f"/proc/{self._process.pid}/status")
-        for line in status.read_text().splitlines():
-            if line.startswith("VmHWM:"):
-                return int(line.split()[1]) * 1024
-        raise AssertionError("the process has no memory")
+    def pid(self):
+        """Process id."""
+        return self._process.pid
 
     async def stop(self):
         """End the process."""
--- a/tests/harness/process.py
+++ b/tests/harness/process.py
@@ -39,6 +39,10 @@
     def is_running(self):
         return self._process is not None and self._process.returncode is None
 
+    @property
+    def pid(self):
+        return self._process.pid
+
     @property
     def returncode(self):
         return self._process.returncode
