Bound the peers of an agent that have not greeted it

Anyone could open connections to the links' port of an agent, each with a part of a frame of up to 16 MB. 64 peers may now be without a greeting, the oldest ends for the next one, and a frame before the greeting has 64 KB at most. TLS handshakes count from their first byte.

What parsing takes is estimated as two copies, which is what is alive at a time: the decoded text and its values.

--- a/dahliashunt/adapters/http_server.py
+++ b/dahliashunt/adapters/http_server.py
@@ -430,6 +430,14 @@
             self.transport.close()
 
 
+def _secured_protocol(ssl_context, **arguments):
+    """Return the protocol of a new connection that is to use TLS."""
+    bounds = arguments["config"].bounds
+    return TlsHandshake(
+        _BoundedProtocol(**arguments), ssl_context, bounds.header_timeout_s
+    )
+
+
 class _HeldApp:
     """ASGI application that notes what it does with each request.
 
@@ -518,7 +526,7 @@
         config.load()
         if ssl_context is not None:
             config.http_protocol_class = functools.partial(
-                TlsHandshake, _BoundedProtocol, ssl_context
+                _secured_protocol, ssl_context
             )
         self._server = _Server(config)
         self._task = None
--- a/dahliashunt/adapters/tls_handshake.py
+++ b/dahliashunt/adapters/tls_handshake.py
@@ -14,18 +14,17 @@
 
     Parameters
     ----------
-    protocol_class : type
-        Protocol with the methods of `HeldConnection`, and `opened` and
-        `forgotten`.
+    protocol : asyncio.Protocol
+        Its `opened` counts a connection and returns whether it may stay,
+        its `forgotten` stops counting it, and `transport` ends it.
     ssl_context : ssl.SSLContext
-    **arguments
-        For `protocol_class`.
+    timeout_s : float
     """
 
-    def __init__(self, protocol_class, ssl_context, **arguments):
-        self._protocol = protocol_class(**arguments)
+    def __init__(self, protocol, ssl_context, timeout_s: float):
+        self._protocol = protocol
         self._ssl_context = ssl_context
-        self._timeout_s = arguments["config"].bounds.header_timeout_s
+        self._timeout_s = timeout_s
         self._early = []
         self._is_lost = False
 
--- a/dahliashunt/adapters/wire/codec.py
+++ b/dahliashunt/adapters/wire/codec.py
@@ -14,11 +14,19 @@
 from dahliashunt.adapters.wire.gen.link.ttypes import Frame
 from dahliashunt.errors import LinkError
 
-__all__ = ["MAX_FRAME_BYTES", "FrameReader", "encode"]
+__all__ = [
+    "MAX_FRAME_BYTES",
+    "MAX_GREETING_BYTES",
+    "FrameReader",
+    "encode",
+]
 
 MAX_FRAME_BYTES = 16_000_000
 """Longest frame accepted from a peer."""
 
+MAX_GREETING_BYTES = 65_536
+"""Longest frame accepted from a peer that has not greeted yet."""
+
 _LENGTH_PREFIX = struct.Struct(">I")
 _FACTORY = TCompactProtocolAcceleratedFactory()
 
@@ -32,6 +40,11 @@
 class FrameReader:
     """Splits a byte stream into frames.
 
+    Parameters
+    ----------
+    max_bytes : int
+        Longest frame; may be changed.
+
     Examples
     --------
     >>> from dahliashunt.adapters.wire.gen.link.ttypes import Cancel
@@ -43,7 +56,8 @@
     'a'
     """
 
-    def __init__(self):
+    def __init__(self, max_bytes: int = MAX_FRAME_BYTES):
+        self.max_bytes = max_bytes
         self._buffer = bytearray()
 
     def feed(self, data: bytes) -> list[Frame]:
@@ -60,9 +74,9 @@
         offset = 0
         while len(buffer) - offset >= _LENGTH_PREFIX.size:
             (length,) = _LENGTH_PREFIX.unpack_from(buffer, offset)
-            if length > MAX_FRAME_BYTES:
+            if length > self.max_bytes:
                 raise LinkError(
-                    f"frame of {length} bytes exceeds {MAX_FRAME_BYTES}"
+                    f"frame of {length} bytes exceeds {self.max_bytes}"
                 )
             end = offset + _LENGTH_PREFIX.size + length
             if len(buffer) < end:
--- a/dahliashunt/adapters/wire/connection.py
+++ b/dahliashunt/adapters/wire/connection.py
@@ -8,13 +8,26 @@
 import asyncio
 from dataclasses import dataclass
 
+from dahliashunt.adapters.tls_handshake import TlsHandshake
 from dahliashunt.adapters.wire.codec import encode
 from dahliashunt.adapters.wire.codec import FrameReader
+from dahliashunt.adapters.wire.codec import MAX_FRAME_BYTES
+from dahliashunt.adapters.wire.codec import MAX_GREETING_BYTES
 from dahliashunt.errors import LinkError
 from dahliashunt.mailbox import Mailbox
 
 __all__ = ["Closed", "Connection", "Opened", "Received", "dial", "listen"]
 
+MAX_STRANGERS = 64
+"""Connections without a greeting; entries greet within some round trips."""
+
+HANDSHAKE_S = 5.0
+"""Longest time for a TLS handshake."""
+
+ACCEPTS_AT_ONCE = 64
+"""New connections that wait to be accepted, and are in one turn of the event
+loop: a crowd can exceed the bound by as many for a moment."""
+
 MAX_UNSENT_BYTES = 32_000_000
 """Write buffer above which the connection is aborted; a peer can resume."""
 
@@ -48,12 +61,20 @@
     ----------
     owner : Mailbox
         Receives `Opened`, `Received` and `Closed`.
+    strangers : Strangers, optional
+        Counts the connection until its peer has greeted.
+
+    Attributes
+    ----------
+    transport : asyncio.Transport or None
     """
 
-    def __init__(self, owner: Mailbox):
+    def __init__(self, owner: Mailbox, strangers: "Strangers | None" = None):
         self._owner = owner
+        self._strangers = strangers
         self._reader = FrameReader()
-        self._transport = None
+        self._is_counted = False
+        self.transport = None
         self._unsent = []
         self.bytes_in = 0
         self.bytes_out = 0
@@ -62,9 +83,28 @@
 
     def connection_made(self, transport):
         """Store the transport (called by asyncio)."""
-        self._transport = transport
+        self.transport = transport
+        self.opened()
         self._owner.put(Opened(self))
 
+    def opened(self) -> bool:
+        """Count the connection until it is greeted; return True."""
+        if self._strangers is not None and not self._is_counted:
+            self._is_counted = True
+            self._reader.max_bytes = MAX_GREETING_BYTES
+            self._strangers.add(self)
+        return True
+
+    def greeted(self) -> None:
+        """Trust the peer, which has greeted, with long frames."""
+        self._reader.max_bytes = MAX_FRAME_BYTES
+        self.forgotten()
+
+    def forgotten(self) -> None:
+        """Count the connection no longer."""
+        if self._strangers is not None:
+            self._strangers.discard(self)
+
     def data_received(self, data):
         """Deliver complete frames (called by asyncio)."""
         self.bytes_in += len(data)
@@ -79,14 +119,13 @@
 
     def connection_lost(self, exc):
         """Notify the owner (called by asyncio)."""
+        self.forgotten()
         self._owner.put(Closed(self))
 
     @property
     def is_open(self) -> bool:
         """Whether frames can be sent."""
-        return self._transport is not None and not (
-            self._transport.is_closing()
-        )
+        return self.transport is not None and not (self.transport.is_closing())
 
     def send(self, frame) -> bool:
         """Queue `frame` for sending.
@@ -112,20 +151,20 @@
         self._unsent.clear()
         if not self.is_open:
             return
-        self._transport.write(data)
-        if self._transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+        self.transport.write(data)
+        if self.transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
             self.abort()
 
     def close(self) -> None:
         """Send queued frames, then close."""
-        if self._transport is not None:
+        if self.transport is not None:
             self._flush()
-            self._transport.close()
+            self.transport.close()
 
     def abort(self) -> None:
         """Close at once and drop queued frames."""
-        if self._transport is not None:
-            self._transport.abort()
+        if self.transport is not None:
+            self.transport.abort()
 
 
 async def dial(host, port, owner, timeout_ms, tls=None) -> Connection:
@@ -149,9 +188,39 @@
     return connection
 
 
+class Strangers:
+    """Connections whose peers have not greeted yet, oldest first.
+
+    Above `MAX_STRANGERS` the oldest is ended for the next one.
+    """
+
+    def __init__(self):
+        self._connections: dict[Connection, None] = {}
+
+    def add(self, connection: Connection) -> None:
+        """Count a new connection; end the oldest if there are too many."""
+        self._connections[connection] = None
+        if len(self._connections) > MAX_STRANGERS:
+            oldest = next(iter(self._connections))
+            self.discard(oldest)
+            oldest.abort()
+
+    def discard(self, connection: Connection) -> None:
+        """Count a connection no longer."""
+        self._connections.pop(connection, None)
+
+
 async def listen(host, port, owner, tls=None) -> asyncio.Server:
     """Listen for peers; port 0 binds a free one."""
+    strangers = Strangers()
+
+    def make_protocol():
+        connection = Connection(owner, strangers)
+        if tls is None:
+            return connection
+        return TlsHandshake(connection, tls, HANDSHAKE_S)
+
     loop = asyncio.get_running_loop()
     return await loop.create_server(
-        lambda: Connection(owner), host, port, ssl=tls
+        make_protocol, host, port, backlog=ACCEPTS_AT_ONCE
     )
--- a/dahliashunt/agent/entry_links.py
+++ b/dahliashunt/agent/entry_links.py
@@ -108,6 +108,7 @@
             self._log.warning("link_refused", peer=greeting.node_id)
             connection.abort()
             return
+        connection.greeted()
         now = self._clock.now_ms()
         peer = self.peers.greet(now, connection, greeting)
         own = hello(
--- a/dahliashunt/agent/tests/test_core.py
+++ b/dahliashunt/agent/tests/test_core.py
@@ -42,6 +42,9 @@
     def abort(self):
         self.frames.append(None)
 
+    def greeted(self):
+        """Do nothing: frames of any length are taken."""
+
     def outcomes(self):
         return [f.outcome for f in self.frames if f and f.outcome]
 
--- a/dahliashunt/json_memory.py
+++ b/dahliashunt/json_memory.py
@@ -10,11 +10,11 @@
 VALUE_BYTES = 100
 """Memory of an empty array or object, with its place in the one around it."""
 
-COPIES = 3
-"""Copies of a text while it is parsed: decoded, the values of its members,
-and what is made of them."""
+COPIES = 2
+"""Copies of a text while it is parsed: decoded, and the values of its
+members. What is made of them follows when the decoded text is freed."""
 
-WIDE_COPIES = 9
+WIDE_COPIES = 8
 """The same where a character takes four bytes in all of them."""
 
 _WIDE = re.compile(rb"[\xc4-\xff]|\\u")
@@ -38,7 +38,7 @@
     Examples
     --------
     >>> parsing_bytes(b'{"a": [1]}')
-    330
+    320
     """
     values = sum(text.count(mark) for mark in (b"[", b"{", b",", b":"))
     if values > MAX_VALUES:
--- a/dahliashunt/process_shares.py
+++ b/dahliashunt/process_shares.py
@@ -18,7 +18,7 @@
 MIN_DESCRIPTORS = 20
 """Descriptors for clients' uses however few a process has."""
 
-HELD_PART = 0.3
+HELD_PART = 0.25
 """Part of the memory for what callers have sent and for jobs' payloads. A
 process takes some 45 MB before it serves, and parsing a job's longest body
 or reading two payloads some 20 MB at once."""
--- a/tests/crowds/processes.py
+++ b/tests/crowds/processes.py
@@ -17,6 +17,7 @@
 def check_limits(pid, memory_bytes, descriptors):
     """Check a process's largest memory and its open descriptors."""
     peak = _peak_bytes(pid)
+    print(f"{peak} bytes of memory at most")
     assert peak <= memory_bytes, (
         f"{peak} bytes of memory, {memory_bytes} at most"
     )
--- a/tests/crowds/test_own_entry.py
+++ b/tests/crowds/test_own_entry.py
@@ -22,6 +22,8 @@
 
 MEMORY = 160 * MB
 DESCRIPTORS = 400
+AGENT_MEMORY = 128 * MB
+AGENT_DESCRIPTORS = 250
 BODY_BYTES = 4_000_000
 START_S = 30
 CHAT = "/v1/chat/completions"
@@ -58,9 +60,10 @@
         self._fleet = Fleet(folder)
         self._options = options
         self.process = None
+        self.agent = None
 
-    async def start(self):
-        """Start all; return once a request is served."""
+    async def start(self, between=None):
+        """Start all, the entry after the coroutine `between`."""
         fleet = self._fleet
         await fleet.start_standin("table", "table", {})
         await fleet.start_standin("objects", "objects", {})
@@ -68,6 +71,9 @@
             "engine", "engine", {"models": "repair-notes"}
         )
         await fleet.start_agent("agent", "engine", {})
+        self.agent = fleet.process_by_name["agent"]
+        if between is not None:
+            await between()
         await fleet.start_entry("entry", ["agent"], dict(self._options))
         self.process = fleet.process_by_name["entry"]
         status, body = await fleet.apply(
@@ -251,3 +257,33 @@
         entry.check()
 
     own_entry(scenario)
+
+
+@pytest.mark.parametrize(
+    "sent", [b"", b"\x00\xf0\x00\x00" + b"x" * 400_000], ids=["none", "frame"]
+)
+def test_a_crowd_at_an_agent_leaves_room_for_an_entry(tmp_path, sent):
+    """Guards against peers without a greeting that fill an agent."""
+
+    async def main():
+        entry = OwnEntry(tmp_path, {})
+        clients = []
+
+        async def arrive():
+            clients.extend(await connect_many(entry.agent.port, 500))
+            await send_all(clients, sent)
+
+        try:
+            await entry.start(arrive)
+            await entry.until_served()
+            assert entry.agent.is_running
+            check_limits(entry.agent.pid, AGENT_MEMORY, AGENT_DESCRIPTORS)
+            for client in clients:
+                client.leave()
+            await asyncio.sleep(0.3)
+            assert await entry.serves()
+            check_limits(entry.agent.pid, AGENT_MEMORY, AGENT_DESCRIPTORS)
+        finally:
+            await entry.stop()
+
+    asyncio.run(main())
