Keep counting a connection whose request finds no more room

Read in the diff: a request that asks for more memory, such as a submission before it is parsed, and finds none is answered 503 on a connection that stays open, but the account had dropped the connection, so that what it did later was not counted. It keeps its former size now. Responses up to 8 KB no longer pass the room of long ones at all.

--- a/dahliashunt/adapters/held_memory.py
+++ b/dahliashunt/adapters/held_memory.py
@@ -28,8 +28,12 @@
     def yield_memory(self) -> None:
         """Refuse the unfinished request, or close the connection."""
 
-    def fits(self) -> bool:
-        """Note a request's new size; return whether there is room."""
+    def fits(self, may_end: bool = True) -> bool:
+        """Note a request's new size; return whether there is room.
+
+        Without room the connection counts no longer, unless `may_end` is
+        false: then its former size stays.
+        """
 
 
 class HeldRequest:
@@ -56,9 +60,9 @@
     def reserve(self, size: int) -> bool:
         """Hold `size` bytes more; return False if there is no room."""
         self.size += size
-        if self._connection.fits():
+        if self._connection.fits(may_end=False):
             return True
-        self.release(size)
+        self.size -= size
         return False
 
     def release(self, size: int) -> None:
@@ -122,10 +126,19 @@
         """Count a refused connection; return whether it may be read on."""
         return self.decisions.refused(connection, size, _now_ms())
 
-    def resized(self, connection: HeldConnection, size: int) -> bool:
-        """Note what a connection holds; return whether it may stay."""
-        ended = self.decisions.resized(connection, size, _now_ms())
-        return not ended or self._end(ended, connection)
+    def resized(
+        self, connection: HeldConnection, size: int, may_end: bool = True
+    ) -> bool:
+        """Note what a connection holds; return whether there is room.
+
+        See `HeldConnection.fits`.
+        """
+        ended = self.decisions.resized(connection, size, _now_ms(), may_end)
+        if not ended:
+            return True
+        if not may_end and connection in ended:
+            return False
+        return self._end(ended, connection)
 
     def entered(self, connection: HeldConnection, stage: Stage) -> None:
         """Note what a connection is waiting for."""
--- a/dahliashunt/adapters/http_server.py
+++ b/dahliashunt/adapters/http_server.py
@@ -260,8 +260,11 @@
 
     # The account of all connections.
 
-    def fits(self) -> bool:
-        """Note what the connection holds; return whether there is room."""
+    def fits(self, may_end: bool = True) -> bool:
+        """Note what the connection holds; return whether there is room.
+
+        See `HeldConnection.fits`.
+        """
         memory = self.config.bounds.memory
         if memory is None:
             return True
@@ -274,7 +277,7 @@
             size += ACTIVE_BYTES
         for request in self._requests:
             size += request.size
-        return memory.resized(self, size)
+        return memory.resized(self, size, may_end)
 
     def _stage(self):
         if not self._requests:
--- a/dahliashunt/decisions/client_memory.py
+++ b/dahliashunt/decisions/client_memory.py
@@ -167,20 +167,30 @@
         self.held_bytes += size
         return True
 
-    def resized(self, key: Hashable, size: int, now_ms: int) -> list[Hashable]:
+    def resized(
+        self, key: Hashable, size: int, now_ms: int, may_end: bool = True
+    ) -> list[Hashable]:
         """Note what a connection holds; return those to end, maybe itself.
 
-        One that is to be ended no longer counts.
+        One that is to be ended no longer counts. With `may_end` false the
+        connection itself is kept with its former size instead.
         """
         holding = self._holding_by_key.get(key)
         if holding is None:
             return []
-        is_growing = size > holding.size
+        former = holding.size
+        self._set_size(holding, size)
+        if size <= former or self._fits(size, 0):
+            return []
+        ended = self._make_room(key, holding, now_ms)
+        if ended == [key] and not may_end:
+            self._set_size(holding, former)
+            return ended
+        return self._end(ended)
+
+    def _set_size(self, holding, size):
         self.held_bytes += size - holding.size
         holding.size = size
-        if not is_growing or self._fits(size, 0):
-            return []
-        return self._end(self._make_room(key, holding, now_ms))
 
     def entered(self, key: Hashable, stage: Stage, now_ms: int) -> None:
         """Note what a connection is waiting for from now on."""
--- a/dahliashunt/decisions/tests/test_client_memory.py
+++ b/dahliashunt/decisions/tests/test_client_memory.py
@@ -75,6 +75,15 @@
     assert len(memory) == 50
 
 
+def test_what_finds_no_room_for_more_keeps_what_it_has(memory):
+    """Guards against a connection that is answered and no longer counted."""
+    memory.opened("caller", 0)
+    assert memory.resized("caller", 1_000, 0) == []
+    ended = memory.resized("caller", MAX_BYTES, 1, may_end=False)
+    assert ended == ["caller"]
+    assert (memory.held_bytes, len(memory)) == (1_000, 1)
+
+
 def test_a_complete_request_is_never_ended_for_another(memory):
     """Guards against a request that runs and is answered as not run."""
     fill(memory, 100, 1_000, Stage.SERVED)
--- a/dahliashunt/forwarding/answer_room.py
+++ b/dahliashunt/forwarding/answer_room.py
@@ -24,7 +24,7 @@
 
 from dahliashunt.ports import Clock
 
-__all__ = ["AnswerRoom"]
+__all__ = ["FREE_BYTES", "AnswerRoom"]
 
 FREE_BYTES = 8_192
 """Longest response that does not wait."""
@@ -63,11 +63,9 @@
     async def hold(self, size: int):
         """Reserve memory for a response of `size` bytes, once there is some.
 
-        One that exceeds the bound by itself is let in alone.
+        Not needed up to `FREE_BYTES`. One that exceeds the bound by itself is
+        let in alone.
         """
-        if size <= FREE_BYTES:
-            yield
-            return
         size *= COPIES
         async with self._turn:
             while self.reserved_bytes and not self._fits(size):
--- a/dahliashunt/forwarding/attempt.py
+++ b/dahliashunt/forwarding/attempt.py
@@ -11,6 +11,7 @@
 from dahliashunt.adapters.http1 import PoolExhausted
 from dahliashunt.adapters.http1 import ResponseHead
 from dahliashunt.adapters.http1.connection import READ_HIGH_WATER_BYTES
+from dahliashunt.forwarding.answer_room import FREE_BYTES
 from dahliashunt.forwarding.call_state import AttemptEnd
 from dahliashunt.forwarding.call_state import CallState
 from dahliashunt.forwarding.call_state import HeldResponse
@@ -331,24 +332,17 @@
             max_bytes = MAX_STATED_BODY_BYTES
             if MAX_BUFFERED_BYTES < length <= max_bytes:
                 await self._start_response(head, length)
-        is_kept = not self._state.started and length is not None
-        try:
-            async with self._answer_room(length if is_kept else 0):
-                return await self._relay_body(
-                    connection, mailbox, head, max_bytes
-                )
-        except TimeoutError:
-            return AttemptEnd.TIMED_OUT
-
-    @contextlib.asynccontextmanager
-    async def _answer_room(self, size):
-        """Hold memory for `size` bytes; raise `TimeoutError` at the end."""
-        left_ms = max(1, self._state.deadline_ms - self._clock.now_ms())
+        if self._state.started or (length or 0) <= FREE_BYTES:
+            return await self._relay_body(connection, mailbox, head, max_bytes)
         async with contextlib.AsyncExitStack() as held:
-            async with asyncio.timeout(left_ms / 1000):
-                room = self._forwarder.answer_room
-                await held.enter_async_context(room.hold(size))
-            yield
+            left_ms = max(1, self._state.deadline_ms - self._clock.now_ms())
+            try:
+                async with asyncio.timeout(left_ms / 1000):
+                    room = self._forwarder.answer_room
+                    await held.enter_async_context(room.hold(length))
+            except TimeoutError:
+                return AttemptEnd.TIMED_OUT
+            return await self._relay_body(connection, mailbox, head, max_bytes)
 
     async def _relay_body(self, connection, mailbox, head, max_bytes):
         body = await self._read_body(connection, mailbox, head, max_bytes)
