--- a/dahliashunt/adapters/wire/connection.py
+++ b/dahliashunt/adapters/wire/connection.py
@@ -8,6 +8,8 @@
 import asyncio
 from dataclasses import dataclass
 
+import structlog
+
 from dahliashunt.adapters.tls_handshake import TlsHandshake
 from dahliashunt.adapters.wire.codec import encode
 from dahliashunt.adapters.wire.codec import FrameReader
@@ -28,6 +30,8 @@
 """New connections that wait to be accepted, and are in one turn of the event
 loop: a crowd can exceed the bound by as many for a moment."""
 
+REPORT_INTERVAL_S = 10.0
+
 MAX_UNSENT_BYTES = 32_000_000
 """Write buffer above which the connection is aborted; a peer can resume."""
 
@@ -192,10 +196,17 @@
     """Connections whose peers have not greeted yet, oldest first.
 
     Above `MAX_STRANGERS` the oldest is ended for the next one.
+
+    Parameters
+    ----------
+    log : structlog logger
     """
 
-    def __init__(self):
+    def __init__(self, log):
+        self._log = log
         self._connections: dict[Connection, None] = {}
+        self._ended = 0
+        self._reported_s = -REPORT_INTERVAL_S
 
     def add(self, connection: Connection) -> None:
         """Count a new connection; end the oldest if there are too many."""
@@ -204,6 +215,15 @@
             oldest = next(iter(self._connections))
             self.discard(oldest)
             oldest.abort()
+            self._ended += 1
+            self._report()
+
+    def _report(self):
+        """Log what was ended, at most once an interval."""
+        now_s = asyncio.get_running_loop().time()
+        if now_s - self._reported_s >= REPORT_INTERVAL_S:
+            self._log.warning("peers_without_greeting", ended=self._ended)
+            self._reported_s, self._ended = now_s, 0
 
     def discard(self, connection: Connection) -> None:
         """Count a connection no longer."""
@@ -212,7 +232,7 @@
 
 async def listen(host, port, owner, tls=None) -> asyncio.Server:
     """Listen for peers; port 0 binds a free one."""
-    strangers = Strangers()
+    strangers = Strangers(structlog.get_logger())
 
     def make_protocol():
         connection = Connection(owner, strangers)
--- a/dahliashunt/entry/context.py
+++ b/dahliashunt/entry/context.py
@@ -5,6 +5,7 @@
 from blacksheep import Request
 
 from dahliashunt.batch import BatchService
+from dahliashunt.decisions.client_memory import ClientMemory
 from dahliashunt.entry.access import Access
 from dahliashunt.entry.dispatcher import Dispatcher
 from dahliashunt.entry.measures import Measures
@@ -27,6 +28,8 @@
         Runs claimed calls at most once; None without a table service.
     leaving : bool
         Whether a shutdown has begun.
+    held : ClientMemory or None
+        What callers hold, once the listener has started.
     """
 
     settings: EntrySettings
@@ -38,6 +41,7 @@
     batch: BatchService | None = None
     once: object = None
     leaving: bool = False
+    held: ClientMemory | None = None
 
     async def authenticate(self, request: Request) -> CallerId:
         """Return who sent a request of files and batches."""
--- a/dahliashunt/entry/health_routes.py
+++ b/dahliashunt/entry/health_routes.py
@@ -31,6 +31,9 @@
         gauges = context.measures.metrics
         gauges.gauge("in_flight", context.dispatcher.in_flight)
         gauges.gauge("records_revision", context.records.revision)
+        if context.held is not None:
+            gauges.gauge("held_bytes", context.held.total_bytes)
+            gauges.gauge("caller_connections", len(context.held))
         text = gauges.text().encode()
         return Response(200, None, Content(METRICS_TYPE, text))
 
--- a/dahliashunt/entry/serve.py
+++ b/dahliashunt/entry/serve.py
@@ -281,9 +281,9 @@
         http = self.settings.http
         check_plaintext("http", http.host, http.tls, self._log)
         tls = server_context(http.tls, mutual=False)
-        server = HttpServer(
-            self.app, http.host, http.port, tls, bounds=self._bounds()
-        )
+        bounds = self._bounds()
+        self.context.held = bounds.memory.decisions
+        server = HttpServer(self.app, http.host, http.port, tls, bounds=bounds)
         reloader = TlsReloader(http.tls, tls, self.clock, self._log)
         tasks = [
             asyncio.create_task(self.dispatcher.run()),
