Note what an ordinary request holds in one step

What was noted when a request was complete is not noted again at the end of the read, and the time is read only where something does not fit.

--- a/dahliashunt/adapters/held_memory.py
+++ b/dahliashunt/adapters/held_memory.py
@@ -133,6 +133,8 @@
 
         See `HeldConnection.fits`.
         """
+        if self.decisions.fitted(connection, size):
+            return True
         ended = self.decisions.resized(connection, size, _now_ms(), may_end)
         if not ended:
             return True
--- a/dahliashunt/adapters/http_server.py
+++ b/dahliashunt/adapters/http_server.py
@@ -157,6 +157,8 @@
     stage = Stage.IDLE
     _requests = ()
     _is_opened = False
+    # Whether what was received last is in the account.
+    _is_noted = False
     _is_refused = False
     _header_timer = None
     _linger_timer = None
@@ -227,7 +229,7 @@
         except BoundExceeded as error:
             self._end(error.bound)
             return
-        if not self.fits():
+        if not self._is_noted and not self.fits():
             self.yield_memory()
 
     def _discard(self, size):
@@ -275,8 +277,8 @@
         size = CONNECTION_BYTES + self._meter.framing_bytes
         if self._requests:
             size += ACTIVE_BYTES
-        for request in self._requests:
-            size += request.size
+            for request in self._requests:
+                size += request.size
         return memory.resized(self, size, may_end)
 
     def _stage(self):
@@ -339,6 +341,7 @@
     # Callbacks of the parser.
 
     def on_message_begin(self):
+        self._is_noted = False
         self._stated_bytes = 0
         self._header_bytes = 0
         self._header_count = 0
@@ -413,6 +416,7 @@
             copies = self.config.bounds.body_copies - 1
             request.size += request.body_bytes * copies
             # Checked before the application gets the whole request.
+            self._is_noted = True
             if not self.fits():
                 self.yield_memory()
                 raise BoundExceeded(Bound.MEMORY)
--- a/dahliashunt/decisions/client_memory.py
+++ b/dahliashunt/decisions/client_memory.py
@@ -167,6 +167,23 @@
         self.held_bytes += size
         return True
 
+    def fitted(self, key: Hashable, size: int) -> bool:
+        """Note what a connection holds if it fits; return whether it does.
+
+        The same as `resized` for it, without the time.
+        """
+        holding = self._holding_by_key.get(key)
+        if holding is None:
+            return True
+        former = holding.size
+        if size > former:
+            free_bytes = self.max_bytes - self.total_bytes - size + former
+            if size > SHARE * free_bytes:
+                return False
+        self.held_bytes += size - former
+        holding.size = size
+        return True
+
     def resized(
         self, key: Hashable, size: int, now_ms: int, may_end: bool = True
     ) -> list[Hashable]:
@@ -178,10 +195,10 @@
         holding = self._holding_by_key.get(key)
         if holding is None:
             return []
+        if self.fitted(key, size):
+            return []
         former = holding.size
         self._set_size(holding, size)
-        if size <= former or self._fits(size, 0):
-            return []
         ended = self._make_room(key, holding, now_ms)
         if ended == [key] and not may_end:
             self._set_size(holding, former)
