Keep a fresh connection as long as one between requests

It now begins with the first byte of each request; a connection without one has the idle timeout, whether it was used before or not.

Measured: tests/crowds/test_calm.py (a connection used after 6 s), adapters, test_online and test_slow_readers pass.

--- a/dahliashunt/adapters/http_server.py
+++ b/dahliashunt/adapters/http_server.py
@@ -88,11 +88,11 @@
     Attributes
     ----------
     keep_alive_s : int
-        Longest idle time between requests.
+        Longest idle time between requests, and before the first one.
     header_bytes : int
         Largest request line and headers together.
     header_timeout_s : float
-        Time from the connection to the end of its first headers.
+        Time from the first byte of a request to the end of its headers.
     on_exceeded : callable or None
         Called with the `Bound` at which a connection is ended.
     backlog : WriteBacklog or None
@@ -186,16 +186,17 @@
         self._header_bytes = 0
         self._header_count = 0
         self._requests: collections.deque[HeldRequest] = collections.deque()
-        self._start_header_timer()
+        self._start_header_timer(self.config.bounds.keep_alive_s)
         if self.config.bounds.backlog is not None:
             # All that a caller does not read is counted.
             transport.set_write_buffer_limits(high=1, low=0)
         if not self._is_opened and not self.opened():
             transport.abort()
 
-    def _start_header_timer(self):
+    def _start_header_timer(self, timeout_s):
+        self._stop_header_timer()
         self._header_timer = asyncio.get_running_loop().call_later(
-            self.config.bounds.header_timeout_s, self._abort_slow
+            timeout_s, self._abort_slow
         )
 
     def _abort_slow(self):
@@ -345,8 +346,7 @@
         self._stated_bytes = 0
         self._header_bytes = 0
         self._header_count = 0
-        if self._header_timer is None:
-            self._start_header_timer()
+        self._start_header_timer(self.config.bounds.header_timeout_s)
         super().on_message_begin()
 
     def on_url(self, url):
--- a/tests/crowds/test_calm.py
+++ b/tests/crowds/test_calm.py
@@ -16,6 +16,7 @@
 from tests.crowds.jobs import submission
 
 CHUNK_BYTES = 1_000
+HEADER_TIMEOUT_S = 3
 
 
 def test_a_body_at_the_limit_is_served(crowd):
@@ -98,6 +99,19 @@
     crowd(scenario)
 
 
+def test_a_connection_that_is_used_late_is_served(crowd):
+    """Guards against a connection that is closed before its first request."""
+
+    async def scenario(fleet):
+        client = await connect(fleet.port)
+        await asyncio.sleep(HEADER_TIMEOUT_S + 3)
+        await client.send(fleet.ordinary())
+        assert is_served(await client.reply())
+        fleet.check()
+
+    crowd(scenario)
+
+
 def test_what_was_refused_is_served_after_the_crowd(crowd):
     """Guards against refusals that last longer than their cause."""
 
