Mends of a second reading of crowds and clients' memory

- What a listener reports of its bounds stood twice, in the platform's entry and in the product's own: `ListenerReports`.
The share that one user may have of what is free stood three times: `is_within_share`.
- Reads of payloads for callers take turns of their own, so that a crowd that reads items' bodies holds up no start of a job.
- Names: `PendingPeers` for peers without a greeting, `app_is_busy`.
Header names and paths of the platform come from its folder, also in tests/crowds, where the checks beside a crowd stand once.
No crowd and no bound is changed.

--- a/dahliashunt/adapters/held_memory.py
+++ b/dahliashunt/adapters/held_memory.py
@@ -44,18 +44,18 @@
     size : int
     body_bytes : int
         Bytes of the body among them, of which copies follow once it is whole.
-    acts : bool
+    app_is_busy : bool
         Whether the application is doing something else than to wait for the
         rest of the request, so that it is not known to have done nothing.
     """
 
-    __slots__ = ("_connection", "acts", "body_bytes", "size")
+    __slots__ = ("_connection", "app_is_busy", "body_bytes", "size")
 
     def __init__(self, connection: HeldConnection, size: int):
         self._connection = connection
         self.size = size
         self.body_bytes = 0
-        self.acts = False
+        self.app_is_busy = False
 
     def reserve(self, size: int) -> bool:
         """Hold `size` bytes more; return False if there is no room."""
@@ -98,7 +98,7 @@
         Returns what is held for clients beside their connections.
     on_ended : callable, optional
         Called with the number of connections of each `Stage` that were ended
-        since the last call, at most once a second.
+        since the last call, and `decisions`; at most once a second.
 
     Attributes
     ----------
@@ -110,7 +110,8 @@
         max_bytes: int,
         max_connections: int,
         other_bytes: Callable[[], int] = lambda: 0,
-        on_ended: Callable[[dict[Stage, int]], None] | None = None,
+        on_ended: Callable[[dict[Stage, int], ClientMemory], None]
+        | None = None,
     ):
         self.decisions = ClientMemory(max_bytes, max_connections, other_bytes)
         self._on_ended = on_ended
@@ -168,7 +169,7 @@
         if not counts:
             return
         if self._on_ended is not None:
-            self._on_ended(counts)
+            self._on_ended(counts, self.decisions)
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(REPORT_INTERVAL_S, self._report)
 
--- a/dahliashunt/adapters/http_server.py
+++ b/dahliashunt/adapters/http_server.py
@@ -335,7 +335,7 @@
             len(self._requests) == 1
             and self.cycle.more_body
             and not self.cycle.response_started
-            and not self._requests[0].acts
+            and not self._requests[0].app_is_busy
             and not self.transport.is_closing()
         )
 
@@ -462,13 +462,13 @@
             return
 
         async def receive_more():
-            request.acts = False
+            request.app_is_busy = False
             try:
                 return await receive()
             finally:
-                request.acts = True
+                request.app_is_busy = True
 
-        request.acts = True
+        request.app_is_busy = True
         await self._app(scope, receive_more, send)
 
 
--- a/dahliashunt/adapters/wire/connection.py
+++ b/dahliashunt/adapters/wire/connection.py
@@ -20,7 +20,7 @@
 
 __all__ = ["Closed", "Connection", "Opened", "Received", "dial", "listen"]
 
-MAX_STRANGERS = 64
+MAX_PENDING_PEERS = 64
 """Connections without a greeting; entries greet within some round trips."""
 
 HANDSHAKE_S = 5.0
@@ -65,7 +65,7 @@
     ----------
     owner : Mailbox
         Receives `Opened`, `Received` and `Closed`.
-    strangers : Strangers, optional
+    pending : PendingPeers, optional
         Counts the connection until its peer has greeted.
 
     Attributes
@@ -73,9 +73,9 @@
     transport : asyncio.Transport or None
     """
 
-    def __init__(self, owner: Mailbox, strangers: "Strangers | None" = None):
+    def __init__(self, owner: Mailbox, pending: "PendingPeers | None" = None):
         self._owner = owner
-        self._strangers = strangers
+        self._pending = pending
         self._reader = FrameReader()
         self._is_counted = False
         self.transport = None
@@ -93,10 +93,10 @@
 
     def opened(self) -> bool:
         """Count the connection until it is greeted; return True."""
-        if self._strangers is not None and not self._is_counted:
+        if self._pending is not None and not self._is_counted:
             self._is_counted = True
             self._reader.max_bytes = MAX_GREETING_BYTES
-            self._strangers.add(self)
+            self._pending.add(self)
         return True
 
     def greeted(self) -> None:
@@ -106,8 +106,8 @@
 
     def forgotten(self) -> None:
         """Count the connection no longer."""
-        if self._strangers is not None:
-            self._strangers.discard(self)
+        if self._pending is not None:
+            self._pending.discard(self)
 
     def data_received(self, data):
         """Deliver complete frames (called by asyncio)."""
@@ -192,10 +192,10 @@
     return connection
 
 
-class Strangers:
+class PendingPeers:
     """Connections whose peers have not greeted yet, oldest first.
 
-    Above `MAX_STRANGERS` the oldest is ended for the next one.
+    Above `MAX_PENDING_PEERS` the oldest is ended for the next one.
 
     Parameters
     ----------
@@ -211,7 +211,7 @@
     def add(self, connection: Connection) -> None:
         """Count a new connection; end the oldest if there are too many."""
         self._connections[connection] = None
-        if len(self._connections) > MAX_STRANGERS:
+        if len(self._connections) > MAX_PENDING_PEERS:
             oldest = next(iter(self._connections))
             self.discard(oldest)
             oldest.abort()
@@ -232,10 +232,10 @@
 
 async def listen(host, port, owner, tls=None) -> asyncio.Server:
     """Listen for peers; port 0 binds a free one."""
-    strangers = Strangers(structlog.get_logger())
+    pending = PendingPeers(structlog.get_logger())
 
     def make_protocol():
-        connection = Connection(owner, strangers)
+        connection = Connection(owner, pending)
         if tls is None:
             return connection
         return TlsHandshake(connection, tls, HANDSHAKE_S)
--- a/dahliashunt/decisions/client_memory.py
+++ b/dahliashunt/decisions/client_memory.py
@@ -40,7 +40,7 @@
 from dataclasses import dataclass
 import enum
 
-__all__ = ["ClientMemory", "Stage"]
+__all__ = ["ClientMemory", "Stage", "is_within_share"]
 
 SHARE = 2
 """Most bytes of a connection as a multiple of what is free beside it."""
@@ -50,6 +50,17 @@
 for another. A client sends its request within some round trips."""
 
 
+def is_within_share(size: int, free_bytes: int) -> bool:
+    """Return whether one user may hold `size` while `free_bytes` are left.
+
+    Examples
+    --------
+    >>> is_within_share(20, free_bytes=10), is_within_share(21, free_bytes=10)
+    (True, False)
+    """
+    return size <= SHARE * free_bytes
+
+
 class Stage(enum.Enum):
     """What a connection is waiting for."""
 
@@ -178,7 +189,7 @@
         former = holding.size
         if size > former:
             free_bytes = self.max_bytes - self.total_bytes - size + former
-            if size > SHARE * free_bytes:
+            if not is_within_share(size, free_bytes):
                 return False
         self.held_bytes += size - former
         holding.size = size
@@ -225,13 +236,9 @@
         self.held_bytes -= holding.size
         return holding.stage
 
-    def _fits(self, size, freed):
-        free_bytes = self.max_bytes - self.total_bytes + freed
-        return size <= SHARE * free_bytes
-
     def _make_room(self, key, holding, now_ms):
         """Return whom to end so that `key` fits; itself if nothing helps."""
-        ended, freed = [], 0
+        ended, free_bytes = [], self.max_bytes - self.total_bytes
         least = holding.cost(now_ms)
         for other, each in self._by_cost(now_ms):
             if other == key:
@@ -239,8 +246,8 @@
             if each.cost(now_ms) <= least:
                 break
             ended.append(other)
-            freed += each.size
-            if self._fits(holding.size, freed):
+            free_bytes += each.size
+            if is_within_share(holding.size, free_bytes):
                 return ended
         return [key]
 
--- a/dahliashunt/entry/held_requests.py
+++ b/dahliashunt/entry/held_requests.py
@@ -8,6 +8,7 @@
 from dahliashunt.adapters.held_memory import HeldMemory
 from dahliashunt.adapters.http_server import HttpBounds
 from dahliashunt.adapters.http_server import Refusal
+from dahliashunt.adapters.listener_reports import ListenerReports
 from dahliashunt.adapters.write_backlog import ReadBacklog
 from dahliashunt.adapters.write_backlog import WriteBacklog
 from dahliashunt.entry.answers import error_body
@@ -35,33 +36,16 @@
     shares: ProcessShares, metrics: Metrics, log, max_header_s: float
 ) -> HttpBounds:
     """Return the bounds of the listener for callers and operators."""
-
-    def report_ended(stages):
-        for stage, number in stages.items():
-            metrics.count("callers_ended", number, stage=stage.value)
-        log.warning(
-            "callers_ended_for_memory",
-            connections=len(memory.decisions),
-            held=memory.decisions.total_bytes,
-            **{stage.value: count for stage, count in stages.items()},
-        )
-
-    def report_slow(peer, unread_bytes):
-        metrics.count("slow_readers_ended")
-        log.warning("slow_reader_ended", peer=str(peer), unread=unread_bytes)
-
-    def report_excess(bound):
-        metrics.count("callers_over_bound", bound=bound.value)
-        log.warning("caller_over_bound", exceeded=bound.value)
-
-    memory = HeldMemory(
-        shares.held_bytes, shares.caller_connections, on_ended=report_ended
-    )
+    reports = ListenerReports(metrics, log)
     return HttpBounds(
         header_timeout_s=max_header_s,
-        on_exceeded=report_excess,
-        backlog=WriteBacklog(shares.unread_bytes, ReadBacklog(), report_slow),
-        memory=memory,
+        on_exceeded=reports.exceeded,
+        backlog=WriteBacklog(shares.unread_bytes, ReadBacklog(), reports.slow),
+        memory=HeldMemory(
+            shares.held_bytes,
+            shares.caller_connections,
+            on_ended=reports.ended,
+        ),
         refusal=_refuse,
         body_copies=BODY_COPIES,
     )
--- a/dahliashunt/jobs/ledger.py
+++ b/dahliashunt/jobs/ledger.py
@@ -67,7 +67,8 @@
 """Rows removed per transaction; the store's limit is a hundred."""
 
 MAX_PAYLOAD_READS = 2
-"""Payloads read at the same time; each may have the size of an object."""
+"""Payloads read at the same time for this node's jobs, and for callers; each
+may have the size of an object."""
 
 QUOTA_RETRY_MS = 1_000
 """Retry-After of a job that exceeds the quota."""
@@ -135,7 +136,8 @@
         self._view = view
         self.owner = owner
         self._log = log
-        self._payload_reads = asyncio.Semaphore(MAX_PAYLOAD_READS)
+        self._owner_reads = asyncio.Semaphore(MAX_PAYLOAD_READS)
+        self._caller_reads = asyncio.Semaphore(MAX_PAYLOAD_READS)
 
     # Acceptance.
 
@@ -301,10 +303,15 @@
         item = job.items[listed.index]
         return Result(item.item_id, listed.outcome, "".join(pieces))
 
-    async def payload(self, job: Job) -> bytes:
-        """Return the items' requests as submitted."""
+    async def payload(self, job: Job, for_caller: bool = False) -> bytes:
+        """Return the items' requests as submitted.
+
+        Reads for callers take turns of their own, so that many of them hold
+        up no job.
+        """
+        turns = self._caller_reads if for_caller else self._owner_reads
         try:
-            async with self._payload_reads:
+            async with turns:
                 data = await self._objects.get(job.payload)
         except PlatformUnavailable as error:
             raise _store_unavailable(error, Ran.NO) from None
--- a/dahliashunt/jobs/payload_room.py
+++ b/dahliashunt/jobs/payload_room.py
@@ -2,17 +2,16 @@
 
 A node keeps the requests of a job's items until the job has ended. Jobs of
 the largest size would fill the memory of a small instance, so that a large
-one waits while others run. A job may take up to `SHARE` times what is then
-left, so that large ones leave room for a small one.
+one waits while others run. A job has the share of what is left that a
+connection has of callers' memory, so that large ones leave room for a small
+one.
 """
 
+from dahliashunt.decisions.client_memory import is_within_share
 from dahliashunt.ids import JobId
 
 __all__ = ["PayloadRoom"]
 
-SHARE = 2
-"""Most bytes of a job as a multiple of what is free beside it."""
-
 
 class PayloadRoom:
     """Bytes of payloads by job, and the bound of their sum.
@@ -43,7 +42,7 @@
         One that is too large beside any other may be held alone.
         """
         free_bytes = self._max_bytes - self.held_bytes - size
-        return not self._size_by_job or size <= SHARE * free_bytes
+        return not self._size_by_job or is_within_share(size, free_bytes)
 
     def take(self, job_id: JobId, size: int) -> bool:
         """Hold a job's payload if it fits; return whether it is held."""
--- a/dahliashunt/platform/job_calls.py
+++ b/dahliashunt/platform/job_calls.py
@@ -244,7 +244,7 @@
     async def _read_body(self, job, item_id, exchange):
         """Return an item's body; the job's payload is not kept."""
         async with self._store_calls:
-            payload = await self._ledger.payload(job)
+            payload = await self._ledger.payload(job, for_caller=True)
         with exchange.holding(decoding_bytes(payload)):
             for each in decode_submission(payload):
                 if each.item.item_id == item_id:
--- a/dahliashunt/platform/metrics_page.py
+++ b/dahliashunt/platform/metrics_page.py
@@ -34,8 +34,8 @@
 def side_bounds(metrics: Metrics) -> HttpBounds:
     """Return the bounds of a listener that is not for callers."""
 
-    def count(stages):
-        for stage, number in stages.items():
+    def count(count_by_stage, _):
+        for stage, number in count_by_stage.items():
             metrics.count("side_connections_ended", number, stage=stage.value)
 
     return HttpBounds(
--- a/dahliashunt/platform/serve_entry.py
+++ b/dahliashunt/platform/serve_entry.py
@@ -9,6 +9,7 @@
 from dahliashunt.adapters.http1 import ConnectionPool
 from dahliashunt.adapters.http_server import HttpBounds
 from dahliashunt.adapters.http_server import HttpServer
+from dahliashunt.adapters.listener_reports import ListenerReports
 from dahliashunt.adapters.slots.client import SlotClient
 from dahliashunt.adapters.write_backlog import ReadBacklog
 from dahliashunt.adapters.write_backlog import WriteBacklog
@@ -233,43 +234,20 @@
 
     def _make_bounds(self):
         """Return the bounds of callers' connections."""
-        metrics, log = self.node.metrics, self._log
-
-        def report_excess(bound):
-            metrics.count("callers_over_bound", bound=bound.value)
-            log.warning("caller_over_bound", exceeded=bound.value)
-
-        def report_slow(peer, unread_bytes):
-            metrics.count("slow_readers_ended")
-            log.warning(
-                "slow_reader_ended", peer=str(peer), unread=unread_bytes
-            )
-
-        def report_ended(stages):
-            for stage, number in stages.items():
-                metrics.count("callers_ended", number, stage=stage.value)
-            log.warning(
-                "callers_ended_for_memory",
-                connections=len(memory.decisions),
-                held=memory.decisions.total_bytes,
-                **{stage.value: count for stage, count in stages.items()},
-            )
-
-        backlog = WriteBacklog(
-            self._shares.unread_bytes // 2,
-            self._read_backlog,
-            report_slow,
-        )
-        memory = HeldMemory(
-            self._shares.held_bytes,
-            self._shares.caller_connections,
-            lambda: self._room.held_bytes,
-            report_ended,
-        )
+        reports = ListenerReports(self.node.metrics, self._log)
         return HttpBounds(
-            on_exceeded=report_excess,
-            backlog=backlog,
-            memory=memory,
+            on_exceeded=reports.exceeded,
+            backlog=WriteBacklog(
+                self._shares.unread_bytes // 2,
+                self._read_backlog,
+                reports.slow,
+            ),
+            memory=HeldMemory(
+                self._shares.held_bytes,
+                self._shares.caller_connections,
+                lambda: self._room.held_bytes,
+                reports.ended,
+            ),
             refusal=memory_refusal(self._rng),
         )
 
--- a/dahliashunt/platform/standins/caller.py
+++ b/dahliashunt/platform/standins/caller.py
@@ -21,6 +21,7 @@
     "JobItem",
     "JobPage",
     "JobResult",
+    "body_target",
     "caller_request",
     "decode_page",
     "encode_job",
@@ -136,6 +137,11 @@
     return f"/api/lots/{job_id}?after={after}"
 
 
+def body_target(job_id: str, item_id: str) -> str:
+    """Return the request target of an item's body."""
+    return f"/api/items/{job_id}?id={item_id}"
+
+
 def encode_job(items: list[JobItem]) -> bytes:
     """Return the body of a job's submission."""
     return json.dumps({"requests": [_item(item) for item in items]}).encode()
--- a/tests/crowds/clients.py
+++ b/tests/crowds/clients.py
@@ -6,6 +6,9 @@
 import os
 import socket
 
+from dahliashunt.platform.names import BUDGET
+from dahliashunt.platform.names import REQUEST_ID
+
 __all__ = [
     "Client",
     "Reply",
@@ -34,13 +37,20 @@
     body: bytes
 
 
-def head(path, size=None, method="POST", host="a.example", **headers):
+def head(
+    path,
+    size=None,
+    method="POST",
+    host="a.example",
+    budget_ms=15_000,
+    **headers,
+):
     """Return the head of a request with a body of `size` bytes or chunks."""
     request_id = headers.pop("request_id", f"r-{os.urandom(6).hex()}")
     fields = {
         "Host": host,
-        "Dahliashunt-Request-Id": request_id,
-        "Dahliashunt-Request-Timeout-Ms": "15000",
+        REQUEST_ID: request_id,
+        BUDGET: str(budget_ms),
         **{name.replace("_", "-"): value for name, value in headers.items()},
     }
     if size == "chunks":
--- a/tests/crowds/fleet.py
+++ b/tests/crowds/fleet.py
@@ -152,6 +152,13 @@
         check_limits(program.pid, self.memory_mb * MB, self.fds)
         assert "Traceback" not in program.text()
 
+    async def check_beside(self, clients):
+        """Check ordinary requests beside a crowd, and one after it."""
+        for _ in range(3):
+            assert await self.serves()
+        self.check()
+        await self.check_without(clients)
+
     async def check_without(self, clients, path="/a/x"):
         """Close the crowd's connections; check what is left."""
         for client in clients:
--- a/tests/crowds/replica.py
+++ b/tests/crowds/replica.py
@@ -3,6 +3,9 @@
 import asyncio
 import contextlib
 
+from dahliashunt.platform.names import REQUEST_ID
+from dahliashunt.platform.names import SIGNATURE
+
 __all__ = ["CrowdReplica"]
 
 SIZE_BY_WORD = {"long": 900_000, "middling": 60_000}
@@ -76,11 +79,11 @@
         for word, size in SIZE_BY_WORD.items():
             if word in path:
                 body = b"x" * size
-        request_id = headers.get("dahliashunt-request-id", "")
+        request_id = headers.get(REQUEST_ID, "")
         answer = [
             "HTTP/1.1 200 OK",
-            f"Dahliashunt-Request-Id: {request_id}",
-            "Dahliashunt-Response-Seal: seal",
+            f"{REQUEST_ID}: {request_id}",
+            f"{SIGNATURE}: seal",
             f"Content-Length: {len(body)}",
         ]
         writer.write("\r\n".join(answer).encode() + b"\r\n\r\n" + body)
--- a/tests/crowds/test_calm.py
+++ b/tests/crowds/test_calm.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from dahliashunt.platform.standins.caller import body_target
 from tests.crowds.clients import connect
 from tests.crowds.clients import connect_many
 from tests.crowds.clients import head
@@ -56,7 +57,7 @@
         body = job_body(BODY_BYTES - 50_000, items=200)
         reply = await send_once(fleet.port, submission("large", body))
         assert reply.status == 202
-        request = head("/api/items/large?id=i7", method="GET")
+        request = head(body_target("large", "i7"), method="GET")
         assert is_served(await send_once(fleet.port, request))
         fleet.check()
 
--- a/tests/crowds/test_entry_descriptors.py
+++ b/tests/crowds/test_entry_descriptors.py
@@ -28,10 +28,7 @@
         for client in clients:
             await client.send(sent)
         await asyncio.sleep(1)
-        for _ in range(3):
-            assert await fleet.serves()
-        fleet.check()
-        await fleet.check_without(clients)
+        await fleet.check_beside(clients)
 
     crowd(scenario, fds=FDS)
 
--- a/tests/crowds/test_entry_memory.py
+++ b/tests/crowds/test_entry_memory.py
@@ -23,10 +23,7 @@
         if size == "chunks":
             body = b"%x\r\n" % BODY_BYTES + body
         await send_all(clients, head("/a/x", size) + body)
-        for _ in range(3):
-            assert await fleet.serves()
-        fleet.check()
-        await fleet.check_without(clients)
+        await fleet.check_beside(clients)
 
     crowd(scenario)
 
@@ -64,10 +61,7 @@
         for client, size in zip(clients, SMALL_SIZES, strict=True):
             await client.send(head("/a/x", 60_000) + b"x" * size)
         await asyncio.sleep(1)
-        for _ in range(3):
-            assert await fleet.serves()
-        fleet.check()
-        await fleet.check_without(clients)
+        await fleet.check_beside(clients)
 
     crowd(scenario)
 
@@ -79,10 +73,7 @@
         clients = await connect_many(fleet.port, 30)
         request = head("/a/unread", BODY_BYTES) + b"x" * BODY_BYTES
         await send_all(clients, request)
-        for _ in range(3):
-            assert await fleet.serves()
-        fleet.check()
-        await fleet.check_without(clients)
+        await fleet.check_beside(clients)
 
     crowd(scenario)
 
@@ -94,10 +85,7 @@
         clients = await connect_many(fleet.port, 400)
         ahead = (head("/a/x", 60_000) + b"x" * 60_000) * 12
         await send_all(clients, head("/a/held", 0) + ahead)
-        for _ in range(3):
-            assert await fleet.serves()
-        fleet.check()
-        await fleet.check_without(clients)
+        await fleet.check_beside(clients)
 
     crowd(scenario)
 
@@ -111,9 +99,6 @@
         for client in clients:
             await client.send(head("/a/x", 100, **fields) + b"x" * 99)
         await asyncio.sleep(1)
-        for _ in range(3):
-            assert await fleet.serves()
-        fleet.check()
-        await fleet.check_without(clients)
+        await fleet.check_beside(clients)
 
     crowd(scenario)
--- a/tests/crowds/test_jobs.py
+++ b/tests/crowds/test_jobs.py
@@ -15,6 +15,8 @@
 from dahliashunt.jobs.model import Owner
 from dahliashunt.jobs.view import JobView
 from dahliashunt.metrics import Metrics
+from dahliashunt.platform.standins.caller import body_target
+from dahliashunt.platform.standins.caller import results_target
 from dahliashunt.platform.store import PlatformStore
 from tests.crowds.clients import connect_many
 from tests.crowds.clients import head
@@ -99,10 +101,10 @@
     async def scenario(fleet):
         body = job_body(BODY_BYTES - 50_000)
         await send_until_served(fleet.port, submission("large", body))
-        clients = await crowd_reads(fleet, "/api/items/large?id=i1", 80)
+        clients = await crowd_reads(fleet, body_target("large", "i1"), 80)
         assert await fleet.serves()
         fleet.check()
-        target = head("/api/items/large?id=i1", method="GET")
+        target = head(body_target("large", "i1"), method="GET")
         reply = await send_until_served(fleet.port, target)
         sent = json.loads(body)["requests"][1]["body"]
         assert reply.body == base64.b64decode(sent)
@@ -135,10 +137,10 @@
         body = job_body(20_000)
         await send_until_served(fleet.port, submission("done", body))
         await list_results(fleet, "done")
-        clients = await crowd_reads(fleet, "/api/lots/done?after=0", 400)
+        clients = await crowd_reads(fleet, results_target("done", 0), 400)
         assert await fleet.serves()
         fleet.check()
-        target = head("/api/lots/done?after=0", method="GET")
+        target = head(results_target("done", 0), method="GET")
         reply = await send_until_served(fleet.port, target)
         results = json.loads(reply.body)["results"]
         assert results[0]["output"] == "x" * RESULT_CHARACTERS
--- a/tests/crowds/test_replica_connections.py
+++ b/tests/crowds/test_replica_connections.py
@@ -16,9 +16,7 @@
     async def scenario(fleet):
         clients = await connect_many(fleet.port, COUNT)
         for client in clients:
-            await client.send(
-                head("/a/held", 0, Dahliashunt_Request_Timeout_Ms="6000")
-            )
+            await client.send(head("/a/held", 0, budget_ms=6_000))
         await asyncio.sleep(1)
         fleet.check()
         await send_until_served(fleet.port, fleet.ordinary())
--- a/tests/crowds/test_unread_answers.py
+++ b/tests/crowds/test_unread_answers.py
@@ -14,10 +14,7 @@
         clients = await connect_many(fleet.port, 120, receive_bytes=4_096)
         ahead = b"".join(head("/a/long", 0) for _ in range(15))
         await send_all(clients, ahead)
-        for _ in range(3):
-            assert await fleet.serves()
-        fleet.check()
-        await fleet.check_without(clients)
+        await fleet.check_beside(clients)
 
     crowd(scenario)
 
@@ -30,9 +27,6 @@
         for client in clients:
             await client.send(head("/a/middling", 0) * 2)
         await asyncio.sleep(3)
-        for _ in range(3):
-            assert await fleet.serves()
-        fleet.check()
-        await fleet.check_without(clients)
+        await fleet.check_beside(clients)
 
     crowd(scenario)
