Take ports for crowds' processes below the ephemeral range

Ports were chosen from the range of which a crowd's own connections take thousands. They come from below it now (the system's begins at 32,768).

--- a/tests/crowds/fleet.py
+++ b/tests/crowds/fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+import random
 import socket
 
 from dahliashunt.platform.standins import StoreStandin
@@ -27,6 +28,10 @@
 BODY_BYTES = 4_194_304
 HEADER_BYTES = 16_384
 SLOTS = 2_000
+
+PORTS = (10_000, 32_000)
+"""Below the ephemeral range."""
+
 POLL_S = 0.02
 LEAVE_S = 0.3
 
@@ -182,8 +187,15 @@
 
 
 def _free_ports(count):
-    with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for each in sockets:
-            each.bind((HOST, 0))
-        return [min(each.getsockname()[1], 65_000) for each in sockets]
+    """Return ports that no outgoing connection takes meanwhile.
+
+    A crowd's own connections use ports of the system's ephemeral range.
+    """
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(*PORTS)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((HOST, port))
+            if not any(abs(port - other) < 3 for other in ports):
+                ports.append(port)
+    return ports
