--- a/dahliashunt/platform/job_calls.py
+++ b/dahliashunt/platform/job_calls.py
@@ -1,6 +1,7 @@
 """Handle requests about batch jobs: submit, read results or a body, end."""
 
 import asyncio
+import contextlib
 from dataclasses import dataclass
 import enum
 import hashlib
@@ -110,6 +111,14 @@
             JobAction.END: self._end,
         }
 
+    @contextlib.asynccontextmanager
+    async def _store_call(self):
+        """Take a turn to call the store for a caller."""
+        if self._store_calls.locked():
+            self._node.metrics.count("callers_waited_for_store")
+        async with self._store_calls:
+            yield
+
     def parse(self, method, path, query, headers) -> JobRequest | None:
         """Return the request about a job, or None for another path."""
         for (expected_method, prefix), action in _ACTION_BY_ROUTE.items():
@@ -143,7 +152,7 @@
         A job of another workspace is reported as not found. A job that was
         submitted without a key may be read without one.
         """
-        async with self._store_calls:
+        async with self._store_call():
             job = await self._ledger.find(job_request.job_id)
         if job is None:
             raise _job_not_found()
@@ -187,7 +196,7 @@
             accepted_by=self._ledger.owner,
             workspace=_workspace_id(workspace),
         )
-        async with self._store_calls:
+        async with self._store_call():
             is_new = await self._ledger.accept(
                 job, body, route.max_waiting_tokens
             )
@@ -217,7 +226,7 @@
         first = job_request.first
         characters = self._ledger.page_characters(job, first)
         with exchange.holding(characters * PAGE_COPIES):
-            async with self._store_calls:
+            async with self._store_call():
                 results = await self._ledger.results(job, first)
             body = encode_results(len(job.items), first, results)
             del results
@@ -233,7 +242,7 @@
         now_ms = self._node.clock.now_ms()
         heard = [follower.heard_ms for follower in self._followers]
         if any(h is None or now_ms - h > FEED_FRESHNESS_MS for h in heard):
-            async with self._store_calls:
+            async with self._store_call():
                 await self._ledger.refresh_progress(job)
 
     async def _body(self, job, job_request, exchange):
@@ -243,7 +252,7 @@
 
     async def _read_body(self, job, item_id, exchange):
         """Return an item's body; the job's payload is not kept."""
-        async with self._store_calls:
+        async with self._store_call():
             payload = await self._ledger.payload(job, for_caller=True)
         with exchange.holding(decoding_bytes(payload)):
             for each in decode_submission(payload):
@@ -252,7 +261,7 @@
         raise RequestError(ErrorKind.NOT_FOUND, "the job has no such item")
 
     async def _end(self, job, job_request, exchange):
-        async with self._store_calls:
+        async with self._store_call():
             await self._ledger.set_state(job.job_id, JobState.ENDED)
         self._node.log.info("job_ended", job_id=job.job_id)
         await exchange.whole(200, [], b"")
--- a/dahliashunt/platform/metrics_page.py
+++ b/dahliashunt/platform/metrics_page.py
@@ -1,5 +1,7 @@
 """Metrics and inspection pages over HTTP."""
 
+import structlog
+
 from dahliashunt.adapters.held_memory import HeldMemory
 from dahliashunt.adapters.http_server import HttpBounds
 from dahliashunt.adapters.http_server import HttpServer
@@ -37,6 +39,9 @@
     def count(count_by_stage, _):
         for stage, number in count_by_stage.items():
             metrics.count("side_connections_ended", number, stage=stage.value)
+        structlog.get_logger().warning(
+            "side_connections_ended", ended=sum(count_by_stage.values())
+        )
 
     return HttpBounds(
         memory=HeldMemory(SIDE_BYTES, SIDE_CONNECTIONS, on_ended=count)
--- a/dahliashunt/platform/serve_entry.py
+++ b/dahliashunt/platform/serve_entry.py
@@ -165,25 +165,7 @@
         self._registry = ReplicaRegistry()
         metrics = Metrics(settings.node_id)
         self.node = Node(self._clock, self._rng, metrics, log, self._registry)
-        self._read_backlog = ReadBacklog()
-        self._shares = ProcessShares.of(
-            settings.memory_mb * BYTES_PER_MB,
-            settings.descriptors,
-            FILE_DESCRIPTORS,
-        )
-        self._pool = ConnectionPool(
-            self._clock,
-            backlog=self._read_backlog,
-            max_open=self._shares.replica_connections,
-        )
-        self._store_pool = ConnectionPool(self._clock)
-        self._store = PlatformStore(
-            settings.store.address,
-            self._store_pool,
-            self._clock,
-            metrics,
-            settings.store.object_bytes,
-        )
+        self._make_connections()
         self._slots = SlotClient(self._clock)
         self._suspicion = Suspicion()
         self._losses = SharedLosses(
@@ -232,6 +214,29 @@
         self.first_port = settings.first_port
         self.ports: tuple[int, ...] = ()
 
+    def _make_connections(self):
+        """Make the pools of connections and the client of the store."""
+        settings = self._settings
+        self._read_backlog = ReadBacklog()
+        self._shares = ProcessShares.of(
+            settings.memory_mb * BYTES_PER_MB,
+            settings.descriptors,
+            FILE_DESCRIPTORS,
+        )
+        self._pool = ConnectionPool(
+            self._clock,
+            backlog=self._read_backlog,
+            max_open=self._shares.replica_connections,
+        )
+        self._store_pool = ConnectionPool(self._clock)
+        self._store = PlatformStore(
+            settings.store.address,
+            self._store_pool,
+            self._clock,
+            self.node.metrics,
+            settings.store.object_bytes,
+        )
+
     def _make_bounds(self):
         """Return the bounds of callers' connections."""
         reports = ListenerReports(self.node.metrics, self._log)
@@ -437,6 +442,8 @@
         gauge("held_bytes", held.total_bytes)
         gauge("held_bytes_max", held.max_bytes)
         gauge("payload_bytes", self._room.held_bytes)
+        answers = self.node.forwarder.answer_room
+        gauge("answer_bytes_reserved", answers.reserved_bytes)
         gauge("caller_connections", len(held))
         gauge("caller_connections_max", held.max_connections)
         gauge("replica_connections", self._pool.open_connections)
