Check what refusals of crowds promise

Refused requests of a crowd are answered 503 with Retry-After and an id, say that they have not run, and none of them reached a replica; checked beside the crowds of bodies that stop short, at both entries.

--- a/dahliashunt/platform/tests/test_slow_readers.py
+++ b/dahliashunt/platform/tests/test_slow_readers.py
@@ -285,6 +285,8 @@
                 assert b"not run" in refusal
             task.cancel()
         assert (await p.call(body=b"x" * 100)).status == 200
+        # The refused ones have not run.
+        assert [each.request_id for each in p.replicas[0].arrivals] == ["r1"]
         for _, writer in senders:
             writer.transport.abort()
         await p.until(lambda: held.held_bytes == 0)
--- a/tests/crowds/clients.py
+++ b/tests/crowds/clients.py
@@ -16,6 +16,7 @@
     "connect_many",
     "head",
     "is_served",
+    "refusals",
     "send_all",
     "send_once",
     "send_until_served",
@@ -163,6 +164,16 @@
     return reply
 
 
+async def refusals(clients):
+    """Return the responses that came on connections by now."""
+    waits = [asyncio.create_task(client.reply()) for client in clients]
+    await asyncio.wait(waits, timeout=SETTLE_S)
+    replies = [wait.result() for wait in waits if wait.done()]
+    for wait in waits:
+        wait.cancel()
+    return [reply for reply in replies if reply is not None]
+
+
 async def send_all(clients, data):
     """Send the same bytes on each connection, and wait until they rest."""
     sending = [asyncio.create_task(each.send(data)) for each in clients]
--- a/tests/crowds/test_entry_memory.py
+++ b/tests/crowds/test_entry_memory.py
@@ -4,8 +4,10 @@
 
 import pytest
 
+from dahliashunt.platform.names import REQUEST_ID
 from tests.crowds.clients import connect_many
 from tests.crowds.clients import head
+from tests.crowds.clients import refusals
 from tests.crowds.clients import send_all
 from tests.crowds.fleet import BODY_BYTES
 
@@ -23,6 +25,15 @@
         if size == "chunks":
             body = b"%x\r\n" % BODY_BYTES + body
         await send_all(clients, head("/a/x", size) + body)
+        refused = await refusals(clients)
+        assert refused
+        for reply in refused:
+            assert reply.status == 503
+            assert float(reply.header_by_name["retry-after"]) > 0
+            assert reply.header_by_name[REQUEST_ID].startswith("r-")
+            assert b"not run" in reply.body
+        # The one that was served before the crowd.
+        assert fleet.replica.answered == 1
         await fleet.check_beside(clients)
 
     crowd(scenario)
--- a/tests/crowds/test_own_entry.py
+++ b/tests/crowds/test_own_entry.py
@@ -11,6 +11,7 @@
 from tests.crowds.clients import connect
 from tests.crowds.clients import connect_many
 from tests.crowds.clients import is_served
+from tests.crowds.clients import refusals
 from tests.crowds.clients import send_all
 from tests.crowds.clients import send_once
 from tests.crowds.processes import check_limits
@@ -153,6 +154,11 @@
     async def scenario(entry):
         clients = await connect_many(entry.process.port, 60)
         await send_all(clients, request(path, body, key, size, kind))
+        for reply in await refusals(clients):
+            assert reply.status == 503
+            assert int(reply.header_by_name["retry-after"]) > 0
+            assert reply.header_by_name["x-request-id"]
+            assert json.loads(reply.body)["error"]["ran"] == "no"
         for _ in range(3):
             assert await entry.serves()
         entry.check()
