--- a/review/common_2/engine.py
+++ b/review/common_2/engine.py
@@ -27,17 +27,20 @@
         One for each request that was run to its end.
     busy : bool
         Whether other callers hold all of its slots and its queue.
-    spoils : list of int
-        If not empty, its last number is removed, and the next stream's event
-        after this many has a wrong id, and is written together with the one
-        before. Other streams are sound.
+    unframed : bool
+        Whether streams have neither a length nor chunks, and end with their
+        channel.
+    extras : list of bytes
+        If not empty, its last entry is removed and sent after a complete
+        stream, together with its last event.
     """
 
     def __init__(self, store, service, name, address, record, slots=8):
         self.runs = []
         self.done = []
         self.busy = False
-        self.spoils = []
+        self.unframed = False
+        self.extras = []
         self.slots = slots
         self._store = store
         self._service = service
@@ -141,29 +144,38 @@
             f"Dahliashunt-Request-Id: {request_id}",
             f"Dahliashunt-Response-Seal: seal-{self._name}-{request_id}",
             "Content-Type: text/event-stream",
-            "Transfer-Encoding: chunked",
         ]
-        request.writer.write("\r\n".join(head).encode() + b"\r\n\r\n")
+        if not self.unframed:
+            head.append("Transfer-Encoding: chunked")
+        head = "\r\n".join(head).encode() + b"\r\n\r\n"
+        request.writer.write(head)
         first = int(request.headers.get("last-event-id", "0")) + 1
-        spoil_after = self.spoils.pop() if self.spoils else 0
-        unsent = b""
+        extra = self.extras.pop() if self.extras else b""
         for number in range(first, events + 1):
             await asyncio.sleep(gap_ms / 1000)
-            shown = number
-            if spoil_after and number == spoil_after + 1:
-                # One wrong byte.
-                shown = number - 1
-                self._record("spoilt", id=request_id, number=number)
-            unsent += b"id: %d\ndata: %d of %s\n\n" % (
-                shown,
-                number,
-                request_id.encode(),
-            )
-            if spoil_after and number == spoil_after:
-                continue
-            request.writer.write(b"%x\r\n%s\r\n" % (len(unsent), unsent))
+            data = _event(number, request_id)
+            if extra and number == events:
+                self._record("extra", id=request_id, replica=self._name)
+                data += extra
+            request.writer.write(data if self.unframed else _chunk(data))
             await request.writer.drain()
-            unsent = b""
         self.done.append({"id": request_id, "replica": self._name})
         self._record("ran", id=request_id, replica=self._name)
-        return b"0\r\n\r\n"
+        if not self.unframed:
+            return b"0\r\n\r\n"
+        request.writer.write_eof()
+        # The caller reads the end before the channel is gone.
+        await asyncio.sleep(0.05)
+        return None
+
+
+def _event(number, request_id):
+    return b"id: %d\ndata: %d of %s\n\n" % (
+        number,
+        number,
+        request_id.encode(),
+    )
+
+
+def _chunk(data):
+    return b"%x\r\n%s\r\n" % (len(data), data)
