--- a/review/common_2/engine.py
+++ b/review/common_2/engine.py
@@ -25,6 +25,8 @@
         One for each request that began to run.
     done : list of dict
         One for each request that was run to its end.
+    name : str
+        Its id in the list.
     busy : bool
         Whether other callers hold all of its slots and its queue.
     unframed : bool
@@ -41,10 +43,11 @@
         self.busy = False
         self.unframed = False
         self.extras = []
+        self._listed = True
         self.slots = slots
         self._store = store
         self._service = service
-        self._name = name
+        self.name = name
         self._address = address
         self._record = record
         self._running = {}
@@ -60,9 +63,14 @@
         self._tasks.append(asyncio.create_task(self._beat()))
         return server
 
+    def leave_list(self):
+        """Remove the row, without a notice before; serve on."""
+        self._listed = False
+        self._store.drop("servers", self.name)
+
     async def _beat(self):
         host, port = self._address
-        while True:
+        while self._listed:
             self._seq += 1
             fields = {
                 "service": self._service,
@@ -75,18 +83,18 @@
                 "seq": self._seq,
                 "born": self._born_ms,
             }
-            self._store.put("servers", self._name, fields)
+            self._store.put("servers", self.name, fields)
             await asyncio.sleep(HEARTBEAT_S)
 
     async def _handle(self, request):
         if request.path == "/api/report":
             return json_answer(200, self._report())
         if request.path == "/health":
-            named = {"Dahliashunt-Instance-Id": self._name}
+            named = {"Dahliashunt-Instance-Id": self.name}
             return json_answer(200, b"", **named)
         expected = request.headers.get("dahliashunt-expect-instance")
-        if expected not in (None, self._name):
-            named = {"Dahliashunt-Instance-Id": self._name}
+        if expected not in (None, self.name):
+            named = {"Dahliashunt-Instance-Id": self.name}
             return json_answer(421, b"", **named)
         if self.busy or self._waiting >= QUEUE:
             return json_answer(503, b"", **{"Dahliashunt-Not-Executed": "1"})
@@ -128,7 +136,8 @@
             self._waiting -= 1
         request_id = request.headers.get("dahliashunt-request-id", "")
         self._running[request_id] = True
-        run = {"id": request_id, "path": request.path, "replica": self._name}
+        run = {"id": request_id, "path": request.path, "replica": self.name}
+        run["at"] = time.monotonic()
         self.runs.append(run)
         self._record("run", **run)
         try:
@@ -142,7 +151,7 @@
         head = [
             "HTTP/1.1 200 OK",
             f"Dahliashunt-Request-Id: {request_id}",
-            f"Dahliashunt-Response-Seal: seal-{self._name}-{request_id}",
+            f"Dahliashunt-Response-Seal: seal-{self.name}-{request_id}",
             "Content-Type: text/event-stream",
         ]
         if not self.unframed:
@@ -155,12 +164,12 @@
             await asyncio.sleep(gap_ms / 1000)
             data = _event(number, request_id)
             if extra and number == events:
-                self._record("extra", id=request_id, replica=self._name)
+                self._record("extra", id=request_id, replica=self.name)
                 data += extra
             request.writer.write(data if self.unframed else _chunk(data))
             await request.writer.drain()
-        self.done.append({"id": request_id, "replica": self._name})
-        self._record("ran", id=request_id, replica=self._name)
+        self.done.append({"id": request_id, "replica": self.name})
+        self._record("ran", id=request_id, replica=self.name)
         if not self.unframed:
             return b"0\r\n\r\n"
         request.writer.write_eof()
--- a/review/common_2/link.py
+++ b/review/common_2/link.py
@@ -1,9 +1,14 @@
 """Proxy between one machine and the store, whose channels can go silent."""
 
 import asyncio
+import socket
+import struct
 
 __all__ = ["Link"]
 
+AT_ONCE = struct.pack("ii", 1, 0)
+"""Makes a close reset the connection."""
+
 
 class Link:
     """Forwards bytes; a channel that is silent forwards none any more."""
@@ -11,6 +16,7 @@
     def __init__(self, target):
         self._target = target
         self._watched = None
+        self._effect = ""
         self._found = None
 
     async def start(self, address):
@@ -22,7 +28,14 @@
 
         The request itself still arrives. Returns once that happened.
         """
-        self._watched = text
+        await self._wait_for(text, "silent")
+
+    async def reset_next(self, text):
+        """Reset the channel that carries the next request with `text`."""
+        await self._wait_for(text, "reset")
+
+    async def _wait_for(self, text, effect):
+        self._watched, self._effect = text, effect
         self._found = asyncio.get_running_loop().create_future()
         await self._found
 
@@ -37,7 +50,7 @@
 
     async def _forward(self, reader, writer):
         there, back = await asyncio.open_connection(*self._target)
-        channel = {"silent": False}
+        channel = {"silent": False, "reset": False}
         up = asyncio.create_task(self._pump(reader, back, channel, True))
         down = asyncio.create_task(self._pump(there, writer, channel, False))
         await asyncio.wait({up, down}, return_when=asyncio.FIRST_COMPLETED)
@@ -46,6 +59,9 @@
             await asyncio.wait({up, down})
         for task in (up, down):
             task.cancel()
+        if channel["reset"]:
+            end = writer.get_extra_info("socket")
+            end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, AT_ONCE)
         back.transport.abort()
 
     async def _pump(self, reader, writer, channel, is_up):
@@ -56,8 +72,11 @@
                 writer.write(data)
                 if is_up and self._watched and self._watched in data:
                     self._watched = None
-                    channel["silent"] = True
                     self._found.set_result(None)
+                    if self._effect == "reset":
+                        channel["reset"] = True
+                        return
+                    channel["silent"] = True
                 await writer.drain()
         except ConnectionError:
             return
