Items wait for their route at an outdated entry

Cause: JobWorker._reserve and JobRun._run took a route that the entry's copy of the configuration lacks for one that was removed. The accepting entry had read a newer revision; the next owner's feed of the configuration was half-open. The same guess gave the items of an unreadable route a limit of 0 ms and a single attempt, and failed a job without any configuration.

Change: a route counts as removed only if the configuration was read by a call that began after the job was seen here, which includes what the accepting entry had read. Until then, and while an unreadable route may be the job's, the items wait and job_waits_for_route is logged. Ages and clocks of other nodes play no part.

--- a/dahliashunt/forwarding/catalog.py
+++ b/dahliashunt/forwarding/catalog.py
@@ -235,3 +235,7 @@
     def batch_route(self, name: str) -> Route | None:
         """Return the batch route called `name`, or None."""
         return self._batch_by_name.get(name)
+
+    def may_hide(self, name: str) -> bool:
+        """Return whether a route that can't be decoded may be `name`."""
+        return any(each.name in ("", name) for each in self.broken)
--- a/dahliashunt/forwarding/follower.py
+++ b/dahliashunt/forwarding/follower.py
@@ -57,6 +57,9 @@
         Whether the last rows could not be applied.
     heard_ms : int or None
         Time of the table's last response.
+    current_as_of_ms : int or None
+        Start of the last read whose rows were applied: every change that was
+        committed before is known.
     known : asyncio.Event
         Set once the whole table has been read.
     """
@@ -86,6 +89,7 @@
         self._restart_ms, _ = RESTART_BOUNDS_MS
         self.failed = False
         self.heard_ms: int | None = None
+        self.current_as_of_ms: int | None = None
         self.known = asyncio.Event()
 
     async def run(self) -> None:
@@ -128,8 +132,10 @@
             self._log.info("follower_recovered", table=self._table)
 
     async def _step(self):
+        began_ms = self._clock.now_ms()
         if self._after is None:
             await self._read_whole()
+            self.current_as_of_ms = began_ms
             return
         found = await self._feed.changes(
             self._table, self._after, LONG_POLL_MS
@@ -137,6 +143,7 @@
         self._note_answer()
         self._apply(found)
         self._after = found.version
+        self.current_as_of_ms = began_ms
         gather_ms = pause_ms(self._use, bool(found.rows or found.removed))
         if gather_ms:
             await self._clock.sleep_ms(gather_ms)
--- a/dahliashunt/forwarding/node.py
+++ b/dahliashunt/forwarding/node.py
@@ -83,6 +83,7 @@
         self.caps: RateLimiter | None = None
         self.leaving = asyncio.Event()
         self.config_read_ms = lambda: None
+        self.config_as_of_ms = lambda: None
         self.follows_tables = lambda: True
         self.losses_known = asyncio.Event()
         self.losses_known.set()
@@ -272,6 +273,15 @@
         now_ms = self.clock.now_ms()
         return heard_ms is None or now_ms - heard_ms > STALE_MS
 
+    def is_configured_as_of(self, time_ms: int) -> bool:
+        """Return whether all configurations written by `time_ms` are known.
+
+        Only then a route that is missing here was removed. Otherwise it may
+        be newer than what this node has read.
+        """
+        as_of_ms = self.config_as_of_ms()
+        return as_of_ms is not None and as_of_ms >= time_ms
+
     def has_agents(self, service: str) -> bool:
         """Return whether the replicas of `service` have agents."""
         found = self.catalog.service_by_name.get(service)
--- a/dahliashunt/jobs/job_run.py
+++ b/dahliashunt/jobs/job_run.py
@@ -38,6 +38,8 @@
     stopped : bool
         Whether `stop` was called: the job has ended or another owner, or
         one of its tasks failed.
+    began_ms : int
+        Time by which the job, and so its route, had been written.
     item_by_index : dict
         Items with an attempt in progress.
     """
@@ -45,6 +47,7 @@
     def __init__(self, worker, job: Job, decided: list | None = None):
         self.job = job
         self.stopped = False
+        self.began_ms: int = worker.clock.now_ms()
         self.item_by_index: dict[int, ItemRun] = {}
         self._listed: frozenset[int] = frozenset()
         self._worker = worker
@@ -152,7 +155,7 @@
     async def _run(self):
         worker = self._worker
         calls = await self._calls()
-        route = worker.node.catalog.batch_route(self.job.route)
+        route = await self._route()
         age_ms = worker.store_now_ms() - self.job.accepted_ms
         start_ms = worker.clock.now_ms() - max(0, age_ms)
         due_ms = start_ms + (route.completion_ms if route else 0)
@@ -177,6 +180,32 @@
                 worker.wait_for_slot(self, item)
         await self._list_all()
 
+    async def _route(self):
+        """Return the job's route; None once it is known to be removed.
+
+        The node that accepted the job may have had a newer configuration.
+        """
+        node, name = self._worker.node, self.job.route
+        is_logged = False
+        while True:
+            catalog = node.catalog
+            route = catalog.batch_route(name) if catalog else None
+            if route is not None:
+                return route
+            is_current = node.is_configured_as_of(self.began_ms)
+            if catalog and is_current and not catalog.may_hide(name):
+                return None
+            if not is_logged:
+                is_logged = True
+                node.log.warning(
+                    "job_waits_for_route",
+                    job_id=self.job.job_id,
+                    route=name,
+                    revision=catalog.revision if catalog else None,
+                    is_current=is_current,
+                )
+            await self._retry_pause()
+
     async def _partials(self):
         """Return the partial texts that a former owner has saved."""
         worker = self._worker
--- a/dahliashunt/jobs/worker.py
+++ b/dahliashunt/jobs/worker.py
@@ -382,13 +382,25 @@
 
     def _service(self, job_run, item):
         """Return the service of an item, "" without a route."""
-        route = self.node.catalog.match(job_run.job.host, item.call.target)
+        route = self._route(job_run, item)
         if route is None:
             return ""
         if isinstance(route, BrokenRoute):
             return _UNREADABLE
         return route.service_for(item.call.request_id)
 
+    def _route(self, job_run, item):
+        """Return an item's route; `BrokenRoute` if it may exist unread."""
+        job = job_run.job
+        route = self.node.catalog.match(job.host, item.call.target)
+        if isinstance(route, BrokenRoute) or _is_batch(route):
+            return route
+        if self.node.is_configured_as_of(job_run.began_ms):
+            return route
+        return BrokenRoute(
+            job.route, job.host, "", "the configuration may be outdated"
+        )
+
     def _is_held_back(self, job_run, item):
         """Return whether an item may neither run nor be given up yet."""
         if self.clock.now_ms() >= item.abandon_ms:
@@ -412,12 +424,12 @@
         """
         job_run, item = entry.work
         now_ms = self.clock.now_ms()
-        route = self.node.catalog.match(job_run.job.host, item.call.target)
+        route = self._route(job_run, item)
         if isinstance(route, BrokenRoute):
-            # The route still exists but can't be read: the item waits.
+            # The route may still exist: the item waits.
             refusals.note(Demand(_UNREADABLE), Refusal.FULL)
             return None
-        if route is None or route.kind is not RouteKind.BATCH:
+        if not _is_batch(route):
             job_run.abandon(item, "the batch route no longer exists")
             return _NOT_NEEDED
         if now_ms >= item.abandon_ms + ABANDON_MARGIN_MS:
@@ -576,8 +588,11 @@
             # A refusal counts as well: the address may belong to another
             # replica by now.
             suspicion.failed(incarnation, self.clock.now_ms())
-        route = self.node.catalog.match(job_run.job.host, item.call.target)
+        route = self._route(job_run, item)
         most = route.max_attempts if isinstance(route, Route) else 1
+        if isinstance(route, BrokenRoute):
+            # How often the item may fail is known once it can be read.
+            most = math.inf
         if end is ItemEnd.IMPOSSIBLE:
             job_run.finish(
                 item, Outcome.DEAD, "the replica rejected it with status 422"
@@ -621,6 +636,10 @@
         )
 
 
+def _is_batch(route):
+    return isinstance(route, Route) and route.kind is RouteKind.BATCH
+
+
 _UNLOGGED_ENDS = (ItemEnd.DONE, ItemEnd.REVOKED, ItemEnd.QUARANTINED)
 """Ends that have another log line, or none as they are usual."""
 
--- a/dahliashunt/platform/serve_entry.py
+++ b/dahliashunt/platform/serve_entry.py
@@ -204,6 +204,7 @@
         self._followers = self._make_followers()
         config = self._followers[0]
         self.node.config_read_ms = lambda: config.heard_ms
+        self.node.config_as_of_ms = lambda: config.current_as_of_ms
         self.node.follows_tables = lambda: (
             not any(follower.failed for follower in self._followers)
         )
--- a/dahliashunt/platform/standins/store.py
+++ b/dahliashunt/platform/standins/store.py
@@ -37,6 +37,8 @@
     late_ms : int
     delay_ms : int
         Delay before each answer.
+    silent_feed_of : str
+        Answer no feed of this table, as on a half-open connection.
     refuse_reads_of : str
         Refuse ranges of this table with 503.
     refused_reads : int
@@ -50,6 +52,7 @@
     late_writes: int = 0
     late_ms: int = 0
     delay_ms: int = 0
+    silent_feed_of: str = ""
     refuse_reads_of: str = ""
     refused_reads: int = 0
 
@@ -269,6 +272,8 @@
                 if version > after and name[0] == table
             ]
             left_s = until_s - time.monotonic()
+            if table == self.trouble.silent_feed_of:
+                return None
             if rows or left_s <= 0 or self._closing:
                 return 200, self._body(rows)
             changed = self._changed
