A batch item waits for the records that permitted its job

Callers of the product's own entries could see items failed for good with not_permitted or unknown_model though their job had been accepted.

Cause: BatchRunner.run checks each item's caller and model against this entry's records, and both errors are final. An entry that takes a claim over may hold earlier records than the one that accepted the job, or none.

Change: a job keeps the revision that permitted it, and an entry with an earlier one answers NOT_RUN, which is repeated and not counted. Rows of earlier releases have revision 0 and are treated as before.

--- a/dahliashunt/batch/front.py
+++ b/dahliashunt/batch/front.py
@@ -35,6 +35,7 @@
 from dahliashunt.errors import WriteOutcomeUnknown
 from dahliashunt.ids import CallerId
 from dahliashunt.ids import JobId
+from dahliashunt.ids import Revision
 from dahliashunt.ports.clock import Clock
 from dahliashunt.ports.table import TableService
 
@@ -62,6 +63,7 @@
     window: str = "24h"
     metadata: dict[str, str] = field(default_factory=dict)
     key: str | None = None
+    revision: Revision = Revision(0)
 
     def digest(self) -> str:
         """Return a digest of all that is asked."""
@@ -199,6 +201,7 @@
             group_chunks=self._policy.group_chunks,
             created_ms=now_ms,
             deadline_ms=now_ms + length_ms,
+            revision=new.revision,
         )
 
     async def get(self, caller: CallerId, job_id: JobId) -> JobView:
--- a/dahliashunt/batch/items.py
+++ b/dahliashunt/batch/items.py
@@ -9,6 +9,7 @@
 from dahliashunt.ids import CallerId
 from dahliashunt.ids import JobId
 from dahliashunt.ids import ModelId
+from dahliashunt.ids import Revision
 
 __all__ = [
     "BadItem",
@@ -44,6 +45,8 @@
         Tries before this one that may have run.
     body : bytes
         JSON body of the request to `url`.
+    revision : Revision
+        Of the records that the job was accepted with; 0 if unknown.
     """
 
     job_id: JobId
@@ -55,6 +58,7 @@
     model: ModelId
     body: bytes
     attempt: int = 0
+    revision: Revision = Revision(0)
 
 
 class ItemEnd(enum.Enum):
--- a/dahliashunt/batch/job.py
+++ b/dahliashunt/batch/job.py
@@ -12,6 +12,7 @@
 from dahliashunt.ids import CallerId
 from dahliashunt.ids import JobId
 from dahliashunt.ids import ModelId
+from dahliashunt.ids import Revision
 from dahliashunt.ports.table import Row
 
 __all__ = [
@@ -75,6 +76,9 @@
         Lines by chunk.
     created_ms, deadline_ms, stopped_ms, ended_ms : int
         Wall time; 0 where it has not happened.
+    revision : Revision
+        Of the records that the job was accepted with; 0 in rows of earlier
+        releases.
     version : int
         Of the row; 0 before it is written.
     """
@@ -97,6 +101,7 @@
     ended_ms: int = 0
     completed: int = 0
     failed: int = 0
+    revision: Revision = Revision(0)
     version: int = 0
 
     @property
--- a/dahliashunt/batch/work.py
+++ b/dahliashunt/batch/work.py
@@ -161,7 +161,9 @@
                 )
                 continue
             tries = record.attempts.get(index, 0)
-            self._ready.append(replace(item, attempt=tries))
+            self._ready.append(
+                replace(item, attempt=tries, revision=self.job.revision)
+            )
 
     def unload(self) -> None:
         """Forget the loaded items that were not started."""
--- a/dahliashunt/entry/access.py
+++ b/dahliashunt/entry/access.py
@@ -6,6 +6,7 @@
 from dahliashunt.errors import RequestError
 from dahliashunt.ids import CallerId
 from dahliashunt.ids import ModelId
+from dahliashunt.ids import Revision
 from dahliashunt.records.callers import Caller
 from dahliashunt.records.catalog import Catalog
 
@@ -41,6 +42,11 @@
     def __init__(self, catalog: Catalog):
         self._catalog = catalog
 
+    @property
+    def revision(self) -> Revision:
+        """Revision of the records in force."""
+        return self._catalog.revision
+
     def caller(self, request: Request) -> Caller:
         """Return who sends a request.
 
--- a/dahliashunt/entry/batch_routes.py
+++ b/dahliashunt/entry/batch_routes.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+from dataclasses import replace
 import functools
 from typing import Protocol
 
@@ -31,6 +32,7 @@
 from dahliashunt.ids import CallerId
 from dahliashunt.ids import JobId
 from dahliashunt.ids import ModelId
+from dahliashunt.ids import Revision
 
 __all__ = ["BatchContext", "add_batch_routes"]
 
@@ -61,8 +63,11 @@
     async def authenticate(self, request: Request) -> CallerId:
         """Return who sent a request, or raise `RequestError`."""
 
-    async def accepts(self, caller: CallerId, model: ModelId) -> None:
-        """Raise `RequestError` unless the caller may run such a job."""
+    async def accepts(self, caller: CallerId, model: ModelId) -> Revision:
+        """Raise `RequestError` unless the caller may run such a job.
+
+        Returns the revision of the records that permit it.
+        """
 
 
 def add_batch_routes(app: Application, context: BatchContext) -> None:
@@ -170,7 +175,8 @@
         job = await self._batch.find(new)
         if job is None:
             file = await self._batch.files.get(caller, new.file_id)
-            await self._context.accepts(caller, file.model)
+            revision = await self._context.accepts(caller, file.model)
+            new = replace(new, revision=revision)
             job = await self._batch.submit(new)
         view = JobView(job, JobCounts(job.total, job.completed, job.failed))
         return self._answer(view)
--- a/dahliashunt/entry/batch_runner.py
+++ b/dahliashunt/entry/batch_runner.py
@@ -48,7 +48,13 @@
         return self._dispatcher.places.room_by_model()
 
     async def run(self, item: BatchItem) -> ItemOutcome:
-        """Run one try; cancelling the task ends the engine's stream."""
+        """Run one try; cancelling the task ends the engine's stream.
+
+        An item does not run on records older than those that permitted it:
+        they may lack its caller or model, which would end it for good.
+        """
+        if self._access.revision < item.revision:
+            return ItemOutcome(ItemEnd.NOT_RUN, kind=ErrorKind.NO_ENDPOINT)
         try:
             self._access.accepts_batch(item.caller, item.model)
             call = _call_of(item)
--- a/dahliashunt/entry/context.py
+++ b/dahliashunt/entry/context.py
@@ -13,6 +13,7 @@
 from dahliashunt.entry.settings import EntrySettings
 from dahliashunt.ids import CallerId
 from dahliashunt.ids import ModelId
+from dahliashunt.ids import Revision
 from dahliashunt.ports.clock import Clock
 
 __all__ = ["EntryContext"]
@@ -47,6 +48,10 @@
         """Return who sent a request of files and batches."""
         return self.access.caller(request).caller_id
 
-    async def accepts(self, caller: CallerId, model: ModelId) -> None:
-        """Raise `RequestError` unless the caller may run such a job."""
+    async def accepts(self, caller: CallerId, model: ModelId) -> Revision:
+        """Raise `RequestError` unless the caller may run such a job.
+
+        Returns the revision of the records that permit it.
+        """
         self.access.accepts_batch(caller, model)
+        return self.access.revision
--- a/dahliashunt/entry/tests/test_batch_routes.py
+++ b/dahliashunt/entry/tests/test_batch_routes.py
@@ -41,6 +41,7 @@
     async def accepts(self, caller, model):
         if model == "secret":
             raise RequestError(ErrorKind.NOT_PERMITTED, "not this model")
+        return 7
 
 
 class Server(uvicorn.Server):
@@ -371,3 +372,21 @@
             await submit(client, file.id)
 
     serve(scenario)
+
+
+def test_an_item_carries_the_revision_that_permitted_its_job(serve):
+    # Guards against an owner that can't tell that its records are older.
+    async def scenario(site):
+        seen = []
+
+        def outcome(item):
+            seen.append(item.revision)
+            return site.runner.answer(item)
+
+        site.runner.outcome = outcome
+        client = site.client()
+        file = await upload(client, lot(2))
+        await site.ended(client, await submit(client, file.id))
+        assert seen == [7, 7]
+
+    serve(scenario)
