Events before a faulty one are sent, and noted only then

Cause: Attempt set last_event for each event as it was split off and sent the events of one read together afterwards. If a later event of that read ended the attempt, the earlier ones were dropped, and the next replica went on after them.

Change: the events of a read are collected with a position of their own; the ones before the faulty event are sent, and last_event is set after that. What follows the last event with an id goes with the faulty event. The splitter returns the events before a faulty one and raises at the next call, so that items keep them too.

--- a/dahliashunt/forwarding/attempt.py
+++ b/dahliashunt/forwarding/attempt.py
@@ -419,20 +419,35 @@
         return max(MIN_SILENCE_MS, self._route.pause_ms * SILENCE_SHARE)
 
     async def _relay_events(self, connection, splitter, events, head):
-        """Relay complete events; return the attempt's end or None."""
-        whole = []
+        """Relay complete events; return the attempt's end or None.
+
+        Raises
+        ------
+        EventOutOfOrder
+            After the events before the faulty one have been relayed, so that
+            the next replica goes on where the caller is.
+        """
+        batch = _EventBatch(self._state.last_event)
         size = 0
-        end = None
+        end = fault = None
         for event in events:
             if isinstance(event, End):
                 end = event
                 break
             size += len(event)
-            whole += self._in_order(splitter.feed(event))
-        if whole:
+            try:
+                self._append_events(batch, splitter.feed(event))
+            except EventOutOfOrder as error:
+                batch.drop_unnumbered()
+                fault = error
+                break
+        if batch.parts:
             self._note_version()
             await self._start_response(head, None)
-            await self._sink.send(b"".join(whole))
+            await self._sink.send(b"".join(batch.parts))
+            self._state.last_event = batch.last_event
+        if fault is not None:
+            raise fault
         # What is being sent counts as unread, so that a slow caller pauses
         # the replica.
         connection.taken(size)
@@ -457,22 +472,46 @@
                 self._state.call, self._route, replica
             )
 
-    def _in_order(self, events):
-        """Return the events' bytes; their ids must be consecutive."""
-        self._event_count += len(events)
-        if self._event_count > self._max_events:
-            raise TooManyEvents(f"more than {self._max_events} events")
-        raw = []
+    def _append_events(self, batch, events):
         for event in events:
-            if event.number is not None:
-                if event.number != self._state.last_event + 1:
-                    raise EventOutOfOrder(
-                        f"got event {event.number} after event"
-                        f" {self._state.last_event}"
-                    )
-                self._state.last_event = event.number
-            raw.append(event.raw)
-        return raw
+            self._event_count += 1
+            if self._event_count > self._max_events:
+                raise TooManyEvents(f"more than {self._max_events} events")
+            batch.append(event)
+
+
+class _EventBatch:
+    """Consecutive events of one read, to be sent together.
+
+    Attributes
+    ----------
+    parts : list of bytes
+    last_event : int
+        Id of the last event, or of the one before the batch.
+    """
+
+    def __init__(self, last_event):
+        self.parts = []
+        self.last_event = last_event
+        self._numbered_parts = 0
+
+    def append(self, event):
+        """Append an event; raise `EventOutOfOrder` if it isn't the next."""
+        if event.number is not None:
+            if event.number != self.last_event + 1:
+                raise EventOutOfOrder(
+                    f"got event {event.number} after event {self.last_event}"
+                )
+            self.last_event = event.number
+            self._numbered_parts = len(self.parts) + 1
+        self.parts.append(event.raw)
+
+    def drop_unnumbered(self):
+        """Drop what follows the last event with an id.
+
+        Before a faulty event it may be no event of the stream either.
+        """
+        del self.parts[self._numbered_parts :]
 
 
 def _max_events(output_tokens):
--- a/dahliashunt/forwarding/events.py
+++ b/dahliashunt/forwarding/events.py
@@ -90,6 +90,7 @@
     def __init__(self):
         self._buffer = bytearray()
         self._has_cr = False
+        self._fault: EventOutOfOrder | None = None
 
     @property
     def rest(self) -> bytes:
@@ -105,6 +106,9 @@
     def feed(self, data: bytes) -> list[Event]:
         """Return the events that `data` completes.
 
+        The events before one that raises an error are returned; `rest` holds
+        that one, and the next call raises.
+
         Bytes that were searched before are not searched again, so that an
         event in many small parts costs no more than in one.
 
@@ -115,6 +119,8 @@
         EventOutOfOrder
             An event's id exceeds `MAX_ID_DIGITS`.
         """
+        if self._fault is not None:
+            raise self._fault
         unread, searched = data, 0
         if self._buffer:
             searched = max(0, len(self._buffer) - len(_LONGEST_BLANK_LINE) + 1)
@@ -130,7 +136,11 @@
             if not end:
                 break
             raw = bytes(unread[offset:end])
-            events.append(Event(_event_id(raw), raw))
+            try:
+                events.append(Event(_event_id(raw), raw))
+            except EventOutOfOrder as error:
+                self._fault = error
+                break
             offset = end
         if unread is data:
             if offset < len(data):
@@ -138,7 +148,11 @@
         else:
             del self._buffer[:offset]
         if len(self._buffer) > MAX_EVENT_BYTES:
-            raise EventTooLong(f"event exceeds {MAX_EVENT_BYTES} bytes")
+            self._fault = EventTooLong(
+                f"event exceeds {MAX_EVENT_BYTES} bytes"
+            )
+        if self._fault is not None and not events:
+            raise self._fault
         return events
 
 
--- a/dahliashunt/platform/standins/replica.py
+++ b/dahliashunt/platform/standins/replica.py
@@ -40,6 +40,8 @@
         Close the connection after this many bytes of the body.
     extra : bytes
         Surplus bytes sent after the end of the answer.
+    inserted, inserted_after : bytes, int
+        Bytes sent together with the event of this number, after it.
     gap_ms : int
         Delay between events.
     head_ms : int
@@ -66,6 +68,8 @@
     body: bytes = b"answer"
     cut_body_at: int | None = None
     extra: bytes = b""
+    inserted: bytes = b""
+    inserted_after: int = 0
     gap_ms: int = 0
     head_ms: int = 0
     reset_unanswered: bool = False
@@ -263,7 +267,10 @@
             )
             if stalls or (will_crash and number == step.events):
                 await asyncio.Event().wait()
-            writer.write(frame(self.event(number)))
+            data = self.event(number)
+            if number == step.inserted_after:
+                data += step.inserted
+            writer.write(frame(data))
             await writer.drain()
             await asyncio.sleep(step.gap_ms / 1000)
         if step.unframed:
--- a/dahliashunt/platform/tests/test_online.py
+++ b/dahliashunt/platform/tests/test_online.py
@@ -9,6 +9,8 @@
 from dahliashunt.adapters.http1 import open_connection
 from dahliashunt.decisions.loss_counts import MAX_LOSSES
 from dahliashunt.forwarding import node
+from dahliashunt.forwarding.attempt import EVENTS_MARGIN
+from dahliashunt.forwarding.events import MAX_EVENT_BYTES
 from dahliashunt.forwarding.replicas import OUTAGE_GRACE_MS
 from dahliashunt.platform import serve_entry
 from dahliashunt.platform.standins.caller import caller_request
@@ -28,6 +30,46 @@
     return [f"data: text {n}" for n in range(1, events + 1)]
 
 
+SECOND_ANSWER = (
+    b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+    b"id: 1\ndata: other 1\n\n"
+)
+
+
+@pytest.mark.parametrize("unframed", [False, True])
+@pytest.mark.parametrize("after", [1, 3, 6])
+@pytest.mark.parametrize(
+    "inserted",
+    [
+        SECOND_ANSWER,
+        b"id: 1\ndata: again 1\n\n",
+        b"id: 9\ndata: text 9\n\n",
+        b"id: %s\ndata: long id\n\n" % (b"9" * 20),
+        b": comment\n\n" * (EVENTS_MARGIN + 100),
+        b"id: 9\n" + b"x" * (MAX_EVENT_BYTES + 1),
+    ],
+    ids=["answer", "repeated", "skipped", "long_id", "many", "long"],
+)
+def test_a_stream_with_a_faulty_event_loses_none_before_it(
+    platform, inserted, after, unframed
+):
+    # Guards against events that are noted as relayed and dropped, since a
+    # later event of the same read ends the attempt.
+    async def scenario(p):
+        for replica in p.replicas:
+            replica.then(
+                events=6,
+                inserted=inserted,
+                inserted_after=after,
+                unframed=unframed,
+            ).then(events=6, unframed=unframed)
+        answer = await p.call(tokens="10,6")
+        assert answer.whole or unframed
+        assert data_lines(answer.body) == expected_lines(6)
+
+    platform(scenario, replicas=2)
+
+
 def test_a_whole_stream_is_relayed_with_its_signature(platform):
     async def scenario(p):
         p.replicas[0].then(events=5)
