A failed read no longer keeps removed replicas in use

Cause: any failed call of the list's feed counted as an outage, after which every removal within 2.2 s was taken for a row that lapsed while the store was away; lapsed rows were dropped once a second.

Change: decisions/lapse_grace.py. After a gap shorter than a heartbeat no row can have lapsed: removals take effect at once. After a longer one a row is used until its use may count as late (drain-ms after the last read that listed it, contact-ms after the last call that failed), or for the full 2.2 s if more replicas of its service lapsed than are left. Lapsed rows are dropped within 50 ms, and calls in an outage don't wait for changes.

--- a/dahliashunt/forwarding/follower.py
+++ b/dahliashunt/forwarding/follower.py
@@ -5,6 +5,7 @@
 
 from dahliashunt.decisions.feed_pace import FeedUse
 from dahliashunt.decisions.feed_pace import pause_ms
+from dahliashunt.decisions.lapse_grace import ReadGap
 from dahliashunt.errors import HistoryLost
 from dahliashunt.errors import PlatformUnavailable
 from dahliashunt.metrics import Metrics
@@ -44,7 +45,8 @@
         Purpose of the feed; decides how changes are batched.
     listener : object
         Has ``replaced(rows)``, ``changed(row)``, ``removed(key)`` and
-        ``outage_ended()``.
+        ``gap_ended(gap)``, which gets a `ReadGap` before the rows of the
+        first answer after it.
     clock : Clock
     rng : random.Random
     log : structlog logger
@@ -85,6 +87,8 @@
         self._log = log
         self._after: int | None = None
         self._failures = 0
+        self._began_ms = 0
+        self._failed_ms = 0
         self._metrics = metrics
         self._restart_ms, _ = RESTART_BOUNDS_MS
         self.failed = False
@@ -132,14 +136,14 @@
             self._log.info("follower_recovered", table=self._table)
 
     async def _step(self):
-        began_ms = self._clock.now_ms()
+        self._began_ms = began_ms = self._clock.now_ms()
         if self._after is None:
             await self._read_whole()
             self.current_as_of_ms = began_ms
             return
-        found = await self._feed.changes(
-            self._table, self._after, LONG_POLL_MS
-        )
+        # Short calls find out sooner that the table is back.
+        wait_ms = 0 if self._failures else LONG_POLL_MS
+        found = await self._feed.changes(self._table, self._after, wait_ms)
         self._note_answer()
         self._apply(found)
         self._after = found.version
@@ -170,13 +174,15 @@
                 self._listener.removed(key)
 
     def _note_answer(self):
-        self.heard_ms = self._clock.now_ms()
+        heard_ms, self.heard_ms = self.heard_ms, self._clock.now_ms()
         if self._failures:
             self._log.info(
                 "table_recovered", table=self._table, failures=self._failures
             )
             self._failures = 0
-            self._listener.outage_ended()
+            self._listener.gap_ended(
+                ReadGap(heard_ms, self._failed_ms, self.heard_ms)
+            )
 
     async def _back_off(self, error):
         if self._failures == 0:
@@ -184,5 +190,6 @@
                 "table_unavailable", table=self._table, reason=str(error)
             )
         self._failures += 1
+        self._failed_ms = self._began_ms
         most_ms = min(RETRY_MAX_MS, RETRY_MIN_MS * 2**self._failures)
         await self._clock.sleep_ms(self._rng.randint(RETRY_MIN_MS, most_ms))
--- a/dahliashunt/forwarding/losses.py
+++ b/dahliashunt/forwarding/losses.py
@@ -17,6 +17,7 @@
 import json
 import random
 
+from dahliashunt.decisions.lapse_grace import ReadGap
 from dahliashunt.decisions.loss_counts import decides_alike
 from dahliashunt.decisions.loss_counts import EXPIRY_MS
 from dahliashunt.decisions.loss_counts import LossCounts
@@ -430,7 +431,7 @@
     def _is_unwritten(self, digest):
         return digest in self._drops_row_by_digest or digest in self._writing
 
-    def outage_ended(self) -> None:
+    def gap_ended(self, gap: ReadGap) -> None:
         """Do nothing: the feed continues where it stopped."""
 
     async def run(self) -> None:
--- a/dahliashunt/forwarding/replicas.py
+++ b/dahliashunt/forwarding/replicas.py
@@ -1,18 +1,19 @@
 """Registry of the replicas in the platform's list."""
 
+import asyncio
 import collections
+from collections.abc import Callable
 from dataclasses import dataclass
 
+from dahliashunt.decisions.lapse_grace import Lapse
+from dahliashunt.decisions.lapse_grace import LapseGrace
+from dahliashunt.decisions.lapse_grace import ReadGap
 from dahliashunt.decisions.listed_versions import ListedVersions
 from dahliashunt.ids import DataCentreId
 from dahliashunt.ids import SoftwareVersion
 
 __all__ = ["Replica", "ReplicaRegistry"]
 
-OUTAGE_GRACE_MS = 2_200
-"""Time after an outage of the list during which lapsed rows stay usable;
-live replicas renew theirs within it."""
-
 MAX_ENDED = 10_000
 """Ended incarnations that are remembered, the latest ones."""
 
@@ -64,26 +65,37 @@
 class ReplicaRegistry:
     """Replicas by id, address and service.
 
-    Rows that lapse in an outage of the list are kept for `OUTAGE_GRACE_MS`:
-    the first list after an outage may be nearly empty although the replicas
-    are alive.
+    Rows that may have lapsed while the list could not be read are kept for a
+    while: the first list after an outage may be nearly empty although the
+    replicas are alive.
+
+    Parameters
+    ----------
+    grace : LapseGrace, optional
+        Decides how long.
 
     Attributes
     ----------
     changes : int
         Number of changes of the list; heartbeats are none.
+    as_of_ms : callable
+        Returns a time up to which all changes are known; None without one.
+    has_lapsed : asyncio.Event
+        Set while a row is kept that is gone from the list.
     """
 
-    def __init__(self):
+    def __init__(self, grace: LapseGrace | None = None):
         self.changes = 0
+        self.as_of_ms: Callable[[], int | None] = lambda: None
+        self.has_lapsed = asyncio.Event()
+        self._grace = grace or LapseGrace()
         self._replica_by_id: dict[str, Replica] = {}
         self._version_by_id: dict[str, int] = {}
         self._ids_by_address: dict[tuple[str, int], set[str]] = {}
         self._current_by_address: dict[tuple[str, int], str] = {}
         self._usable_by_service: dict[str, tuple[Replica, ...]] = {}
-        self._lapsed_until_ms_by_id: dict[str, int] = {}
+        self._lapse_by_id: dict[str, Lapse] = {}
         self._warm_at_ms_by_id: dict[str, int] = {}
-        self._outage_ended_ms: int | None = None
         self._versions = ListedVersions()
         # Pairs of a time and a replica whose incarnation had ended by then.
         self._ended: collections.deque[tuple[int, Replica]] = (
@@ -91,9 +103,9 @@
         )
         self._known_services: frozenset[str] | None = None
 
-    def outage_ended(self, now_ms: int) -> None:
-        """Record the end of an outage of the list."""
-        self._outage_ended_ms = now_ms
+    def gap_ended(self, gap: ReadGap) -> None:
+        """Record that the list can be read again."""
+        self._grace.gap_ended(gap)
 
     def put(self, replica: Replica, version: int, now_ms: int) -> None:
         """Add or update the row of `replica`, written at `version`.
@@ -110,7 +122,7 @@
             self._warm_at_ms_by_id[replica_id] = now_ms + replica.warm_in_ms
         else:
             self._warm_at_ms_by_id.pop(replica_id, None)
-        self._lapsed_until_ms_by_id.pop(replica_id, None)
+        self._lapse_by_id.pop(replica_id, None)
         if held != replica:
             if held is not None:
                 self._versions.note_gone(now_ms, held.service, held.version)
@@ -173,12 +185,12 @@
         """Remove a row, or mark it as lapsed shortly after an outage."""
         if replica_id not in self._replica_by_id:
             return
-        ended_ms = self._outage_ended_ms
-        if ended_ms is not None and now_ms - ended_ms < OUTAGE_GRACE_MS:
-            until_ms = ended_ms + OUTAGE_GRACE_MS
-            self._lapsed_until_ms_by_id.setdefault(replica_id, until_ms)
-        else:
+        lapse = self._grace.lapse(now_ms, self.as_of_ms())
+        if lapse is None:
             self._forget(replica_id, now_ms)
+            return
+        self._lapse_by_id.setdefault(replica_id, lapse)
+        self.has_lapsed.set()
 
     def replace_all(self, replicas, now_ms: int) -> None:
         """Replace all rows; `replicas` holds pairs of replica and version."""
@@ -192,13 +204,27 @@
 
     def expire(self, now_ms: int) -> None:
         """Remove lapsed rows that were not renewed in time."""
-        for replica_id, until_ms in list(self._lapsed_until_ms_by_id.items()):
+        depleted = self._depleted_services()
+        for replica_id, lapse in list(self._lapse_by_id.items()):
+            until_ms = lapse.until_ms
+            if self._replica_by_id[replica_id].service in depleted:
+                until_ms = lapse.until_ms_if_most_lapsed
             if now_ms >= until_ms:
                 self._forget(replica_id, now_ms)
+        if not self._lapse_by_id:
+            self.has_lapsed.clear()
+
+    def _depleted_services(self):
+        """Return the services of which more replicas lapsed than are left."""
+        balance = collections.Counter()
+        for replica_id, replica in self._replica_by_id.items():
+            is_lapsed = replica_id in self._lapse_by_id
+            balance[replica.service] += 1 if is_lapsed else -1
+        return {service for service, lapsed in balance.items() if lapsed > 0}
 
     def _forget(self, replica_id, now_ms):
         replica = self._replica_by_id.pop(replica_id, None)
-        self._lapsed_until_ms_by_id.pop(replica_id, None)
+        self._lapse_by_id.pop(replica_id, None)
         if replica is not None:
             self._versions.note_gone(now_ms, replica.service, replica.version)
             self._note_ended(replica, now_ms)
--- a/dahliashunt/forwarding/tests/test_follower.py
+++ b/dahliashunt/forwarding/tests/test_follower.py
@@ -76,7 +76,7 @@
     def removed(self, key):
         pass
 
-    def outage_ended(self):
+    def gap_ended(self, gap):
         pass
 
 
--- a/dahliashunt/forwarding/tests/test_replicas.py
+++ b/dahliashunt/forwarding/tests/test_replicas.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from dahliashunt.forwarding.replicas import OUTAGE_GRACE_MS
+from dahliashunt.decisions.lapse_grace import LAPSE_GRACE_MS
+from dahliashunt.decisions.lapse_grace import ReadGap
 from dahliashunt.forwarding.replicas import Replica
 from dahliashunt.forwarding.replicas import ReplicaRegistry
 
@@ -45,11 +46,11 @@
 
 def test_lapsed_entries_stay_for_a_while_after_an_outage(registry):
     # Guards against an empty list after an outage while replicas are alive.
-    registry.outage_ended(1_000)
+    registry.gap_ended(ReadGap(-4_000, 900, 1_000))
     registry.replace_all([], 1_000)
     assert names(registry) == ["a", "b"]
     registry.put(replica("a", 0), 2, 0)
-    registry.expire(1_000 + OUTAGE_GRACE_MS)
+    registry.expire(1_000 + LAPSE_GRACE_MS)
     assert names(registry) == ["a"]
 
 
--- a/dahliashunt/jobs/view.py
+++ b/dahliashunt/jobs/view.py
@@ -3,6 +3,7 @@
 import asyncio
 from dataclasses import dataclass
 
+from dahliashunt.decisions.lapse_grace import ReadGap
 from dahliashunt.ids import JobId
 from dahliashunt.ids import WorkspaceId
 from dahliashunt.jobs.keys import job_key
@@ -77,7 +78,7 @@
         elif key.startswith(PROGRESS_PREFIXES):
             self.progress_by_id.pop(job_id, None)
 
-    def outage_ended(self) -> None:
+    def gap_ended(self, gap: ReadGap) -> None:
         """Do nothing: the feed resumes where it stopped."""
 
     # Updates and queries.
--- a/dahliashunt/platform/listeners.py
+++ b/dahliashunt/platform/listeners.py
@@ -1,5 +1,6 @@
 """Listeners that apply rows of the configuration and of the replicas."""
 
+from dahliashunt.decisions.lapse_grace import ReadGap
 from dahliashunt.forwarding.node import Node
 from dahliashunt.forwarding.replicas import ReplicaRegistry
 from dahliashunt.platform.operator import CONFIG_KEY
@@ -40,7 +41,7 @@
     def removed(self, key: str) -> None:
         """Ignore the removal: the configuration in force stays."""
 
-    def outage_ended(self) -> None:
+    def gap_ended(self, gap: ReadGap) -> None:
         """Do nothing: the next read delivers the changes."""
 
 
@@ -103,9 +104,9 @@
         self._log.info("replica_removed", replica=replica_id)
         self._registry.remove(replica_id, self._clock.now_ms())
 
-    def outage_ended(self) -> None:
-        """Keep replicas that lapsed during the outage for a grace period."""
-        self._registry.outage_ended(self._clock.now_ms())
+    def gap_ended(self, gap: ReadGap) -> None:
+        """Keep replicas that lapsed during the gap for a grace period."""
+        self._registry.gap_ended(gap)
 
     def _note_restart(self, replica):
         """Report that another incarnation starts at a replica's address."""
--- a/dahliashunt/platform/serve_entry.py
+++ b/dahliashunt/platform/serve_entry.py
@@ -14,6 +14,7 @@
 from dahliashunt.adapters.write_backlog import ReadBacklog
 from dahliashunt.adapters.write_backlog import WriteBacklog
 from dahliashunt.decisions.feed_pace import FeedUse
+from dahliashunt.decisions.lapse_grace import LapseGrace
 from dahliashunt.decisions.rate_limits import RATE_LIMIT_POLICIES
 from dahliashunt.decisions.suspicion import Suspicion
 from dahliashunt.forwarding.agent_ring import AgentRing
@@ -62,7 +63,10 @@
 """Interval between renewals of held slots; agents drop unrenewed holds."""
 
 SWEEP_MS = 1_000
-"""Interval between removals of idle connections and lapsed replicas."""
+"""Interval between removals of idle connections."""
+
+EXPIRY_MS = 50
+"""Interval between removals of lapsed replicas, while there are any."""
 
 BURST_SLACK_SHARE = 0.25
 """Share of the limits' slack that is added to a workspace's burst. The rest
@@ -162,7 +166,7 @@
         self._log = log
         self._clock = SystemClock()
         self._rng = random.Random()
-        self._registry = ReplicaRegistry()
+        self._registry = self._make_registry()
         metrics = Metrics(settings.node_id)
         self.node = Node(self._clock, self._rng, metrics, log, self._registry)
         self._make_connections()
@@ -202,7 +206,8 @@
         )
         self.workspaces = WorkspaceExplainer(self.node, self.jobs.view)
         self._followers = self._make_followers()
-        config = self._followers[0]
+        config, replicas, *_ = self._followers
+        self._registry.as_of_ms = lambda: replicas.current_as_of_ms
         self.node.config_read_ms = lambda: config.heard_ms
         self.node.config_as_of_ms = lambda: config.current_as_of_ms
         self.node.follows_tables = lambda: (
@@ -215,6 +220,12 @@
         self.first_port = settings.first_port
         self.ports: tuple[int, ...] = ()
 
+    def _make_registry(self):
+        bounds = self._settings.bounds
+        return ReplicaRegistry(
+            LapseGrace(bounds.heartbeat_ms, bounds.drain_ms, bounds.contact_ms)
+        )
+
     def _make_connections(self):
         """Make the pools of connections and the client of the store."""
         settings = self._settings
@@ -404,6 +415,7 @@
             self.node.forwarder.crash_guard.follow(),
             self.node.caps.run(),
             self._sweep(),
+            self._expire_lapsed(),
         ]
 
     async def _follow(self):
@@ -432,11 +444,16 @@
         while True:
             await self._clock.sleep_ms(SWEEP_MS)
             self._pool.sweep()
-            self._registry.expire(self._clock.now_ms())
             self._apply_connection_limits()
             self._update_held_gauges()
             self._update_wave_gauges()
 
+    async def _expire_lapsed(self):
+        while True:
+            await self._registry.has_lapsed.wait()
+            await self._clock.sleep_ms(EXPIRY_MS)
+            self._registry.expire(self._clock.now_ms())
+
     def _update_held_gauges(self):
         gauge, held = self.node.metrics.gauge, self.bounds.memory.decisions
         gauge("backlog_bytes", self.bounds.backlog.size)
--- a/dahliashunt/platform/settings.py
+++ b/dahliashunt/platform/settings.py
@@ -21,6 +21,10 @@
 
 Address = tuple[str, int]
 
+CONTACT_MS = 3_000
+HEARTBEAT_MS = 1_200
+"""The platform's bounds where its settings state none."""
+
 DESCRIPTORS = 4_096
 """Descriptors of a process whose settings state none."""
 
@@ -43,6 +47,11 @@
         Time for which results stay readable.
     limit_slack : float
         Requests by which a workspace may exceed its limit in a window.
+    contact_ms : int
+        Time after an impairment of a node for which bounds of time do not
+        hold for it.
+    heartbeat_ms : int
+        Interval at which replicas renew their rows.
     """
 
     termination_grace_ms: int
@@ -51,6 +60,8 @@
     cancel_ms: int
     result_retention_ms: int
     limit_slack: float = 0.0
+    contact_ms: int = CONTACT_MS
+    heartbeat_ms: int = HEARTBEAT_MS
 
 
 @dataclass(frozen=True, slots=True)
@@ -220,7 +231,10 @@
         last_port=last_port,
         replica=reader.address("app", optional=True),
         store=_store(reader.table("platform")),
-        bounds=_bounds(reader.table("bounds")),
+        bounds=_bounds(
+            reader.table("bounds"),
+            int(reader.number("heartbeat-ms", default=HEARTBEAT_MS)),
+        ),
         memory_mb=int(limits.number("memory-mb")),
         cores=limits.number("cpu-share") * limits.number("cores"),
         descriptors=int(limits.number("fds", default=DESCRIPTORS)),
@@ -235,7 +249,7 @@
     )
 
 
-def _bounds(reader):
+def _bounds(reader, heartbeat_ms):
     return PlatformBounds(
         termination_grace_ms=reader.milliseconds("grace-s", 1000),
         drain_ms=reader.milliseconds("drain-ms"),
@@ -243,4 +257,6 @@
         cancel_ms=reader.milliseconds("cancel-ms"),
         result_retention_ms=reader.milliseconds("status-s", 1000),
         limit_slack=reader.number("quota-slack", default=0.0),
+        contact_ms=int(reader.number("contact-ms", default=CONTACT_MS)),
+        heartbeat_ms=heartbeat_ms,
     )
--- a/dahliashunt/platform/tests/test_online.py
+++ b/dahliashunt/platform/tests/test_online.py
@@ -7,11 +7,11 @@
 from dahliashunt.adapters.http1 import ConnectionPool
 from dahliashunt.adapters.http1 import End
 from dahliashunt.adapters.http1 import open_connection
+from dahliashunt.decisions.lapse_grace import LAPSE_GRACE_MS
 from dahliashunt.decisions.loss_counts import MAX_LOSSES
 from dahliashunt.forwarding import node
 from dahliashunt.forwarding.attempt import EVENTS_MARGIN
 from dahliashunt.forwarding.events import MAX_EVENT_BYTES
-from dahliashunt.forwarding.replicas import OUTAGE_GRACE_MS
 from dahliashunt.platform import serve_entry
 from dahliashunt.platform.standins.caller import caller_request
 from dahliashunt.platform.standins.settings import config_fields
@@ -476,7 +476,7 @@
         registry = entry.node.registry
         await p.until(lambda: registry.get(other.replica_id) is not None)
         # Replicas that lapsed in an outage expire after the grace period.
-        registry.expire(entry.node.clock.now_ms() + OUTAGE_GRACE_MS)
+        registry.expire(entry.node.clock.now_ms() + LAPSE_GRACE_MS)
         assert registry.get(replica.replica_id) is not None
 
     platform(scenario)
