Single failed polls no longer hide that an owner of jobs is gone

Cause: BeatReader began all timeouts anew after a failed poll, for owners may not have been able to renew their rows either. An entry whose calls are reset every three seconds never took the jobs of a dead owner over, and items stayed where they were.

Change: the time between the polls around a failure is subtracted; what an owner was silent before and after counts.

Measured: test_single_failed_polls_do_not_hide_that_an_owner_is_gone fails before and passes; an owner that renews its row, and one that could not for 20 s without the table, are not gone (passes before and after).

--- a/dahliashunt/jobs/beats.py
+++ b/dahliashunt/jobs/beats.py
@@ -2,8 +2,8 @@
 
 An owner renews its row every period while it owns jobs. An observer
 considers it gone once the row was unchanged for the timeout on the
-observer's own clock while the table was available; clocks of nodes are not
-compared. A row of another incarnation ends the former one at once.
+observer's own clock, less the time around polls that failed; clocks of nodes
+are not compared. A row of another incarnation ends the former one at once.
 """
 
 from dataclasses import dataclass
@@ -133,7 +133,8 @@
         self._observation_by_node: dict[NodeId, _Observation] = {}
         self._unreadable_by_key: dict[str, int] = {}
         self._watched_since_ms_by_owner: dict[Owner, int] = {}
-        self._restart_timeouts = True
+        self._polled_ms: int | None = None
+        self._has_failed = True
         self.owners = 0
 
     async def poll(self, owners) -> None:
@@ -148,19 +149,27 @@
             )
         except PlatformUnavailable as error:
             self._log.warning("heartbeat_read_failed", reason=str(error))
-            self._restart_timeouts = True
+            self._has_failed = True
             return
         now_ms = self._clock.now_ms()
-        if self._restart_timeouts:
-            # Owners couldn't renew during an outage: restart all timeouts.
-            self._watched_since_ms_by_owner.clear()
-            self._restart_timeouts = False
+        if self._has_failed and self._polled_ms is not None:
+            # Owners may not have been able to renew their rows either.
+            self._postpone_timeouts(now_ms - self._polled_ms)
+        self._polled_ms = now_ms
+        self._has_failed = False
         watched = self._watched_since_ms_by_owner
         self._watched_since_ms_by_owner = {
             owner: watched.get(owner, now_ms) for owner in owners
         }
         self.owners = sum(self._observe(row, now_ms) for row in rows)
 
+    def _postpone_timeouts(self, delay_ms):
+        watched = self._watched_since_ms_by_owner
+        for owner in watched:
+            watched[owner] += delay_ms
+        for observation in self._observation_by_node.values():
+            observation.since_ms += delay_ms
+
     def _observe(self, row, now_ms):
         """Note the row's change; return whether it could be decoded.
 
@@ -189,7 +198,7 @@
         if owner.node_id == self._own.node_id and owner != self._own:
             return True
         since_ms = self._watched_since_ms_by_owner.get(owner)
-        if since_ms is None or self._restart_timeouts:
+        if since_ms is None or self._has_failed:
             return False
         seen = self._observation_by_node.get(owner.node_id)
         if seen is not None:
