A response that is reset is never whole with aiohttp

Cause: aiohttp ends a body that has neither length nor chunks as whole however its connection ends.

Change: the connector of all our calls with aiohttp fails an incomplete body when the connection is lost with an error; the load tool uses it too.

The platform's own client told each of its resets already.

--- a/dahliashunt/adapters/table/bounded_connector.py
+++ b/dahliashunt/adapters/table/bounded_connector.py
@@ -1,7 +1,8 @@
-"""aiohttp connections that stop at endless framing.
+"""aiohttp connections that stop at endless framing and at resets.
 
 aiohttp bounds the fields of a head. It reads interim responses, chunk sizes
-and chunk extensions for as long as they come.
+and chunk extensions for as long as they come. A body without a length or
+chunks it takes for whole however its connection ends.
 """
 
 import functools
@@ -17,7 +18,10 @@
 
 
 class _BoundedHandler(ResponseHandler):
-    """Closes its connection at too many bytes that are not body."""
+    """Closes its connection at too many bytes that are not body.
+
+    A body that ends with a reset of its connection is an error.
+    """
 
     def __init__(self, loop):
         super().__init__(loop)
@@ -47,6 +51,13 @@
         except BoundExceeded as error:
             self._fail(ClientPayloadError(str(error)))
 
+    def connection_lost(self, exc):
+        """Fail an incomplete body unless the peer closed in order."""
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            payload.set_exception(ClientPayloadError(f"broken off: {exc!r}"))
+        super().connection_lost(exc)
+
     def _fail(self, error):
         if self._payload is not None:
             self._payload.set_exception(error)
@@ -56,7 +67,7 @@
 
 
 class BoundedConnector(TCPConnector):
-    """`TCPConnector` whose connections stop at endless framing."""
+    """`TCPConnector` with connections that tell broken responses."""
 
     def __init__(self, **options):
         super().__init__(**options)
--- a/dahliashunt/load/runner.py
+++ b/dahliashunt/load/runner.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 
+from dahliashunt.adapters.table.bounded_connector import BoundedConnector
 from dahliashunt.load.beside import BatchLoad
 from dahliashunt.load.client import send
 from dahliashunt.load.mix import asks
@@ -23,7 +24,7 @@
     been answered. A sender that falls behind shows in ``sent_late_ms``.
     """
     result = Result(plan)
-    connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=30)
+    connector = BoundedConnector(limit=0, keepalive_timeout=30)
     timeout = aiohttp.ClientTimeout(total=plan.give_up_s)
     async with aiohttp.ClientSession(
         connector=connector, timeout=timeout
