A response whose status is none ends as broken at once

Seen in trials: a status of 000 or 099 left callers of the platform's entry waiting until their time was over, since it was taken for an interim response; 600 to 999 were passed on with the replica's signature. Calls with aiohttp passed all of them on. A close behind an interim response ended a response without a head as closed in order (no caller took it for one).

Cause: neither client looked at the range of a status.

Change: a status that is neither 100 to 199 nor 200 to 599 ends the response as broken (bound "status"), so that the request is retried, or ends with 502 if it may not be. An end without a head is broken.

--- a/dahliashunt/adapters/http1/bounds.py
+++ b/dahliashunt/adapters/http1/bounds.py
@@ -14,6 +14,7 @@
     "Bound",
     "BoundExceeded",
     "MessageMeter",
+    "is_final_status",
 ]
 
 MAX_HEAD_BYTES = 65_536
@@ -62,6 +63,22 @@
     TEXT = "text_bytes"
     PIPELINE = "pipelined_requests"
     MEMORY = "memory"
+    STATUS = "status"
+
+
+def is_final_status(status: int) -> bool:
+    """Return whether a final response may have this status.
+
+    Examples
+    --------
+    >>> [is_final_status(status) for status in (0, 100, 200, 599, 600)]
+    [False, False, True, True, False]
+
+    References
+    ----------
+    .. [1] RFC 9110, "HTTP Semantics", section 15.
+    """
+    return 200 <= status <= 599
 
 
 class BoundExceeded(DahliashuntError):
--- a/dahliashunt/adapters/http1/connection.py
+++ b/dahliashunt/adapters/http1/connection.py
@@ -15,6 +15,7 @@
 
 from dahliashunt.adapters.http1.bounds import Bound
 from dahliashunt.adapters.http1.bounds import BoundExceeded
+from dahliashunt.adapters.http1.bounds import is_final_status
 from dahliashunt.adapters.http1.bounds import MessageMeter
 from dahliashunt.adapters.write_backlog import ReadBacklog
 from dahliashunt.errors import DahliashuntError
@@ -147,6 +148,7 @@
         self._headers = []
         self._parts = []
         self._framed = False
+        self._has_head = False
         self._skipping = False
         self._backlog = backlog or ReadBacklog()
         self._unread = 0
@@ -181,7 +183,7 @@
 
     def eof_received(self):
         """End a response without length; others are broken by a close."""
-        if self._mailbox is not None and self._headers is None:
+        if self._mailbox is not None and self._has_head:
             self._finish(End.BROKEN if self._framed else End.CLOSED)
         return False
 
@@ -218,6 +220,8 @@
         if self._mailbox is None:
             return
         status = self._parser.get_status_code()
+        if not (100 <= status < 200 or is_final_status(status)):
+            self._meter.fail(Bound.STATUS)
         has_body = not self._is_head and status not in _NO_BODY
         head = ResponseHead(status, tuple(self._headers), has_body)
         self._headers = None
@@ -231,6 +235,7 @@
             self.usable = False
             return
         self._apply_connection_headers(head)
+        self._has_head = True
         self._mailbox.put(head)
         if self._is_head:
             # The parser waits for the stated body, so that it can't tell a
@@ -314,6 +319,7 @@
         self._accept = accept or (lambda head: True)
         self._is_head = request.startswith(b"HEAD ")
         self._headers = []
+        self._has_head = False
         self._skipping = False
         self.release()
         self._longest_pause_s = 0.0
--- a/dahliashunt/adapters/table/sessions.py
+++ b/dahliashunt/adapters/table/sessions.py
@@ -14,6 +14,7 @@
 from aiohttp import DummyCookieJar
 from aiohttp import TraceConfig
 
+from dahliashunt.adapters.http1.bounds import is_final_status
 from dahliashunt.adapters.table.bounded_connector import BoundedConnector
 
 __all__ = [
@@ -96,6 +97,13 @@
     raise ClientPayloadError(f"the body exceeds {max_bytes} bytes")
 
 
+def _check_status(response):
+    """Raise `ClientPayloadError` on a status that no final response has."""
+    if not is_final_status(response.status):
+        response.close()
+        raise ClientPayloadError(f"status {response.status:03}")
+
+
 class _Pool:
     """Connections that are retired together.
 
@@ -175,6 +183,7 @@
                 allow_redirects=False,
                 **content,
             ) as response:
+                _check_status(response)
                 yield response
         except (ClientError, TimeoutError) as error:
             message = f"{type(error).__name__}: {error}"
--- a/dahliashunt/adapters/table/tests/test_broken_answers.py
+++ b/dahliashunt/adapters/table/tests/test_broken_answers.py
@@ -1,4 +1,4 @@
-"""Responses that break off, at each client."""
+"""Responses that break off, or whose status is none, at each client."""
 
 import asyncio
 import contextlib
@@ -8,8 +8,14 @@
 
 import pytest
 
+from dahliashunt.adapters.clock import SystemClock
 from dahliashunt.adapters.engine import HttpEngine
 from dahliashunt.adapters.engine import PlainService
+from dahliashunt.adapters.http1 import ConnectionPool
+from dahliashunt.adapters.http1 import encode_request
+from dahliashunt.adapters.http1 import End
+from dahliashunt.adapters.http1 import exchange_whole
+from dahliashunt.adapters.http1 import open_connection
 from dahliashunt.adapters.table.calls import PlatformCalls
 from dahliashunt.errors import EngineLost
 from dahliashunt.errors import PlatformUnavailable
@@ -24,6 +30,8 @@
 RESET = struct.pack("ii", 1, 0)
 """Value of SO_LINGER with which a close sends a reset."""
 
+WRONG_STATUSES = ("000", "099", "600", "700", "999")
+
 
 class Peer:
     """Answers each connection at once, before its request is read.
@@ -129,7 +137,8 @@
     run(call, head() + b"{}", delay_s=0.02)
 
 
-def test_a_load_counts_no_broken_response_as_answered():
+@pytest.mark.parametrize("status", ["200", *WRONG_STATUSES])
+def test_a_load_counts_no_broken_response_as_answered(status):
     # Guards against a load tool that hides what its user looks for.
     whole = json.dumps({"choices": [{"text": "a"}], "error": {"code": "c"}})
 
@@ -147,5 +156,48 @@
         )
         return (await run_plan(plan)).as_dict()
 
-    answer = head() + whole.encode()
+    answer = head(status) + whole.encode()
     assert run(call, answer, delay_s=0.02)["codes"].keys() == {CUT}
+
+
+@pytest.mark.parametrize("adapter", [PlainService, HttpEngine])
+@pytest.mark.parametrize("status", WRONG_STATUSES)
+def test_a_response_with_a_wrong_status_of_an_engine_is_lost(adapter, status):
+    # Guards against a status that is none and reaches a caller.
+    async def call(address):
+        return await call_service(adapter, address)
+
+    answer = b"HTTP/1.1 %s X\r\nContent-Length: 1\r\n\r\nx" % status.encode()
+    assert "TimeoutError" not in run(call, answer, resets=False)
+
+
+@pytest.mark.parametrize("status", ["100", "000", "099", "600", "999"])
+def test_a_response_with_a_wrong_status_ends_at_once(status):
+    # Guards against a status below 200 that is waited on as an interim one,
+    # and against a close behind it that ends a response without a head.
+    async def call(address):
+        pool = ConnectionPool(SystemClock())
+        connection = await pool.take(address)
+        request = encode_request("GET", "/", [("Host", "h")])
+        began_s = asyncio.get_running_loop().time()
+        answer = await exchange_whole(
+            connection, request, SystemClock(), TIMEOUT_MS
+        )
+        pool.close()
+        assert answer is None
+        assert asyncio.get_running_loop().time() - began_s < 2
+
+    answer = b"HTTP/1.1 %s X\r\n\r\n" % status.encode()
+    run(call, answer, resets=False)
+
+
+def test_a_close_behind_an_interim_response_is_no_end():
+    # Guards against a response without a head that counts as whole.
+    async def call(address):
+        connection = await open_connection(*address, TIMEOUT_MS)
+        mailbox = connection.start(encode_request("GET", "/", [("Host", "h")]))
+        (end,) = await mailbox.take(TIMEOUT_MS)
+        connection.abort()
+        assert end is End.BROKEN
+
+    run(call, b"HTTP/1.1 100 X\r\n\r\n", resets=False)
--- a/dahliashunt/platform/standins/replica.py
+++ b/dahliashunt/platform/standins/replica.py
@@ -284,7 +284,7 @@
         return b"id: %d\ndata: text %d\n\n" % (number, number)
 
     def _head(self, arrival, step):
-        lines = [f"HTTP/1.1 {step.status} X"]
+        lines = [f"HTTP/1.1 {step.status:03} X"]
         if not step.anonymous and not step.unsigned:
             lines.append(f"{REQUEST_ID}: {arrival.request_id}")
         if step.not_run:
--- a/dahliashunt/platform/tests/test_unsigned.py
+++ b/dahliashunt/platform/tests/test_unsigned.py
@@ -148,3 +148,25 @@
         assert (result["state"], result["output"]) == ("done", output(2))
 
     platform(scenario, ROUTE)
+
+
+@pytest.mark.parametrize("status", [0, 99, 600, 999])
+def test_a_status_that_is_none_is_no_response(platform, status):
+    # Guards against such a status that reaches a caller, or is waited on as
+    # an interim response until the caller's time is over.
+    async def scenario(p):
+        wrong = {"status": status, "body": b"x"}
+        for route, expected in (("/i/", 200), ("/o/", 502)):
+            p.replicas[0].steps.clear()
+            script(p, wrong, {})
+            began_s = p.now_s()
+            answer = await p.call(target=f"{route}x")
+            assert answer.status == expected
+            assert p.now_s() - began_s < 1
+
+    platform(
+        scenario,
+        {**IDEMPOTENT, "name": "i", "prefix": "/i/"},
+        {**ONCE, "name": "o", "prefix": "/o/"},
+        replicas=2,
+    )
