Responses that grow reserve their memory

Seen by other operators, and here on real processes with 128 MB: a replica that sends without end fills the memory of the entry that reads it, which ends with the requests of all its clients.

Cause: single responses have bounds (4 MB for a body without a length, 1 MB for an event or an item's text), their sum had none. AnswerRoom counted only responses whose length is stated.

Change: AnswerRoom.growing reserves memory as bodies, incomplete events and texts of items grow past 8 KB; the call that has grown first never waits. Items release their slot after 2 s without room. Texts between attempts have a bound; one over its own bound is dropped. A read takes 64 KB at most.

--- a/dahliashunt/adapters/http1/connection.py
+++ b/dahliashunt/adapters/http1/connection.py
@@ -160,8 +160,12 @@
     # Callbacks of asyncio.
 
     def connection_made(self, transport):
-        """Store the transport."""
+        """Store the transport; limit its reads.
+
+        asyncio reads up to 256 KB at once, before reading can be paused.
+        """
         self.transport = transport
+        transport.max_size = READ_HIGH_WATER_BYTES
 
     def data_received(self, data):
         """Parse `data`; abort the connection if no exchange is open."""
--- a/dahliashunt/forwarding/answer_room.py
+++ b/dahliashunt/forwarding/answer_room.py
@@ -2,7 +2,8 @@
 
 Load pattern
 ------------
-Many callers ask for long responses and read none of them.
+Many callers ask for long responses and read none of them, or a faulty replica
+sends bodies and events without end.
 
 What goes wrong without it
 --------------------------
@@ -16,6 +17,11 @@
 read, while what is held for readers leaves no room; its replica's connection
 is paused. Slow readers are ended below the bound, so that the turn comes.
 Shorter responses never wait.
+
+One without a stated length, and an event that is not complete, reserve memory
+as they grow. The call that has grown first never waits, so that calls don't
+wait for each other for ever; all together exceed the bound by its longest
+response at most.
 """
 
 import asyncio
@@ -24,7 +30,7 @@
 
 from dahliashunt.ports import Clock
 
-__all__ = ["FREE_BYTES", "AnswerRoom"]
+__all__ = ["FREE_BYTES", "AnswerRoom", "GrowingHold"]
 
 FREE_BYTES = 8_192
 """Longest response that does not wait."""
@@ -35,6 +41,31 @@
 POLL_MS = 20
 
 
+class GrowingHold:
+    """Memory reserved for one call.
+
+    Attributes
+    ----------
+    reserved_bytes : int
+    """
+
+    def __init__(self, room: "AnswerRoom"):
+        self._room = room
+        self.reserved_bytes = 0
+
+    async def grow(self, size: int) -> None:
+        """Return once there is memory for `size` bytes.
+
+        What is reserved doubles, so that a response in many parts asks a few
+        times.
+        """
+        needed = size * COPIES
+        if size <= FREE_BYTES or needed <= self.reserved_bytes:
+            return
+        doubled = max(needed, 2 * self.reserved_bytes)
+        await self._room.reserve_more(self, doubled)
+
+
 class AnswerRoom:
     """Bytes reserved for long responses, and their bound.
 
@@ -57,6 +88,8 @@
         self._max_bytes = max_bytes
         self._unread_bytes = unread_bytes
         self._turn = asyncio.Lock()
+        # Calls in the order in which they have begun to grow.
+        self._growing: dict[GrowingHold, None] = {}
         self.reserved_bytes = 0
 
     @contextlib.asynccontextmanager
@@ -76,6 +109,31 @@
         finally:
             self.reserved_bytes -= size
 
+    @contextlib.contextmanager
+    def growing(self):
+        """Reserve memory for a call whose response may grow.
+
+        Yields
+        ------
+        GrowingHold
+        """
+        hold = GrowingHold(self)
+        try:
+            yield hold
+        finally:
+            self._growing.pop(hold, None)
+            self.reserved_bytes -= hold.reserved_bytes
+
+    async def reserve_more(self, hold: "GrowingHold", size: int) -> None:
+        """Raise what `hold` has to `size`, once there is room."""
+        self._growing.setdefault(hold)
+        while not self._fits(size - hold.reserved_bytes):
+            if next(iter(self._growing)) is hold:
+                break
+            await self._clock.sleep_ms(POLL_MS)
+        self.reserved_bytes += size - hold.reserved_bytes
+        hold.reserved_bytes = size
+
     def _fits(self, size):
         held = self.reserved_bytes + self._unread_bytes()
         return held + size <= self._max_bytes
--- a/dahliashunt/forwarding/attempt.py
+++ b/dahliashunt/forwarding/attempt.py
@@ -272,11 +272,13 @@
             return AttemptEnd.TIMED_OUT
         return AttemptEnd.SILENT
 
-    async def _read_body(self, connection, mailbox, head, max_bytes):
+    async def _read_body(
+        self, connection, mailbox, head, max_bytes, is_reserved=False
+    ):
         """Return the rest of the body, or the attempt's end without it.
 
         A body that is, or is stated to be, longer than `max_bytes` ends the
-        connection.
+        connection. Memory is reserved as it grows, unless `is_reserved`.
         """
         if head.has_body and (head.stated_bytes() or 0) > max_bytes:
             connection.exceed(Bound.BODY)
@@ -297,6 +299,9 @@
                 if size > max_bytes:
                     connection.exceed(Bound.BODY)
                     return AttemptEnd.UNUSABLE
+            is_held = self._state.started or is_reserved
+            if not is_held and not await self._grow(size):
+                return AttemptEnd.TIMED_OUT
             await self._pass_on(connection, parts, events)
 
     async def _pass_on(self, connection, parts, events):
@@ -345,7 +350,10 @@
             return await self._relay_body(connection, mailbox, head, max_bytes)
 
     async def _relay_body(self, connection, mailbox, head, max_bytes):
-        body = await self._read_body(connection, mailbox, head, max_bytes)
+        is_reserved = head.stated_bytes() is not None
+        body = await self._read_body(
+            connection, mailbox, head, max_bytes, is_reserved
+        )
         if isinstance(body, AttemptEnd):
             is_late = self._clock.now_ms() >= self._state.deadline_ms
             return AttemptEnd.TIMED_OUT if is_late else body
@@ -410,6 +418,18 @@
                 return AttemptEnd.UNUSABLE
             if end is not None:
                 return end
+            if not await self._grow(splitter.buffered_bytes):
+                return AttemptEnd.TIMED_OUT
+
+    async def _grow(self, size):
+        """Wait for memory for `size` bytes; return False if time is over."""
+        left_ms = max(1, self._state.deadline_ms - self._clock.now_ms())
+        try:
+            async with asyncio.timeout(left_ms / 1000):
+                await self._state.room.grow(size)
+        except TimeoutError:
+            return False
+        return True
 
     def _pause_ms(self):
         if not self._route.pause_ms or not self._state.may_retry:
@@ -429,7 +449,7 @@
         """
         batch = _EventBatch(self._state.last_event)
         size = 0
-        end = fault = None
+        end = None
         for event in events:
             if isinstance(event, End):
                 end = event
@@ -437,17 +457,11 @@
             size += len(event)
             try:
                 self._append_events(batch, splitter.feed(event))
-            except EventOutOfOrder as error:
+            except EventOutOfOrder:
                 batch.drop_unnumbered()
-                fault = error
-                break
-        if batch.parts:
-            self._note_version()
-            await self._start_response(head, None)
-            await self._sink.send(b"".join(batch.parts))
-            self._state.last_event = batch.last_event
-        if fault is not None:
-            raise fault
+                await self._send_batch(batch, head)
+                raise
+        await self._send_batch(batch, head)
         # What is being sent counts as unread, so that a slow caller pauses
         # the replica.
         connection.taken(size)
@@ -472,6 +486,13 @@
                 self._state.call, self._route, replica
             )
 
+    async def _send_batch(self, batch, head):
+        if batch.parts:
+            self._note_version()
+            await self._start_response(head, None)
+            await self._sink.send(b"".join(batch.parts))
+            self._state.last_event = batch.last_event
+
     def _append_events(self, batch, events):
         for event in events:
             self._event_count += 1
--- a/dahliashunt/forwarding/call_state.py
+++ b/dahliashunt/forwarding/call_state.py
@@ -4,6 +4,7 @@
 import enum
 
 from dahliashunt.adapters.http1 import ResponseHead
+from dahliashunt.forwarding.answer_room import GrowingHold
 from dahliashunt.forwarding.call import Call
 from dahliashunt.forwarding.catalog import Route
 from dahliashunt.ids import SoftwareVersion
@@ -78,11 +79,14 @@
         Whether the replica answered with a client error.
     is_too_large : bool
         Whether a replica refused the call as too large, without a run.
+    room : GrowingHold
+        Memory for what is held of the responses.
     """
 
     call: Call
     route: Route
     deadline_ms: int
+    room: GrowingHold
     ran: int = 0
     started: bool = False
     last_event: int = 0
--- a/dahliashunt/forwarding/events.py
+++ b/dahliashunt/forwarding/events.py
@@ -90,7 +90,13 @@
     def __init__(self):
         self._buffer = bytearray()
         self._has_cr = False
-        self._fault: EventOutOfOrder | None = None
+        # Not the error: its traceback would keep this buffer alive.
+        self._fault: tuple[type[EventOutOfOrder], str] | None = None
+
+    @property
+    def buffered_bytes(self) -> int:
+        """Length of the event that is not complete yet."""
+        return len(self._buffer)
 
     @property
     def rest(self) -> bytes:
@@ -119,8 +125,7 @@
         EventOutOfOrder
             An event's id exceeds `MAX_ID_DIGITS`.
         """
-        if self._fault is not None:
-            raise self._fault
+        self._raise_fault()
         unread, searched = data, 0
         if self._buffer:
             searched = max(0, len(self._buffer) - len(_LONGEST_BLANK_LINE) + 1)
@@ -139,7 +144,7 @@
             try:
                 events.append(Event(_event_id(raw), raw))
             except EventOutOfOrder as error:
-                self._fault = error
+                self._fault = (type(error), str(error))
                 break
             offset = end
         if unread is data:
@@ -148,13 +153,17 @@
         else:
             del self._buffer[:offset]
         if len(self._buffer) > MAX_EVENT_BYTES:
-            self._fault = EventTooLong(
-                f"event exceeds {MAX_EVENT_BYTES} bytes"
-            )
-        if self._fault is not None and not events:
-            raise self._fault
+            text = f"event exceeds {MAX_EVENT_BYTES} bytes"
+            self._fault = (EventTooLong, text)
+        if not events:
+            self._raise_fault()
         return events
 
+    def _raise_fault(self):
+        if self._fault is not None:
+            kind, text = self._fault
+            raise kind(text)
+
 
 def _after_blank_line(data, offset, has_cr):
     """Return the index after the next blank line, 0 without one.
--- a/dahliashunt/forwarding/forwarder.py
+++ b/dahliashunt/forwarding/forwarder.py
@@ -145,10 +145,11 @@
         ResponseTruncated
             The response broke off.
         """
-        forwarded = _ForwardedCall(
-            self, call, route, origin, with_agents, sink
-        )
-        await forwarded.serve()
+        with self.answer_room.growing() as room:
+            forwarded = _ForwardedCall(
+                self, call, route, origin, with_agents, sink, room
+            )
+            await forwarded.serve()
 
 
 @dataclass(frozen=True, slots=True)
@@ -165,7 +166,9 @@
 class _ForwardedCall:
     """One call over all its attempts."""
 
-    def __init__(self, forwarder, call, route, origin, with_agents, sink):
+    def __init__(
+        self, forwarder, call, route, origin, with_agents, sink, room
+    ):
         self._forwarder = forwarder
         self._clock = forwarder.clock
         self._call = call
@@ -179,6 +182,7 @@
             call=call,
             route=route,
             deadline_ms=call.arrived_ms + budget_ms,
+            room=room,
             last_event=call.last_event,
             version=origin.version,
         )
--- a/dahliashunt/jobs/item_run.py
+++ b/dahliashunt/jobs/item_run.py
@@ -1,5 +1,7 @@
 """Attempts of one batch item at replicas, and its text so far."""
 
+import asyncio
+import contextlib
 import enum
 
 from dahliashunt.adapters.http1 import Bound
@@ -9,6 +11,8 @@
 from dahliashunt.adapters.http1 import PoolExhausted
 from dahliashunt.adapters.http1 import ResponseHead
 from dahliashunt.decisions.stream_origins import origin_key
+from dahliashunt.forwarding.answer_room import AnswerRoom
+from dahliashunt.forwarding.answer_room import GrowingHold
 from dahliashunt.forwarding.call import Call
 from dahliashunt.forwarding.events import EventOutOfOrder
 from dahliashunt.forwarding.events import EventSplitter
@@ -56,6 +60,10 @@
 MAX_IDLE_MS = 3_000
 """Longest idle time of a pooled connection that an attempt reuses."""
 
+GROW_WAIT_S = 0.1
+MAX_GROW_WAITS = 20
+"""Waits for memory of an attempt, after which its slot is released."""
+
 MAX_TEXT_CHARACTERS = 1_048_576
 """Longest text of an item, one hundred times that of an item of 2,100 tokens.
 A node runs up to 128 items at once."""
@@ -173,6 +181,8 @@
         Whether the store may hold a row of this item.
     exceeded : Bound or None
         The bound at which the latest attempt was ended.
+    kept_characters : int
+        Length of the text as counted by the worker between attempts.
     """
 
     def __init__(
@@ -200,8 +210,10 @@
         self.saved = False
         self.status: int | None = None
         self.exceeded: Bound | None = None
+        self.kept_characters = 0
         self._texts: list[str] = []
         self._characters = 0
+        self._room: GrowingHold | None = None
         self._dropped_bytes = 0
         self._connection = None
         self._attempt_origin = 0
@@ -209,6 +221,11 @@
         self._silent_in_row = 0
         self._revoked = False
 
+    @property
+    def characters(self) -> int:
+        """Length of the text so far."""
+        return self._characters
+
     @property
     def text(self) -> str:
         """Data of all events so far, joined by line feeds."""
@@ -272,8 +289,16 @@
         pool: ConnectionPool,
         dialect: ReplicaDialect,
         clock: Clock,
+        room: AnswerRoom,
     ) -> ItemEnd:
-        """Run the item at `reservation`, resuming after its last event."""
+        """Run the item at `reservation`, resuming after its last event.
+
+        Memory for its text is reserved in `room` as it grows.
+        """
+        with room.growing() as self._room:
+            return await self._attempt(reservation, pool, dialect, clock)
+
+    async def _attempt(self, reservation, pool, dialect, clock):
         address = reservation.replica.address
         try:
             connection = await pool.take(address, MAX_IDLE_MS)
@@ -345,6 +370,7 @@
             if not events:
                 end = self._classify_end(End.BROKEN, head, splitter, dialect)
                 return ItemEnd.SILENT if end is ItemEnd.LOST else end
+            size = 0
             for event in events:
                 if isinstance(event, ResponseHead):
                     head = event
@@ -356,15 +382,32 @@
                         return ItemEnd.UNUSABLE
                     return self._classify_end(event, head, splitter, dialect)
                 else:
-                    connection.taken(len(event))
-                    if 200 <= head.status < 300:
-                        is_good = self._append_events(
-                            connection, splitter, event
-                        )
-                    else:
-                        is_good = self._drop(connection, len(event))
-                    if not is_good:
+                    size += len(event)
+                    if not self._take_part(connection, head, splitter, event):
                         return ItemEnd.UNUSABLE
+            if not await self._grow(splitter):
+                return ItemEnd.SILENT
+            # Until then it counts as unread, which pauses the replica.
+            connection.taken(size)
+
+    def _take_part(self, connection, head, splitter, data):
+        """Take a part of the body; return False if the run is of no use."""
+        if 200 <= head.status < 300:
+            return self._append_events(connection, splitter, data)
+        return self._drop(connection, len(data))
+
+    async def _grow(self, splitter):
+        """Wait for memory; return False once the slot is better used."""
+        size = self._characters + splitter.buffered_bytes
+        for _ in range(MAX_GROW_WAITS):
+            if self._revoked:
+                break
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(GROW_WAIT_S):
+                    await self._room.grow(size)
+                    return True
+        self._revoked = True
+        return False
 
     def _drop(self, connection, size):
         """Count bytes that make no text; return False past their bound."""
@@ -392,6 +435,8 @@
             return False
         if self._characters > MAX_TEXT_CHARACTERS:
             connection.exceed(Bound.TEXT)
+            # No other replica can complete it.
+            self.restart()
             return False
         return True
 
--- a/dahliashunt/jobs/job_run.py
+++ b/dahliashunt/jobs/job_run.py
@@ -81,6 +81,8 @@
         self.stopped = True
         for task in list(self._tasks):
             task.cancel()
+        for item in self._unfinished_by_index.values():
+            self._worker.forget_kept(item)
         self._worker.room.release(self.job.job_id)
         for finished in self._finished:
             self._worker.held_characters -= len(finished.text)
@@ -137,6 +139,7 @@
         by_replica: bool = True,
     ) -> None:
         """Queue an item's outcome for listing."""
+        self._worker.forget_kept(item)
         text = item.text if outcome is Outcome.DONE else ""
         if outcome is Outcome.DEAD:
             self._worker.log.warning(
--- a/dahliashunt/jobs/worker.py
+++ b/dahliashunt/jobs/worker.py
@@ -21,6 +21,7 @@
 from dahliashunt.errors import ErrorKind
 from dahliashunt.errors import PlatformUnavailable
 from dahliashunt.errors import RequestError
+from dahliashunt.forwarding.answer_room import AnswerRoom
 from dahliashunt.forwarding.catalog import BrokenRoute
 from dahliashunt.forwarding.catalog import Route
 from dahliashunt.forwarding.catalog import RouteKind
@@ -63,6 +64,10 @@
 """Size of unlisted results above which no item starts; bounds the memory
 used while the store is unavailable."""
 
+MAX_KEPT_CHARACTERS = 8_000_000
+"""Size of the texts of items between their attempts above which further ones
+are dropped; such items start anew."""
+
 MAX_RUNNING_ITEMS = 128
 """Items that one node runs at once."""
 
@@ -83,9 +88,13 @@
     store_now_ms : callable
         Returns this node's estimate of the store's clock.
     room : PayloadRoom
+    text_room : AnswerRoom
+        Memory for the texts of running items.
 
     Attributes
     ----------
+    kept_characters : int
+        Size of the texts of items between their attempts.
     held_characters : int
         Size of the results that are not listed yet.
     restarts : int
@@ -104,8 +113,10 @@
         partials: PartialTexts,
         store_now_ms,
         room: PayloadRoom,
+        text_room: AnswerRoom,
     ):
         self.room = room
+        self._text_room = text_room
         self.node = node
         self.view = view
         self.ledger = ledger
@@ -126,6 +137,7 @@
         self._flush_tasks = set()
         self._leaving = False
         self.held_characters = 0
+        self.kept_characters = 0
         self.restarts = 0
 
     @property
@@ -355,6 +367,7 @@
                 break
             job_run, item = entry.work
             if job_run.stopped or job_run.is_listed(item):
+                self.forget_kept(item)
                 continue
             if not item.is_ready(now_ms) or self._is_held_back(job_run, item):
                 later.append(entry)
@@ -503,6 +516,7 @@
 
     async def _attempt(self, job_run, item, reservation):
         end = ItemEnd.LOST
+        self.forget_kept(item)
         job_run.item_by_index[item.index] = item
         try:
             end = await self._run_item(job_run, item, reservation)
@@ -527,8 +541,22 @@
                     self._crash_keys(job_run, item)
                 ),
             )
+        self._keep(item)
         self._handle_end(job_run, item, reservation, end)
 
+    def _keep(self, item):
+        """Count the text of an item whose attempt has ended."""
+        if self.kept_characters + item.characters > MAX_KEPT_CHARACTERS:
+            self.node.metrics.count("item_texts_dropped")
+            item.restart()
+        item.kept_characters = item.characters
+        self.kept_characters += item.characters
+
+    def forget_kept(self, item: ItemRun) -> None:
+        """Count the text of an item no more: it runs, or has ended."""
+        self.kept_characters -= item.kept_characters
+        item.kept_characters = 0
+
     def _report_excess(self, item, replica):
         """Count and log a response that was not read past a bound."""
         exceeded, item.exceeded = item.exceeded, None
@@ -553,7 +581,11 @@
         end = None
         try:
             end = await item.attempt(
-                reservation, self.pool, self.dialect, self.clock
+                reservation,
+                self.pool,
+                self.dialect,
+                self.clock,
+                self._text_room,
             )
         finally:
             self._note_end(item, reservation.replica, permit, end)
--- a/dahliashunt/platform/job_parts.py
+++ b/dahliashunt/platform/job_parts.py
@@ -3,6 +3,7 @@
 import secrets
 
 from dahliashunt.adapters.http1 import ConnectionPool
+from dahliashunt.forwarding.answer_room import AnswerRoom
 from dahliashunt.forwarding.node import Node
 from dahliashunt.forwarding.replica_selector import ReplicaSelector
 from dahliashunt.ids import NodeId
@@ -39,6 +40,7 @@
     keep_ms : int
         Retention of results after a job's acceptance.
     room : PayloadRoom
+    text_room : AnswerRoom
 
     Attributes
     ----------
@@ -57,6 +59,7 @@
         pool: ConnectionPool,
         keep_ms: int,
         room: PayloadRoom,
+        text_room: AnswerRoom,
     ):
         owner = Owner(NodeId(node.metrics.node_id), secrets.token_hex(6))
         self._node = node
@@ -64,13 +67,13 @@
         self.view = JobView(node.log)
         self.ledger = JobLedger(store, store, self.view, owner, node.log)
         self.partials = PartialTexts(store, node.log)
-        self.worker = self._make_worker(places, pool, room)
+        self.worker = self._make_worker(places, pool, room, text_room)
         self._checkpoints = Checkpoints(self.worker, self.partials, node.clock)
         self._reader = BeatReader(store, owner, node.clock, node.log)
         self._takeover = self._make_takeover(owner)
         self.expiry = self._make_expiry(keep_ms)
 
-    def _make_worker(self, places, pool, room):
+    def _make_worker(self, places, pool, room, text_room):
         return JobWorker(
             self._node,
             self.view,
@@ -82,6 +85,7 @@
             self.partials,
             self.store.now_ms,
             room,
+            text_room,
         )
 
     @property
--- a/dahliashunt/platform/serve_entry.py
+++ b/dahliashunt/platform/serve_entry.py
@@ -199,6 +199,7 @@
             self._pool,
             settings.bounds.result_retention_ms,
             self._room,
+            AnswerRoom(self._shares.text_bytes, lambda: 0, self._clock),
         )
         self.node.caps = self._make_rate_limiter(rate_limit_policy)
         self.explainer = Explainer(
--- a/dahliashunt/process_shares.py
+++ b/dahliashunt/process_shares.py
@@ -26,6 +26,9 @@
 UNREAD_PART = 0.125
 """Part of the memory for responses that callers have not read yet."""
 
+TEXT_PART = 0.0625
+"""Part of the memory for the texts of running items."""
+
 PAYLOAD_PART = 0.125
 """Part of the memory for the payloads of jobs in progress, which count among
 what is held as well."""
@@ -38,7 +41,7 @@
     Attributes
     ----------
     caller_connections, replica_connections, store_connections : int
-    held_bytes, unread_bytes, payload_bytes : int
+    held_bytes, unread_bytes, text_bytes, payload_bytes : int
     """
 
     caller_connections: int
@@ -46,6 +49,7 @@
     store_connections: int
     held_bytes: int
     unread_bytes: int
+    text_bytes: int
     payload_bytes: int
 
     @classmethod
@@ -72,5 +76,6 @@
             store_connections=usable // 10,
             held_bytes=int(memory_bytes * HELD_PART),
             unread_bytes=int(memory_bytes * UNREAD_PART),
+            text_bytes=int(memory_bytes * TEXT_PART),
             payload_bytes=int(memory_bytes * PAYLOAD_PART),
         )
--- a/tests/crowds/fleet.py
+++ b/tests/crowds/fleet.py
@@ -71,6 +71,8 @@
     entry, agent : Program
     port, ready_port, metrics_port, agent_metrics_port : int
     replica : CrowdReplica
+    others : list
+        Further servers to be stopped with the fleet.
     store : StoreStandin
     """
 
@@ -79,6 +81,7 @@
         self.fds = fds
         self.store = StoreStandin()
         self.replica = CrowdReplica()
+        self.others = []
         self._folder = folder
         self.store_address = None
         ports = _free_ports(6)
@@ -114,6 +117,14 @@
             self.port,
             self.ready_port,
         )
+        self._write_settings("entry", entry)
+        self.write_agent_settings()
+        await self.entry.start()
+        await self.entry.until_logged("started")
+        await send_until_served(self.port, self.ordinary())
+
+    def write_agent_settings(self):
+        """Write the settings of the agent beside the replica."""
         agent = agent_fields(
             self.store_address,
             "side-1",
@@ -121,13 +132,12 @@
             (self._agent_first, self._agent_first + 1),
             self.replica.address[1],
         )
-        for role, fields in (("entry", entry), ("agent", agent)):
-            limits = {"memory-mb": self.memory_mb, "fds": self.fds}
-            fields["limits"] = {**fields["limits"], **limits}
-            (self._folder / f"{role}.json").write_text(json.dumps(fields))
-        await self.entry.start()
-        await self.entry.until_logged("started")
-        await send_until_served(self.port, self.ordinary())
+        self._write_settings("agent", agent)
+
+    def _write_settings(self, role, fields):
+        limits = {"memory-mb": self.memory_mb, "fds": self.fds}
+        fields["limits"] = {**fields["limits"], **limits}
+        (self._folder / f"{role}.json").write_text(json.dumps(fields))
 
     async def start_agent(self):
         """Start the agent, which most crowds never meet."""
@@ -182,8 +192,8 @@
         """End what was started."""
         await self.entry.stop()
         await self.agent.stop()
-        await self.replica.stop()
-        await self.store.stop()
+        for server in (self.replica, *self.others, self.store):
+            await server.stop()
 
 
 def _free_ports(count):
