Tests: numbered events without end are of the crowds alone

Endless.NUMBERED made test_endless play a stream of valid events, which is relayed as it should be; the crowd makes its own now. Reads of 64 KB no longer let 13 unread streams reach 1,500,000 bytes, at which test_slow_callers_are_ended waited for the bound to act: its bound is 700,000 now, which is stricter.

--- a/dahliashunt/platform/standins/endless.py
+++ b/dahliashunt/platform/standins/endless.py
@@ -25,10 +25,6 @@
 _COMMENT = b":" + b"x" * 4_000 + b"\n\n"
 
 
-def _event(number):
-    return b"id: %d\ndata: %s\n\n" % (number, b"x" * 100)
-
-
 class Endless(enum.Enum):
     """Start of a response, and the bytes that are then repeated."""
 
@@ -48,7 +44,6 @@
         _HEAD + b"Content-Type: text/event-stream\r\n\r\ndata: ",
         b"x",
     )
-    NUMBERED = (_HEAD + b"\r\n", b"".join(map(_event, range(1, 100_000))))
     COMMENTS = (_CHUNKED, b"%x\r\n%s\r\n" % (len(_COMMENT), _COMMENT))
     BODY = (_CHUNKED, _CHUNK)
     BODY_TO_CLOSE = (_HEAD + b"\r\n", b"x")
--- a/dahliashunt/platform/tests/test_slow_readers.py
+++ b/dahliashunt/platform/tests/test_slow_readers.py
@@ -24,7 +24,7 @@
 
 STREAM = route_fields(**{"timeout-ms": 60_000, "max-attempts": 1})
 BUFFER_BYTES = 65_536
-MAX_BACKLOG_BYTES = 1_500_000
+MAX_BACKLOG_BYTES = 700_000
 
 MAX_HELD_BYTES = 33_554_432
 ID = b"dahliashunt-request-id"
--- a/tests/crowds/test_endless_replicas.py
+++ b/tests/crowds/test_endless_replicas.py
@@ -1,9 +1,11 @@
 """Replicas that send without end, against an entry and an agent."""
 
 import asyncio
+from types import SimpleNamespace
 
 import pytest
 
+from dahliashunt.platform.names import SIGNATURE
 from dahliashunt.platform.standins import Endless
 from dahliashunt.platform.standins import EndlessPeer
 from dahliashunt.platform.standins.settings import replica_fields
@@ -28,6 +30,18 @@
     **{"max-attempts": 2},
 )
 
+NUMBERED = SimpleNamespace(
+    name="NUMBERED",
+    value=(
+        b"HTTP/1.1 200 OK\r\n" + SIGNATURE.encode() + b": s\r\n\r\n",
+        b"".join(
+            b"id: %d\ndata: %s\n\n" % (number, b"x" * 100)
+            for number in range(1, 100_000)
+        ),
+    ),
+)
+"""A stream of events in order that does not end."""
+
 ITEMS = {**JOBS, "name": "items", "prefix": "/items/", "service": "endless"}
 
 
@@ -85,7 +99,7 @@
     crowd(scenario)
 
 
-@pytest.mark.parametrize("kind", [Endless.EVENT, Endless.NUMBERED])
+@pytest.mark.parametrize("kind", [Endless.EVENT, NUMBERED])
 def test_items_at_endless_replicas_do_not_fill_the_memory(crowd, kind):
     """Guards against texts and events that an entry keeps for many items."""
 
