A leaving entry takes only what it can end

Callers got 500 and no response of a replica for requests that an entry had taken late in a planned stop, among them ones that may not be repeated.

Cause: Entry.leave bounded the wait for requests in progress, not what was taken in during it: bodies completed late, and any request whose time goes past the end.

Change: while a node leaves, a request whose time goes past its end is refused at once as not run, with Retry-After; one that may be repeated only after the 3 s in which new connections still come. What is left at the end gets 502 before the connections are closed.

--- a/dahliashunt/forwarding/node.py
+++ b/dahliashunt/forwarding/node.py
@@ -36,6 +36,9 @@
 """Retry-After if only this node may be outdated; another may take the
 retry."""
 
+LEAVING_RETRY_MS = 10
+"""Retry-After if this node leaves; a new connection goes to another one."""
+
 LOSSES_WAIT_MS = 3_000
 """Longest time after the first configuration for which requests are refused
 until the lost runs are known: they may be unreadable when it is not."""
@@ -59,6 +62,8 @@
     registry : ReplicaRegistry
     leaving : asyncio.Event
         Set when this node is told to stop.
+    ends_ms : int or None
+        Time at which it stops; None until it is told to.
     losses_known : asyncio.Event
         Set once the lost runs of all entries were read.
     """
@@ -82,6 +87,8 @@
         self.forwarder: Forwarder | None = None
         self.caps: RateLimiter | None = None
         self.leaving = asyncio.Event()
+        self.ends_ms: int | None = None
+        self._accepts_until_ms = 0
         self.config_read_ms = lambda: None
         self.config_as_of_ms = lambda: None
         self.follows_tables = lambda: True
@@ -167,6 +174,33 @@
                 reason=workspace.reason,
             )
 
+    def leave(self, accepts_until_ms: int, ends_ms: int) -> None:
+        """Stop at `ends_ms`; new connections come until `accepts_until_ms`."""
+        self._accepts_until_ms = accepts_until_ms
+        self.ends_ms = ends_ms
+        self.leaving.set()
+
+    def _check_time_left(self, call, route):
+        """Raise `RequestError` if this node may end before the call does.
+
+        One that may be repeated is taken while callers can't know that this
+        node leaves.
+        """
+        if self.ends_ms is None:
+            return
+        budget_ms = route.timeout_ms
+        if call.budget_ms is not None:
+            budget_ms = min(budget_ms, call.budget_ms)
+        if call.arrived_ms + budget_ms <= self.ends_ms:
+            return
+        if route.repeatable and self.clock.now_ms() < self._accepts_until_ms:
+            return
+        raise RequestError(
+            ErrorKind.LEAVING,
+            "this node stops before the request's time is over",
+            retry_after_ms=LEAVING_RETRY_MS,
+        )
+
     async def wait_until_configured(self) -> None:
         """Wait for the first configuration and the lost runs after a start.
 
@@ -304,6 +338,7 @@
 
         See `Forwarder.serve`. A request that does not run is not counted.
         """
+        self._check_time_left(call, route)
         revision = self.catalog.revision
         if workspace is not None and self.caps is not None:
             await self.caps.admit(workspace, revision, call.request_id)
--- a/dahliashunt/platform/ingress.py
+++ b/dahliashunt/platform/ingress.py
@@ -57,6 +57,7 @@
     send: object
     leaving: bool
     header_by_name: dict
+    started: bool = False
 
     async def body(self, limits: IngressLimits) -> bytes:
         """Return the complete body.
@@ -112,6 +113,7 @@
 
     async def start(self, status, headers, length) -> None:
         """Send status and headers."""
+        self.started = True
         raw = [(n.encode("latin-1"), v.encode("latin-1")) for n, v in headers]
         if length is not None:
             raw.append((b"content-length", str(length).encode()))
@@ -168,6 +170,12 @@
     def __init__(self, node: Node, jobs: JobCalls):
         self._node = node
         self._jobs = jobs
+        self._works = set()
+
+    def end_all(self) -> None:
+        """End all requests in progress with an error response."""
+        for work in self._works:
+            work.cancel()
 
     async def __call__(self, scope, receive, send) -> None:
         """Serve one request."""
@@ -198,19 +206,37 @@
         body = await exchange.body(limits)
         work = asyncio.create_task(self._answer(exchange, body, arrived_ms))
         disconnected = asyncio.create_task(exchange.wait_for_disconnect())
+        self._works.add(work)
         try:
             await asyncio.wait(
                 {work, disconnected}, return_when=asyncio.FIRST_COMPLETED
             )
             if not work.done():
                 raise CallerDisconnected
+            if work.cancelled():
+                self._end_stopped(exchange)
+                return
             work.result()
         finally:
+            self._works.discard(work)
             for task in (work, disconnected):
                 task.cancel()
             with contextlib.suppress(asyncio.CancelledError, RequestError):
                 await work
 
+    def _end_stopped(self, exchange):
+        """Raise the error for a request in progress when this node ends.
+
+        A response that has started is broken off by the server.
+        """
+        self._node.metrics.count("requests_stopped")
+        if not exchange.started:
+            raise RequestError(
+                ErrorKind.ENDPOINT_LOST,
+                "this node had to stop while the request ran",
+                ran=Ran.UNKNOWN,
+            )
+
     async def _answer(self, exchange, body, arrived_ms):
         path = exchange.scope["raw_path"].decode("latin-1")
         method = exchange.scope["method"]
--- a/dahliashunt/platform/serve_entry.py
+++ b/dahliashunt/platform/serve_entry.py
@@ -75,6 +75,9 @@
 SHUTDOWN_MARGIN_MS = 700
 """Time reserved for closing before the platform kills the process."""
 
+LAST_ANSWERS_S = 0.3
+"""Time for the responses to requests that did not end in time."""
+
 BYTES_PER_MB = 1_000_000
 
 FILE_DESCRIPTORS = 200
@@ -500,7 +503,6 @@
 
     async def leave(self):
         """Report not ready, wait for deregistration, then drain requests."""
-        self.node.leaving.set()
         now_ms = self._clock.now_ms()
         until_ms = (
             now_ms
@@ -509,6 +511,7 @@
         )
         self._log.info("leaving", in_progress=self.node.busy)
         accept_until_ms = min(now_ms + DEREGISTRATION_DELAY_MS, until_ms)
+        self.node.leave(accept_until_ms, until_ms)
         hand_over = asyncio.create_task(self.jobs.hand_over(until_ms))
         await self._clock.sleep_ms(accept_until_ms - now_ms)
         await self.drain(until_ms)
@@ -518,15 +521,17 @@
         """Close the callers' port, then wait for requests up to `until_ms`.
 
         The port closes first, so that no request arrives after the check
-        for requests in progress and is cut off.
+        for requests in progress and is cut off. Requests that are left then
+        get an error response.
         """
         left_ms = max(0, until_ms - self._clock.now_ms())
-        callers = self._servers[0]
-        try:
-            async with asyncio.timeout(left_ms / 1000):
-                await callers.stop()
-        except TimeoutError:
+        stopping = asyncio.create_task(self._servers[0].stop())
+        await asyncio.wait({stopping}, timeout=left_ms / 1000)
+        if not stopping.done():
             self._log.warning("drain_timed_out", in_progress=self.node.busy)
+            self.ingress.end_all()
+            await asyncio.wait({stopping}, timeout=LAST_ANSWERS_S)
+        stopping.cancel()
 
     async def stop(self):
         """Close all servers and connections immediately."""
--- a/tests/crowds/processes.py
+++ b/tests/crowds/processes.py
@@ -100,6 +100,15 @@
         """Process id."""
         return self._process.pid
 
+    def terminate(self):
+        """Ask the process to stop in order."""
+        self._process.send_signal(signal.SIGTERM)
+
+    async def ended(self):
+        """Wait for the end of the process."""
+        async with asyncio.timeout(READY_WITHIN_S):
+            await self._process.wait()
+
     async def stop(self):
         """End the process."""
         if self._process is not None and self.is_alive:
--- a/tests/crowds/replica.py
+++ b/tests/crowds/replica.py
@@ -16,18 +16,21 @@
     """HTTP server on a free loopback port.
 
     A path that holds ``unread`` is not read beyond its head, one that holds
-    ``held`` is not answered, and one with a word of `SIZE_BY_WORD` gets an
-    answer of that length.
+    ``held`` is not answered, one with ``slow-N`` after N seconds, and one with
+    a word of `SIZE_BY_WORD` gets an answer of that length.
 
     Attributes
     ----------
     address : (str, int) or None
     answered : int
+    paths : list of str
+        Of all requests, as they came.
     """
 
     def __init__(self):
         self.address = None
         self.answered = 0
+        self.paths = []
         self._server = None
         self._tasks = set()
 
@@ -66,6 +69,7 @@
         pairs = (line.partition(":") for line in lines if line)
         headers = {name.lower(): text.strip() for name, _, text in pairs}
         path = first.split()[1]
+        self.paths.append(path)
         if "unread" in path:
             await asyncio.Event().wait()
         left = int(headers.get("content-length", 0))
@@ -75,6 +79,8 @@
             # Ends with the connection, as a replica's work does.
             await reader.read(1)
             raise ConnectionError
+        if "slow-" in path:
+            await asyncio.sleep(int(path.rpartition("slow-")[2]))
         body = b"answer"
         for word, size in SIZE_BY_WORD.items():
             if word in path:
