A take-up waits for a list that may lack its version

Streams of a new software version were refused for good by an entry that had stood still, or was cut off from the store, while replicas of that version joined: "no replica of the version that began this stream is listed".

Cause: its list did not have them yet, nor their agents, which may have the notes; and it took the list for fresh, since an answer that had waited in its socket counted from when it was read.

Change: TableFollower.is_current tells whether a change would be known by now. A take-up that names its stream and can't go on by a list that is not current waits for one, up to 2 s, and looks again. With a current list it is refused at once, as before.

--- a/dahliashunt/forwarding/follower.py
+++ b/dahliashunt/forwarding/follower.py
@@ -18,6 +18,9 @@
 """Time that a call waits for a change. A dead connection is found by the end
 of its call: with the client's own margin a change is some 1.5 s late then."""
 
+CALL_MARGIN_MS = 300
+"""Time by which a call and the pause after it may exceed the wait."""
+
 RETRY_MIN_MS = 50
 RETRY_MAX_MS = 400
 """Bounds of the jittered exponential backoff while the table is unavailable.
@@ -96,6 +99,22 @@
         self.current_as_of_ms: int | None = None
         self.known = asyncio.Event()
 
+    def is_current(self) -> bool:
+        """Return whether a change would have been heard of by now.
+
+        It is not while a call takes longer than its wait, as on a half-open
+        connection, nor after a standstill of this process: an answer that
+        was received meanwhile is as old as its call.
+        """
+        if self.current_as_of_ms is None:
+            return False
+        now_ms = self._clock.now_ms()
+        call_ms = LONG_POLL_MS + CALL_MARGIN_MS
+        return (
+            now_ms - self._began_ms <= call_ms
+            and now_ms - self.current_as_of_ms <= call_ms + LONG_POLL_MS
+        )
+
     async def run(self) -> None:
         """Follow the table until cancelled."""
         while True:
--- a/dahliashunt/forwarding/stream_origins.py
+++ b/dahliashunt/forwarding/stream_origins.py
@@ -45,6 +45,12 @@
 
 MAX_SENDS = 3
 
+LIST_WAIT_MS = 2_000
+"""Longest wait for the list: that for a call on a half-open connection, and
+the next one."""
+
+LIST_POLL_MS = 20
+
 LISTED_MARGIN_MS = 10_000
 """Time for which a replica serves after it has left the list, and for which
 an entry may not have read that."""
@@ -92,8 +98,8 @@
     slots : SlotClient
         Carries notes, queries and replies.
     agent_port : int
-    is_list_fresh : callable
-        Returns whether the list of replicas was read recently.
+    is_list_current : callable
+        Returns whether a change of the list would be known by now.
     clock : Clock
     metrics : Metrics
     log : structlog logger
@@ -105,7 +111,7 @@
         ring: AgentRing,
         slots: SlotClient,
         agent_port: int,
-        is_list_fresh: Callable[[], bool],
+        is_list_current: Callable[[], bool],
         clock: Clock,
         metrics: Metrics,
         log,
@@ -114,7 +120,7 @@
         self._ring = ring
         self._slots = slots
         self._agent_port = agent_port
-        self._is_list_fresh = is_list_fresh
+        self._is_list_current = is_list_current
         self._clock = clock
         self._metrics = metrics
         self._log = log
@@ -144,6 +150,18 @@
         """
         if not call.last_event:
             return StreamOrigin(route.service_for(call.request_id))
+        source, origin, found = await self._find(call, route)
+        if found is None and await self._wait_for_list(call):
+            source, origin, found = await self._find(call, route)
+        self._metrics.count(
+            "stream_origins", source=source, found=str(found is not None)
+        )
+        if found is None:
+            self._refuse(call, route, origin)
+        return found
+
+    async def _find(self, call, route):
+        """Return the source, the origin noted, and where the call may run."""
         source, origin = "own", None
         if call.resumes:
             stream = stream_key(call.resumes)
@@ -151,15 +169,25 @@
             if origin is None:
                 source, origin = "agents", await self._ask_agents(stream)
         if origin is not None:
-            found = self._listed(route, origin)
-        else:
-            source, found = "list", self._sole(call, route)
-        self._metrics.count(
-            "stream_origins", source=source, found=str(found is not None)
-        )
-        if found is None:
-            self._refuse(call, route, origin)
-        return found
+            return source, origin, self._listed(route, origin)
+        return "list", None, self._sole(call, route)
+
+    async def _wait_for_list(self, call):
+        """Wait for a list that may lack replicas; return whether one came.
+
+        A version, and the agents that have a note, may be newer than the
+        list of an entry that was cut off or stood still.
+        """
+        if not call.resumes or self._is_list_current():
+            return False
+        until_ms = self._clock.now_ms() + LIST_WAIT_MS
+        if call.budget_ms is not None:
+            until_ms = min(until_ms, call.arrived_ms + call.budget_ms)
+        while not self._is_list_current():
+            if self._clock.now_ms() >= until_ms:
+                return False
+            await self._clock.sleep_ms(LIST_POLL_MS)
+        return True
 
     def _refuse(self, call, route, origin):
         reason = (
@@ -192,7 +220,8 @@
         service = route.service_for(call.request_id)
         window_ms = route.timeout_ms + LISTED_MARGIN_MS
         from_ms = self._clock.now_ms() - window_ms
-        is_complete = self._is_list_fresh() and self._registry.covers(from_ms)
+        is_current = self._is_list_current()
+        is_complete = is_current and self._registry.covers(from_ms)
         versions = self._registry.versions_since(from_ms, service)
         if len(versions) != 1 or (call.resumes and not is_complete):
             return None
--- a/dahliashunt/forwarding/tests/test_stream_origins.py
+++ b/dahliashunt/forwarding/tests/test_stream_origins.py
@@ -7,7 +7,9 @@
 import structlog
 
 from dahliashunt.adapters.clock import VirtualClock
+from dahliashunt.decisions.stream_origins import origin_key
 from dahliashunt.decisions.stream_origins import OriginTable
+from dahliashunt.decisions.stream_origins import stream_key
 from dahliashunt.errors import ErrorKind
 from dahliashunt.errors import RequestError
 from dahliashunt.forwarding.agent_ring import AgentRing
@@ -16,6 +18,8 @@
 from dahliashunt.forwarding.catalog import RouteKind
 from dahliashunt.forwarding.replicas import Replica
 from dahliashunt.forwarding.replicas import ReplicaRegistry
+from dahliashunt.forwarding.stream_origins import LIST_POLL_MS
+from dahliashunt.forwarding.stream_origins import LIST_WAIT_MS
 from dahliashunt.forwarding.stream_origins import StreamOrigins
 from dahliashunt.metrics import Metrics
 from dahliashunt.standins import run_steadily
@@ -83,7 +87,7 @@
     def __init__(self):
         self.agents = Agents()
         self.clock = VirtualClock()
-        self.is_list_fresh = True
+        self.is_list_current = True
 
     def add(self, replicas):
         registry = ReplicaRegistry()
@@ -96,7 +100,7 @@
             AgentRing(registry, lambda service: True),
             self.agents.client(),
             7000,
-            lambda: self.is_list_fresh,
+            lambda: self.is_list_current,
             self.clock,
             Metrics("entry"),
             structlog.get_logger(),
@@ -179,15 +183,60 @@
     assert find(origins) is None
     asyncio.run(entries.clock.advance(20_000))
     assert find(origins) == "v1"
-    entries.is_list_fresh = False
-    assert find(origins) is None
+    entries.is_list_current = False
+    assert find_late(entries, origins) is None
+
+
+def find_late(entries, origins, heals=lambda: None):
+    """Return what is found after `heals` and the longest wait."""
+
+    async def main():
+        finding = asyncio.create_task(
+            origins.find(call("s", last_event=3, resumes="r"), route())
+        )
+        await asyncio.sleep(0.2)
+        heals()
+        await entries.clock.advance(LIST_WAIT_MS + LIST_POLL_MS)
+        try:
+            return (await finding).version
+        except RequestError as error:
+            assert error.kind is ErrorKind.NOT_CONTINUABLE
+            return None
+
+    return asyncio.run(main())
+
+
+def test_a_take_up_waits_for_a_list_that_may_lack_its_version(entries):
+    # Guards against streams refused by an entry that stood still while a
+    # version joined, also where all agents with their notes joined as well.
+    _, first = entries.add([replica("b", "v2")])
+    first.note(call("r"), route(), replica("b", "v2"))
+    registry, second = entries.add([replica("a")])
+    entries.is_list_current = False
+
+    def heal():
+        registry.put(replica("b", "v2"), 2, entries.clock.now_ms())
+        entries.is_list_current = True
+
+    assert find_late(entries, second, heal) == "v2"
+
+
+def test_a_take_up_is_refused_at_once_by_a_current_list(entries):
+    # Guards against a wait for what is known already.
+    _, first = entries.add([replica("b", "v2")])
+    first.note(call("r"), route(), replica("b", "v2"))
+    _, second = entries.add([replica("a")])
+    entries.agents.table_by_host.setdefault("a", OriginTable()).note(
+        0, stream_key("r"), origin_key("s", "v2")
+    )
+    assert find(second) is None
 
 
 def test_a_caller_that_names_no_request_goes_on_at_a_sole_version(entries):
     # Guards against refusing older clients, whose streams cannot be found,
     # after a restart of all entries or without the store.
     registry, origins = entries.add([replica("a"), replica("b")])
-    entries.is_list_fresh = False
+    entries.is_list_current = False
     assert find(origins, resumes="") == "v1"
     registry.put(replica("c", "v2"), 2, entries.clock.now_ms())
     assert find(origins, resumes="") is None
--- a/dahliashunt/platform/serve_entry.py
+++ b/dahliashunt/platform/serve_entry.py
@@ -29,7 +29,6 @@
 from dahliashunt.forwarding.losses import LOSSES_PREFIX
 from dahliashunt.forwarding.losses import SharedLosses
 from dahliashunt.forwarding.node import Node
-from dahliashunt.forwarding.node import STALE_MS
 from dahliashunt.forwarding.partners import Partners
 from dahliashunt.forwarding.rate_limiter import MeterSelector
 from dahliashunt.forwarding.rate_limiter import RateLimiter
@@ -320,18 +319,12 @@
             AgentRing(self._registry, self.node.has_agents),
             self._slots,
             self._settings.first_port,
-            self._is_replica_list_fresh,
+            lambda: self._followers[1].is_current(),
             self._clock,
             self.node.metrics,
             self._log,
         )
 
-    def _is_replica_list_fresh(self):
-        _, replicas, *_ = self._followers
-        heard_ms = replicas.heard_ms
-        now_ms = self._clock.now_ms()
-        return heard_ms is not None and now_ms - heard_ms <= STALE_MS
-
     def _make_rate_limiter(self, name):
         choice = MeterSelector(self._registry, self.node.has_agents)
         policy = RATE_LIMIT_POLICIES.get(name)(
