An agent without a replica ends; a fleet without agents says so

Change: an agent whose settings name no replica ends at once with exit code of settings and the key; one that finds no row with its replica's address logs replica_not_listed after 5 s and each 30 s; an entry that no agent answers logs agents_silent (agents_answer ends it), with the metrics agents and agents_silent.

--- a/dahliashunt/platform/own_replica.py
+++ b/dahliashunt/platform/own_replica.py
@@ -34,6 +34,11 @@
 LOOKUP_RETRY_MS = 300
 """Interval between reads of the list until the replica is found."""
 
+NOT_LISTED_FIRST_MS = 5_000
+NOT_LISTED_MS = 30_000
+"""Time until the first log line that no row has the replica's address, and
+between two of them."""
+
 CHECKS_AFTER_SIGN_MS = (300, 600, 1_200, 2_400)
 """Times between reads of the row after a sign of a restart: a replica that
 starts again may write its row only once it has loaded."""
@@ -92,6 +97,7 @@
 
     async def find(self) -> Replica:
         """Return the replica listed with the address, once there is one."""
+        told_ms = self._clock.now_ms() - NOT_LISTED_MS + NOT_LISTED_FIRST_MS
         while True:
             try:
                 self.current = await self._look_up()
@@ -99,6 +105,13 @@
                 self._log.warning("table_unavailable", reason=str(error))
             if self.current is not None:
                 return self.current
+            now_ms = self._clock.now_ms()
+            if now_ms - told_ms >= NOT_LISTED_MS:
+                told_ms = now_ms
+                host, port = self._address
+                self._log.warning(
+                    "replica_not_listed", replica=f"{host}:{port}"
+                )
             await self._clock.sleep_ms(LOOKUP_RETRY_MS)
 
     def note_sign(self) -> None:
--- a/dahliashunt/platform/program.py
+++ b/dahliashunt/platform/program.py
@@ -43,6 +43,13 @@
     except SettingsError as error:
         print(error, file=sys.stderr)
         return ExitCode.SETTINGS
+    role = "entry" if arguments["entry"] else "agent"
+    if role == "agent" and settings.replica is None:
+        print(
+            f"{path}: app: expected the HOST:PORT of the agent's replica",
+            file=sys.stderr,
+        )
+        return ExitCode.SETTINGS
     policy = arguments["--caps"]
     if policy not in CAP_POLICIES:
         print(
@@ -60,7 +67,6 @@
             file=sys.stderr,
         )
         return ExitCode.SETTINGS
-    role = "entry" if arguments["entry"] else "agent"
     recent = RecentLines()
     log = set_up_logs(
         f"dahliashunt-{role}", settings.node_id, to_stdout=True, recent=recent
--- a/dahliashunt/platform/serve_entry.py
+++ b/dahliashunt/platform/serve_entry.py
@@ -218,6 +218,7 @@
         )
         self.node.losses_known = self._followers[2].known
         self._servers = []
+        self._is_without_agents = False
         self.ingress: Ingress | None = None
         self.bounds = self._make_bounds()
         self.first_port = settings.first_port
@@ -443,6 +444,7 @@
             self._pool.sweep()
             self._apply_connection_limits()
             self._update_held_gauges()
+            self._note_agents()
             self._update_wave_gauges()
 
     async def _expire_lapsed(self):
@@ -463,6 +465,29 @@
         gauge("caller_connections_max", held.max_connections)
         gauge("replica_connections", self._pool.open_connections)
 
+    def _note_agents(self):
+        """Count the agents that don't answer; log when all of them don't."""
+        if self.node.catalog is None:
+            return
+        hosts = {
+            replica.host
+            for replica in self._registry.all()
+            if self.node.has_agents(replica.service)
+        }
+        silent = [
+            host
+            for host in hosts
+            if self._slots.is_silent((host, self._settings.first_port))
+        ]
+        self.node.metrics.gauge("agents", len(hosts))
+        self.node.metrics.gauge("agents_silent", len(silent))
+        is_without = bool(hosts) and len(silent) == len(hosts)
+        if is_without and not self._is_without_agents:
+            self._log.warning("agents_silent", agents=len(hosts))
+        elif self._is_without_agents and not is_without:
+            self._log.info("agents_answer", agents=len(hosts) - len(silent))
+        self._is_without_agents = is_without
+
     def _log_wave(self, service, wave, in_effect):
         self._log.info(
             "demand_forecast",
--- a/dahliashunt/platform/tests/test_own_replica.py
+++ b/dahliashunt/platform/tests/test_own_replica.py
@@ -6,6 +6,7 @@
 
 import pytest
 import structlog
+from structlog.testing import capture_logs
 
 from dahliashunt.adapters.clock import VirtualClock
 from dahliashunt.errors import PlatformUnavailable
@@ -219,3 +220,24 @@
         assert store.reads - before <= len(CHECKS_AFTER_SIGN_MS) + 2
 
     run_watched(scenario)
+
+
+def test_a_replica_that_is_not_listed_is_named_at_a_bounded_rate():
+    """Guards against an agent that waits for ever without a word."""
+
+    async def main():
+        clock = VirtualClock()
+        own = OwnReplica(
+            Store(), ADDRESS, clock, random.Random(1), structlog.get_logger()
+        )
+        with capture_logs() as lines:
+            finding = asyncio.create_task(own.find())
+            await clock.advance(4_000)
+            assert not lines
+            await clock.advance(120_000)
+            finding.cancel()
+        assert {line["event"] for line in lines} == {"replica_not_listed"}
+        assert {line["replica"] for line in lines} == {"10.0.0.1:80"}
+        assert 3 <= len(lines) <= 5
+
+    asyncio.run(main())
