Items wait while the newest configuration can't be decoded

Cause: a configuration that can't be decoded is left out, and the reads go on.

Change: such a configuration counts as not read. A planned stop no longer cancels the server's task, which stop_now waits for afterwards.

--- a/dahliashunt/forwarding/node.py
+++ b/dahliashunt/forwarding/node.py
@@ -62,6 +62,8 @@
     registry : ReplicaRegistry
     leaving : asyncio.Event
         Set when this node is told to stop.
+    is_configuration_unreadable : bool
+        Whether the newest configuration can't be decoded.
     ends_ms : int or None
         Time at which it stops; None until it is told to.
     losses_known : asyncio.Event
@@ -87,6 +89,7 @@
         self.forwarder: Forwarder | None = None
         self.caps: RateLimiter | None = None
         self.leaving = asyncio.Event()
+        self.is_configuration_unreadable = False
         self.ends_ms: int | None = None
         self._accepts_until_ms = 0
         self.config_read_ms = lambda: None
@@ -313,6 +316,8 @@
         Only then a route that is missing here was removed. Otherwise it may
         be newer than what this node has read.
         """
+        if self.is_configuration_unreadable:
+            return False
         as_of_ms = self.config_as_of_ms()
         return as_of_ms is not None and as_of_ms >= time_ms
 
--- a/dahliashunt/platform/listeners.py
+++ b/dahliashunt/platform/listeners.py
@@ -35,7 +35,9 @@
         except DecodeError as error:
             # Keeps the configuration in force if the new one is invalid.
             self._log.error("configuration_unreadable", reason=str(error))
+            self._node.is_configuration_unreadable = True
             return
+        self._node.is_configuration_unreadable = False
         self._node.adopt(catalog)
 
     def removed(self, key: str) -> None:
--- a/dahliashunt/platform/serve_entry.py
+++ b/dahliashunt/platform/serve_entry.py
@@ -549,7 +549,6 @@
             self._log.warning("drain_timed_out", in_progress=self.node.busy)
             self.ingress.end_all()
             await asyncio.wait({stopping}, timeout=LAST_ANSWERS_S)
-        stopping.cancel()
 
     async def stop(self):
         """Close all servers and connections immediately."""
--- a/dahliashunt/platform/tests/test_outdated_owner.py
+++ b/dahliashunt/platform/tests/test_outdated_owner.py
@@ -16,6 +16,9 @@
 
 ONLINE = route_fields(name="online", prefix="/a/")
 UNREADABLE = {**ROUTE, "max-attempts": "many"}
+READS_S = 2.5
+"""Time in which two reads of the configuration begin and end."""
+
 HIDDEN = {**UNREADABLE, "name": 7}
 
 
@@ -27,30 +30,37 @@
     await p.until(lambda: other.jobs.worker.job_run("j1"))
 
 
-async def accept_on_new_route(p):
+async def accept_on_new_route(p, unreadable=False):
     """Let the first entry alone learn a route, and accept a job on it."""
     other = await p.add_entry()
     first = p.entries[0]
-    p.store.trouble.silent_feed_of = "op"
     config = config_fields((ONLINE, ROUTE), version=2, engine=False)
-    p.store.configure(config)
+    if unreadable:
+        p.store.configure("{")
+    else:
+        p.store.trouble.silent_feed_of = "op"
+        p.store.configure(config)
     first.node.adopt(decode_catalog(json.dumps(config)))
     assert (await submit(p)).status == 202
     return other
 
 
-def test_a_job_on_a_route_that_its_next_owner_has_not_read_is_done(platform):
+@pytest.mark.parametrize("unreadable", [False, True])
+def test_a_job_on_a_route_that_its_next_owner_has_not_read_is_done(
+    platform, unreadable
+):
     # Guards against items listed as dead because a stale copy of the
-    # configuration lacks their route.
+    # configuration lacks their route, or the newer one can't be decoded.
     async def scenario(p):
         p.replicas[0].then(events=1, silent_after=0)
-        other = await accept_on_new_route(p)
+        other = await accept_on_new_route(p, unreadable)
         await hand_over(p, other)
         p.replicas[0].steps.clear()
         p.replicas[0].then(events=2)
-        await asyncio.sleep(1)
+        await asyncio.sleep(READS_S)
         assert not other.jobs.view.progress(other.jobs.view.job("j1")).listed
         p.store.trouble.silent_feed_of = ""
+        p.store.configure(config_fields((ONLINE, ROUTE), 3, engine=False))
         results = await read_all(p, entry=other)
         assert [each["output"] for each in results] == [output(2)] * 2
 
--- a/tests/crowds/processes.py
+++ b/tests/crowds/processes.py
@@ -105,9 +105,9 @@
         self._process.send_signal(signal.SIGTERM)
 
     async def ended(self):
-        """Wait for the end of the process."""
+        """Wait for the end of the process; return its exit code."""
         async with asyncio.timeout(READY_WITHIN_S):
-            await self._process.wait()
+            return await self._process.wait()
 
     async def stop(self):
         """End the process."""
--- a/tests/crowds/test_planned_stop.py
+++ b/tests/crowds/test_planned_stop.py
@@ -58,7 +58,7 @@
         await clients["late once"].send(b"body")
         await clients["late"].send(b"body")
         found = await replies(clients)
-        await fleet.entry.ended()
+        assert await fleet.entry.ended() == 0
         assert statuses(found) == {
             "begun": 200,
             "once short": 200,
