--- a/dahliashunt/platform/program.py
+++ b/dahliashunt/platform/program.py
@@ -44,12 +44,6 @@
         print(error, file=sys.stderr)
         return ExitCode.SETTINGS
     role = "entry" if arguments["entry"] else "agent"
-    if role == "agent" and settings.replica is None:
-        print(
-            f"{path}: app: expected the HOST:PORT of the agent's replica",
-            file=sys.stderr,
-        )
-        return ExitCode.SETTINGS
     policy = arguments["--caps"]
     if policy not in CAP_POLICIES:
         print(
@@ -60,6 +54,12 @@
     if arguments["--check-settings"]:
         print(f"{path}: ok")
         return ExitCode.OK
+    if role == "agent" and settings.replica is None:
+        print(
+            f"{path}: app: expected the HOST:PORT of the agent's replica",
+            file=sys.stderr,
+        )
+        return ExitCode.SETTINGS
     port = arguments["--metrics-port"]
     if not port.isdigit() or int(port) > LAST_PORT:
         print(
