--- a/dahliashunt/decisions/lapse_grace.py
+++ b/dahliashunt/decisions/lapse_grace.py
@@ -12,9 +12,9 @@
 
 A row counts as lapsed only after a gap in which it can have lapsed, that is of
 a heartbeat or longer. It is kept until the platform may count its use as late:
-`drain_ms` after the removal, or `contact_ms` after the entry was last cut off.
-If most replicas of a service are gone, which planned work does not do within
-one gap, its rows stay for `LAPSE_GRACE_MS` after the gap.
+`drain_ms` after the removal, or `tolerance_ms` after the last failed call of
+this entry. If most replicas of a service are gone, which planned work does not
+do within one gap, its rows stay for `LAPSE_GRACE_MS` after the gap.
 """
 
 from dataclasses import dataclass
@@ -72,7 +72,7 @@
         Interval at which replicas renew their rows.
     drain_ms : int
         Time after its removal within which a replica may be used.
-    contact_ms : int
+    tolerance_ms : int
         Time after an impairment of this entry for which it is not held to
         `drain_ms`.
 
@@ -91,11 +91,11 @@
         self,
         heartbeat_ms: int = 1_200,
         drain_ms: int = 2_000,
-        contact_ms: int = 3_000,
+        tolerance_ms: int = 3_000,
     ):
         self._heartbeat_ms = heartbeat_ms
         self._drain_ms = drain_ms
-        self._contact_ms = contact_ms
+        self._tolerance_ms = tolerance_ms
         self._gap: ReadGap | None = None
 
     def gap_ended(self, gap: ReadGap) -> None:
@@ -122,7 +122,7 @@
         late_ms = gap.ended_ms + LAPSE_GRACE_MS
         if now_ms >= late_ms:
             return None
-        allowed_ms = gap.failed_ms + self._contact_ms
+        allowed_ms = gap.failed_ms + self._tolerance_ms
         if removed_after_ms is not None:
             drained_ms = removed_after_ms + self._drain_ms
             allowed_ms = max(allowed_ms, drained_ms)
--- a/dahliashunt/platform/tests/test_outdated_owner.py
+++ b/dahliashunt/platform/tests/test_outdated_owner.py
@@ -23,11 +23,16 @@
 
 
 async def hand_over(p, other):
-    """Stop the job's owner; return once `other` runs the job."""
+    """Stop the job's owner; return once `other` runs the job.
+
+    The replica stalled the items of the first owner, and serves from now on.
+    """
     first = p.entries[0]
     await first.jobs.hand_over(0)
     await p.kill(first)
     await p.until(lambda: other.jobs.worker.job_run("j1"))
+    p.replicas[0].steps.clear()
+    p.replicas[0].then(events=2)
 
 
 async def accept_on_new_route(p, unreadable=False):
@@ -55,8 +60,6 @@
         p.replicas[0].then(events=1, silent_after=0)
         other = await accept_on_new_route(p, unreadable)
         await hand_over(p, other)
-        p.replicas[0].steps.clear()
-        p.replicas[0].then(events=2)
         await asyncio.sleep(READS_S)
         assert not other.jobs.view.progress(other.jobs.view.job("j1")).listed
         p.store.trouble.silent_feed_of = ""
@@ -75,8 +78,6 @@
         p.store.trouble.refuse_reads_of = "op"
         other = await p.add_entry(wait=False)
         await hand_over(p, other)
-        p.replicas[0].steps.clear()
-        p.replicas[0].then(events=2)
         await asyncio.sleep(0.5)
         assert other.jobs.worker.restarts == 0
         p.store.trouble.refuse_reads_of = ""
@@ -98,8 +99,6 @@
         p.store.configure(config_fields([unreadable], 2, engine=False))
         await p.until(lambda: other.node.catalog.revision == 2)
         await hand_over(p, other)
-        p.replicas[0].steps.clear()
-        p.replicas[0].then(events=2)
         await asyncio.sleep(0.5)
         p.store.configure(config_fields([ROUTE], 3, engine=False))
         results = await read_all(p, entry=other)
